--- /dev/null
+++ b/balance/doc.go
@@ -0,0 +1,2 @@
+// Package balance is described in docs/design.md.
+package balance
--- /dev/null
+++ b/cmd/heatherwall/main.go
@@ -0,0 +1,4 @@
+// Command heatherwall is described in docs/design.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/control/doc.go
@@ -0,0 +1,2 @@
+// Package control is described in docs/design.md.
+package control
--- /dev/null
+++ b/controlstate/doc.go
@@ -0,0 +1,2 @@
+// Package controlstate is described in docs/design.md.
+package controlstate
--- /dev/null
+++ b/document/doc.go
@@ -0,0 +1,2 @@
+// Package document is described in docs/design.md.
+package document
--- /dev/null
+++ b/gateway/doc.go
@@ -0,0 +1,2 @@
+// Package gateway is described in docs/design.md.
+package gateway
--- /dev/null
+++ b/membership/doc.go
@@ -0,0 +1,2 @@
+// Package membership is described in docs/design.md.
+package membership
--- /dev/null
+++ b/model/doc.go
@@ -0,0 +1,2 @@
+// Package model is described in docs/design.md.
+package model
--- /dev/null
+++ b/raft/doc.go
@@ -0,0 +1,2 @@
+// Package raft is described in docs/design.md.
+package raft
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+const goodGateway = `name: gw-1
+region: finistere
+failure_domain: finistere-a
+callers: {address: "127.0.0.1:8080"}
+announce: {address: "127.0.0.1:8081"}
+peer: {address: "127.0.0.1:8082", tls: {certificate: c.pem, key: k.pem, authority: a.pem}}
+admin: {address: "127.0.0.1:8083"}
+control:
+  - {name: c1, address: "127.0.0.1:7001", region: finistere, failure_domain: finistere-a}
+`
+
+// Guards against defaults that are lost and good files that are refused.
+func TestParseGatewayDefaults(t *testing.T) {
+	s, err := ParseGateway("gw.yaml", []byte(goodGateway))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.MaxRequests != DefaultMaxRequests || s.LogLevel != DefaultLogLevel || s.Control[0].Name != "c1" {
+		t.Fatalf("settings: %+v", s)
+	}
+}
+
+// Guards against a check that stops at the first mistake or loses its place.
+func TestParseGatewayReportsEveryMistake(t *testing.T) {
+	text := strings.NewReplacer(
+		`"127.0.0.1:8080"`, `"localhost:8080"`,
+		"region: finistere\nfailure", "regoin: finistere\nfailure",
+		"name: c1, ", "",
+	).Replace(goodGateway) + "max_requests: -1\n"
+	_, err := ParseGateway("gw.yaml", []byte(text))
+	var invalid *InvalidError
+	if !errors.As(err, &invalid) {
+		t.Fatalf("got %v", err)
+	}
+	want := []string{
+		"gw.yaml:1:1: region: expected a value",
+		"gw.yaml:2:1: regoin: unknown field",
+		`gw.yaml:4:20: callers.address: expected an IP number with a port, got "localhost:8080"`,
+		"gw.yaml:9:5: control[0].name: expected a value",
+		"gw.yaml:10:15: max_requests: expected a positive number",
+	}
+	if got := invalid.Error(); got != strings.Join(want, "\n") {
+		t.Fatalf("got:\n%s\nwant:\n%s", got, strings.Join(want, "\n"))
+	}
+}
+
+// Guards against a replica that is missing from its own list of peers, or lacks TLS.
+func TestParseControlNeedsItselfAndTLS(t *testing.T) {
+	_, err := ParseControl("c.yaml", []byte(`name: c1
+region: r
+failure_domain: d
+peer: {address: "127.0.0.1:7001"}
+admin: {address: "127.0.0.1:7002"}
+data_folder: data
+peers:
+  - {name: c2, address: "127.0.0.1:7003", region: r, failure_domain: d}
+`))
+	if err == nil || !strings.Contains(err.Error(), "peer.tls") || !strings.Contains(err.Error(), `entry for this instance, "c1"`) {
+		t.Fatalf("got %v", err)
+	}
+}
--- /dev/null
+++ b/testbed/doc.go
@@ -0,0 +1,2 @@
+// Package testbed is described in docs/design.md.
+package testbed
