--- a/api/generate.sh
+++ b/api/generate.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 protoc -I . --go_out=. --go_opt=module=heatherwall.example/api \
-  --go-grpc_out=. --go-grpc_opt=module=heatherwall.example/api raft.proto control.proto gossip.proto
+  --go-grpc_out=. --go-grpc_opt=module=heatherwall.example/api raft.proto control.proto gossip.proto state.proto
--- /dev/null
+++ b/controlstate/configuration_snapshot.go
@@ -0,0 +1,79 @@
+package controlstate
+
+import (
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"heatherwall.example/api/statepb"
+	"heatherwall.example/document"
+)
+
+// snapshotFormat is the version of the layout of both kinds of snapshots.
+const snapshotFormat = 1
+
+// Snapshot encodes the whole state; equal states give equal bytes.
+func (c *Configuration) Snapshot() []byte {
+	s := &statepb.ConfigurationSnapshot{
+		Format: snapshotFormat, Applied: c.applied, Revision: c.revision, ClusterId: c.clusterID,
+		OldestRevision: c.sections.oldest, Pending: c.pending, Changes: c.changes.order, History: c.history,
+		DomainsOut: c.domainsOut, ClaimGroups: c.groups,
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.sections.current)) {
+		s.Versions = append(s.Versions, c.sections.current[name])
+	}
+	s.Versions = append(s.Versions, c.sections.past...)
+	for _, service := range slices.Sorted(maps.Keys(c.claimRegions)) {
+		region := &statepb.ServiceRegion{Service: service, Region: c.claimRegions[service]}
+		s.ClaimRegions = append(s.ClaimRegions, region)
+	}
+	return encode(s)
+}
+
+// RestoreConfiguration gives the state of a snapshot. The error is a *SnapshotError.
+func RestoreConfiguration(snapshot []byte) (*Configuration, error) {
+	s := &statepb.ConfigurationSnapshot{}
+	if err := proto.Unmarshal(snapshot, s); err != nil {
+		return nil, &SnapshotError{Fault: FaultEncoding, Cause: err}
+	}
+	if s.GetFormat() != snapshotFormat {
+		return nil, &SnapshotError{Fault: FaultFormat}
+	}
+	c := NewConfiguration()
+	c.applied, c.revision, c.clusterID = s.GetApplied(), s.GetRevision(), s.GetClusterId()
+	c.pending, c.history = s.GetPending(), s.GetHistory()
+	c.domainsOut, c.groups = s.GetDomainsOut(), s.GetClaimGroups()
+	c.sections.oldest = s.GetOldestRevision()
+	c.restoreVersions(s.GetVersions())
+	for _, r := range s.GetChanges() {
+		c.changes.add(r)
+	}
+	for _, r := range s.GetClaimRegions() {
+		c.claimRegions[r.GetService()] = r.GetRegion()
+	}
+	return c, c.recompile()
+}
+
+func (c *Configuration) restoreVersions(versions []*statepb.SectionVersion) {
+	for _, v := range versions {
+		if v.GetUntil() == 0 {
+			c.sections.current[v.GetName()] = v
+			continue
+		}
+		c.sections.past = append(c.sections.past, v)
+		c.sections.pastBytes += len(v.GetText())
+	}
+}
+
+func (c *Configuration) recompile() error {
+	if len(c.sections.current) == 0 {
+		return nil
+	}
+	config, problems := document.Compile(c.sections.list())
+	if len(problems) > 0 {
+		return &SnapshotError{Fault: FaultDocument, Cause: problems}
+	}
+	c.config = config.WithDomainsOut(c.domainsOut)
+	return nil
+}
--- /dev/null
+++ b/controlstate/entry.go
@@ -0,0 +1,35 @@
+package controlstate
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/raftpb"
+	"heatherwall.example/api/statepb"
+)
+
+// encode gives the deterministic encoding of a message; messages of this package always encode.
+func encode(m proto.Message) []byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// ChangeEntry is the log entry of a signed change.
+func ChangeEntry(signed *controlpb.SignedChange) []byte {
+	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_Change{Change: signed}})
+}
+
+// CreateClaimGroupEntry is the log entry that creates the claim group of a region.
+func CreateClaimGroupEntry(region string, voters []*raftpb.Member) []byte {
+	create := &statepb.CreateClaimGroup{Region: region, Voters: voters}
+	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_CreateClaimGroup{CreateClaimGroup: create}})
+}
+
+// SetClusterEntry is the log entry that records the cluster ID.
+func SetClusterEntry(clusterID uint64) []byte {
+	set := &statepb.SetCluster{ClusterId: clusterID}
+	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_SetCluster{SetCluster: set}})
+}
--- /dev/null
+++ b/controlstate/outcome.go
@@ -0,0 +1,65 @@
+package controlstate
+
+import (
+	"slices"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/document"
+)
+
+func (c *Configuration) outcome(result controlpb.ChangeResult) *controlpb.ChangeOutcome {
+	return &controlpb.ChangeOutcome{Result: result, Revision: c.revision}
+}
+
+func (c *Configuration) accepted() *controlpb.ChangeOutcome {
+	return c.outcome(controlpb.ChangeResult_CHANGE_ACCEPTED)
+}
+
+func (c *Configuration) refuse(result controlpb.ChangeResult, p *controlpb.ChangeProblem) *controlpb.ChangeOutcome {
+	o := c.outcome(result)
+	o.Problems = []*controlpb.ChangeProblem{p}
+	return o
+}
+
+func (c *Configuration) invalid(path, reason, expected string) *controlpb.ChangeOutcome {
+	return c.refuse(controlpb.ChangeResult_CHANGE_INVALID, problem(path, reason, expected))
+}
+
+func (c *Configuration) unauthorized(path, reason, expected string) *controlpb.ChangeOutcome {
+	return c.refuse(controlpb.ChangeResult_CHANGE_UNAUTHORIZED, problem(path, reason, expected))
+}
+
+func (c *Configuration) invalidDocument(problems document.Problems) *controlpb.ChangeOutcome {
+	o := c.outcome(controlpb.ChangeResult_CHANGE_INVALID)
+	o.Problems = problemMessages(problems)
+	return o
+}
+
+func problem(path, reason, expected string) *controlpb.ChangeProblem {
+	return &controlpb.ChangeProblem{Path: path, Reason: reason, Expected: expected}
+}
+
+func problemMessages(problems document.Problems) []*controlpb.ChangeProblem {
+	var list []*controlpb.ChangeProblem
+	for _, p := range problems[:min(len(problems), MaxProblems)] {
+		list = append(list, &controlpb.ChangeProblem{
+			Path: p.Path, Line: uint32(p.Line), Column: uint32(p.Column), Expected: p.Expected, Reason: string(p.Reason),
+		})
+	}
+	return list
+}
+
+// note adds a change to the history at the present revision.
+func (c *Configuration) note(r request, result controlpb.ChangeResult) {
+	e := &controlpb.HistoryEntry{
+		Revision: c.revision, ChangeId: r.change.GetId(), Signers: slices.Clone(r.signers),
+		Comment: r.change.GetComment(), Domain: r.change.GetDomain(), Approval: r.change.GetApproval(), Result: result,
+	}
+	for _, s := range r.change.GetSections() {
+		e.Sections = append(e.Sections, s.GetName())
+	}
+	c.history = append(c.history, e)
+	if len(c.history) > KeptHistory {
+		c.history = c.history[1:]
+	}
+}
--- /dev/null
+++ b/controlstate/read.go
@@ -0,0 +1,100 @@
+package controlstate
+
+import (
+	"crypto/sha256"
+	"slices"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/document"
+)
+
+// maxHistoryAnswer is the largest number of history entries in one answer.
+const maxHistoryAnswer = 1000
+
+// Delta is what a gateway with an older revision needs.
+type Delta struct {
+	Revision uint64
+	// Full is true when Sections is the whole document.
+	Full     bool
+	Sections []*controlpb.Section
+	// Removed lists the sections that exist no more, sorted.
+	Removed    []string
+	DomainsOut []string
+}
+
+// DeltaSince returns the difference from a revision to the newest one. The whole document is given for revision 0 and
+// for revisions that are not kept.
+func (c *Configuration) DeltaSince(revision uint64) Delta {
+	d := Delta{Revision: c.revision, DomainsOut: c.DomainsOut()}
+	d.Full = revision == 0 || revision < c.sections.oldest
+	for _, s := range c.sections.list() {
+		if d.Full || s.Revision > revision {
+			d.Sections = append(d.Sections, toMessage(s))
+		}
+	}
+	if !d.Full {
+		d.Removed = c.sections.removedSince(revision)
+	}
+	return d
+}
+
+// Sections returns the document in force, sorted as in a rendered document.
+func (c *Configuration) Sections() []document.Section {
+	return c.sections.list()
+}
+
+// SectionsAt returns the sections at a revision; 0 is the newest one. The error is a *RevisionError.
+func (c *Configuration) SectionsAt(revision uint64) ([]document.Section, error) {
+	if revision == 0 || revision == c.revision {
+		return c.sections.list(), nil
+	}
+	if revision < c.sections.oldest || revision > c.revision {
+		return nil, &RevisionError{Revision: revision, Oldest: c.sections.oldest, Newest: c.revision}
+	}
+	return c.sections.at(revision), nil
+}
+
+// Get answers an operator. Failure domains out and candidates are the present ones at every revision. The error is a
+// *RevisionError.
+func (c *Configuration) Get(revision uint64) (*controlpb.GetAnswer, error) {
+	sections, err := c.SectionsAt(revision)
+	if err != nil {
+		return nil, err
+	}
+	answer := &controlpb.GetAnswer{Revision: revision, DomainsOut: c.DomainsOut(), Pending: c.Pending()}
+	if revision == 0 {
+		answer.Revision = c.revision
+	}
+	for _, s := range sections {
+		answer.Sections = append(answer.Sections, toMessage(s))
+	}
+	return answer, nil
+}
+
+// Pending returns the candidates that wait for approvals, in the order of first proposal.
+func (c *Configuration) Pending() []*controlpb.PendingJoin {
+	var list []*controlpb.PendingJoin
+	for _, p := range c.pending {
+		sum := sha256.Sum256([]byte(p.GetText()))
+		list = append(list, &controlpb.PendingJoin{
+			Candidate: p.GetName(), Text: p.GetText(), TextSha256: sum[:], Revision: p.GetRevision(),
+			ApprovedBy: slices.Clone(p.GetApprovedBy()), WaitingFor: c.missingApprovals(p),
+		})
+	}
+	return list
+}
+
+// History returns entries from a revision on, oldest first. A limit of 0 gives the largest number.
+func (c *Configuration) History(from uint64, limit uint32) []*controlpb.HistoryEntry {
+	if limit == 0 || limit > maxHistoryAnswer {
+		limit = maxHistoryAnswer
+	}
+	start, _ := slices.BinarySearchFunc(c.history, from, func(e *controlpb.HistoryEntry, revision uint64) int {
+		if e.GetRevision() < revision {
+			return -1
+		}
+		return 1
+	})
+	end := min(len(c.history), start+int(limit))
+	return slices.Clone(c.history[start:end])
+}
--- /dev/null
+++ b/document/limits.go
@@ -0,0 +1,31 @@
+package document
+
+import "time"
+
+// Format is the only supported value of the field format.
+const Format = 1
+
+// Limits of a document.
+const (
+	MaxDocumentBytes = 1 << 20
+	MaxSectionBytes  = 128 << 10
+	MaxSections      = 1000
+	MaxNameBytes     = 63
+	MaxListItems     = 1000
+	MaxPathBytes     = 512
+	MaxBodyBytes     = 16 << 20
+	MaxDeadline      = 10 * time.Minute
+	MinDeadline      = time.Millisecond
+)
+
+// DefaultMaxBody is the limit of a request body in bytes when a rule names none.
+const DefaultMaxBody = 1 << 20
+
+const (
+	maxWorkers     = 100_000
+	maxSlots       = 10_000
+	maxConnections = 100_000
+	maxLimit       = 1_000_000
+	maxBudget      = 1 << 30
+	maxTextBytes   = 4096
+)
--- /dev/null
+++ b/document/node.go
@@ -0,0 +1,272 @@
+package document
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// spot is the place of a field.
+type spot struct {
+	file string
+	line int
+	col  int
+	path string
+}
+
+// field is a YAML node with its path. A field that is left out has a nil node and the place of its parent.
+type field struct {
+	node *yaml.Node
+	at   spot
+	// keyLine is the line of the key in a mapping.
+	keyLine int
+}
+
+// ref is a name that the document uses, with its place.
+type ref struct {
+	name string
+	at   spot
+}
+
+// reader reads fields and collects the problems.
+type reader struct {
+	problems Problems
+}
+
+func (r *reader) add(at spot, reason Reason, format string, args ...any) {
+	p := Problem{File: at.file, Line: at.line, Column: at.col, Path: at.path, Reason: reason}
+	p.Expected = fmt.Sprintf(format, args...)
+	r.problems = append(r.problems, p)
+}
+
+func nodeField(file, path string, n *yaml.Node) field {
+	return field{node: n, at: spot{file: file, line: n.Line, col: n.Column, path: path}}
+}
+
+func joinPath(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// entry is one key of a mapping with its value.
+type entry struct {
+	key   ref
+	value field
+}
+
+// entries returns the keys of a mapping in the order of the text and reports duplicates.
+func (r *reader) entries(f field) []entry {
+	if f.node == nil {
+		return nil
+	}
+	if f.node.Kind != yaml.MappingNode {
+		r.add(f.at, ReasonType, "expected a mapping")
+		return nil
+	}
+	var list []entry
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(f.node.Content); i += 2 {
+		key, value := f.node.Content[i], f.node.Content[i+1]
+		path := joinPath(f.at.path, key.Value)
+		at := spot{file: f.at.file, line: key.Line, col: key.Column, path: path}
+		if seen[key.Value] {
+			r.add(at, ReasonDuplicate, "expected each field once")
+			continue
+		}
+		seen[key.Value] = true
+		e := entry{key: ref{key.Value, at}, value: nodeField(f.at.file, path, value)}
+		e.value.keyLine = key.Line
+		list = append(list, e)
+	}
+	return list
+}
+
+// fields is a mapping with known fields.
+type fields struct {
+	r      *reader
+	parent field
+	byName map[string]field
+}
+
+// fields reads a mapping and reports fields that are not known.
+func (r *reader) fields(f field, known ...string) fields {
+	m := fields{r: r, parent: f, byName: map[string]field{}}
+	for _, e := range r.entries(f) {
+		if !slices.Contains(known, e.key.name) {
+			r.add(e.key.at, ReasonUnknownField, "unknown field; expected one of %s", strings.Join(known, ", "))
+			continue
+		}
+		m.byName[e.key.name] = e.value
+	}
+	return m
+}
+
+// optional returns the field; its node is nil when it is left out.
+func (m fields) optional(name string) field {
+	if f, ok := m.byName[name]; ok {
+		return f
+	}
+	at := m.parent.at
+	at.path = joinPath(at.path, name)
+	return field{at: at}
+}
+
+// required is like optional and reports a field that is left out.
+func (m fields) required(name string) field {
+	f := m.optional(name)
+	if f.node == nil && m.parent.node != nil && m.parent.node.Kind == yaml.MappingNode {
+		m.r.add(f.at, ReasonMissing, "expected this field")
+	}
+	return f
+}
+
+// items returns the items of a list.
+func (r *reader) items(f field) []field {
+	if f.node == nil {
+		return nil
+	}
+	if f.node.Kind != yaml.SequenceNode {
+		r.add(f.at, ReasonType, "expected a list")
+		return nil
+	}
+	if len(f.node.Content) > MaxListItems {
+		r.add(f.at, ReasonTooLarge, "expected at most %d items", MaxListItems)
+		return nil
+	}
+	list := make([]field, len(f.node.Content))
+	for i, n := range f.node.Content {
+		list[i] = nodeField(f.at.file, fmt.Sprintf("%s[%d]", f.at.path, i), n)
+	}
+	return list
+}
+
+// scalar returns the text of a scalar. An empty result was reported or left out.
+func (r *reader) scalar(f field, want string) string {
+	if f.node == nil {
+		return ""
+	}
+	if f.node.Kind != yaml.ScalarNode || f.node.Value == "" || f.node.Tag == "!!null" {
+		r.add(f.at, ReasonType, "expected %s", want)
+		return ""
+	}
+	if len(f.node.Value) > maxTextBytes {
+		r.add(f.at, ReasonTooLarge, "expected at most %d bytes", maxTextBytes)
+		return ""
+	}
+	return f.node.Value
+}
+
+func (r *reader) integer(f field, low, high int64) int64 {
+	want := fmt.Sprintf("a whole number from %d to %d", low, high)
+	text := r.scalar(f, want)
+	if text == "" {
+		return 0
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < low || n > high {
+		r.add(f.at, ReasonValue, "expected %s", want)
+		return 0
+	}
+	return n
+}
+
+func (r *reader) boolean(f field) bool {
+	text := r.scalar(f, "true or false")
+	if text != "" && text != "true" && text != "false" {
+		r.add(f.at, ReasonValue, "expected true or false")
+	}
+	return text == "true"
+}
+
+func (r *reader) duration(f field, low, high time.Duration) time.Duration {
+	want := fmt.Sprintf("a duration from %s to %s, such as 2s", low, high)
+	text := r.scalar(f, want)
+	if text == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < low || d > high {
+		r.add(f.at, ReasonValue, "expected %s", want)
+		return 0
+	}
+	return d
+}
+
+func (r *reader) size(f field, low, high int64) int64 {
+	want := fmt.Sprintf("a size from %dB to %dB, such as 1MiB", low, high)
+	text := r.scalar(f, want)
+	if text == "" {
+		return 0
+	}
+	n, ok := parseSize(text)
+	if !ok || n < low || n > high {
+		r.add(f.at, ReasonValue, "expected %s", want)
+		return 0
+	}
+	return n
+}
+
+// name reads a name; see validName.
+func (r *reader) name(f field) ref {
+	text := r.scalar(f, nameRule)
+	r.checkName(ref{text, f.at})
+	return ref{text, f.at}
+}
+
+func (r *reader) checkName(n ref) {
+	if n.name != "" && !validName(n.name) {
+		r.add(n.at, ReasonValue, "expected %s", nameRule)
+	}
+}
+
+const nameRule = "a name of a-z, 0-9 and -, at most 63 bytes, that starts with a letter"
+
+func validName(name string) bool {
+	if len(name) == 0 || len(name) > MaxNameBytes || name[0] < 'a' || name[0] > 'z' {
+		return false
+	}
+	for _, b := range []byte(name) {
+		letter := b >= 'a' && b <= 'z'
+		digit := b >= '0' && b <= '9'
+		if !letter && !digit && b != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// names reads a list of names and reports duplicates.
+func (r *reader) names(f field) []ref {
+	var list []ref
+	seen := map[string]bool{}
+	for _, item := range r.items(f) {
+		n := r.name(item)
+		if n.name == "" {
+			continue
+		}
+		if seen[n.name] {
+			r.add(n.at, ReasonDuplicate, "expected each name once")
+			continue
+		}
+		seen[n.name] = true
+		list = append(list, n)
+	}
+	return list
+}
+
+// noAliases reports anchors and aliases: they would make the text of a section depend on another section.
+func (r *reader) noAliases(file string, n *yaml.Node) {
+	if n.Kind == yaml.AliasNode || n.Anchor != "" {
+		r.add(spot{file, n.Line, n.Column, "(file)"}, ReasonSyntax, "expected no anchors and aliases")
+		return
+	}
+	for _, c := range n.Content {
+		r.noAliases(file, c)
+	}
+}
--- /dev/null
+++ b/document/problem.go
@@ -0,0 +1,60 @@
+package document
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Reason is the stable name of a kind of problem.
+type Reason string
+
+// Kinds of problems.
+const (
+	ReasonSyntax       Reason = "syntax"
+	ReasonTooLarge     Reason = "too_large"
+	ReasonUnknownField Reason = "unknown_field"
+	ReasonDuplicate    Reason = "duplicate"
+	ReasonMissing      Reason = "missing"
+	ReasonType         Reason = "wrong_type"
+	ReasonValue        Reason = "bad_value"
+	ReasonUnknownName  Reason = "unknown_name"
+	ReasonRegions      Reason = "inconsistent_regions"
+	ReasonClaimRegion  Reason = "claim_region"
+	ReasonAmbiguous    Reason = "ambiguous_rule"
+)
+
+// Problem is one mistake in a document.
+type Problem struct {
+	File string
+	// Line and Column count from 1. In a problem found by Compile they count within the text of the section.
+	Line   int
+	Column int
+	// Path of the field, for example services.labels.rules[0].deadline.
+	Path     string
+	Expected string
+	Reason   Reason
+}
+
+func (p Problem) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s: %s", p.File, p.Line, p.Column, p.Path, p.Expected)
+}
+
+// Problems lists every mistake found, by file, line and column.
+type Problems []Problem
+
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, one := range p {
+		lines[i] = one.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (p Problems) sort() {
+	slices.SortStableFunc(p, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column),
+			cmp.Compare(a.Path, b.Path))
+	})
+}
--- /dev/null
+++ b/document/units.go
@@ -0,0 +1,30 @@
+package document
+
+import (
+	"strconv"
+	"strings"
+)
+
+// sizeUnits lists longer suffixes first, so that MiB is not read as B.
+var sizeUnits = []struct {
+	suffix string
+	bytes  int64
+}{
+	{"GiB", 1 << 30},
+	{"MiB", 1 << 20},
+	{"KiB", 1 << 10},
+	{"B", 1},
+}
+
+// parseSize reads a size such as 512B, 12KiB or 1MiB and gives bytes.
+func parseSize(text string) (int64, bool) {
+	for _, u := range sizeUnits {
+		digits, ok := strings.CutSuffix(text, u.suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseUint(digits, 10, 32)
+		return int64(n) * u.bytes, err == nil
+	}
+	return 0, false
+}
