--- /dev/null
+++ b/controlstate/claims_test.go
@@ -0,0 +1,234 @@
+package controlstate
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"google.golang.org/protobuf/proto"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/statepb"
+)
+
+const (
+	granted      = controlpb.ClaimResult_CLAIM_GRANTED
+	grantedAgain = controlpb.ClaimResult_CLAIM_GRANTED_AGAIN
+	inProgress   = controlpb.ClaimResult_CLAIM_IN_PROGRESS
+)
+
+func bytes16(n int) []byte { return fmt.Appendf(nil, "%016d", n) }
+
+func claimOf(key, fingerprint int, holder string, timeMS uint64) *statepb.ClaimsCommand {
+	return ClaimCommand(&controlpb.ClaimRequest{
+		Key: bytes16(key), Fingerprint: bytes16(fingerprint), Holder: holder, KeyTimeMs: timeMS,
+	})
+}
+
+func completion(key int, holder string, outcome controlpb.Outcome, body int) *statepb.ClaimsCommand {
+	r := &controlpb.CompleteRequest{Key: bytes16(key), Holder: holder, Outcome: outcome}
+	if body >= 0 {
+		r.Kept = &controlpb.KeptAnswer{Status: 200, Body: make([]byte, body)}
+	}
+	return CompleteCommand(r)
+}
+
+func (c *Claims) applyNext(commands ...*statepb.ClaimsCommand) []CommandResult {
+	return c.Apply(c.Applied()+1, ClaimsEntry(commands)).Results
+}
+
+// Guards each result of a claim and of a completion, in one batch per row, with a restart between rows.
+func TestClaimResults(t *testing.T) {
+	const ran, notRun, unknown = controlpb.Outcome_OUTCOME_RAN, controlpb.Outcome_OUTCOME_NOT_RUN, controlpb.Outcome_OUTCOME_UNKNOWN
+	rows := []struct {
+		name     string
+		command  *statepb.ClaimsCommand
+		claim    controlpb.ClaimResult
+		accepted bool
+	}{
+		{"first", claimOf(1, 1, "a", 100), granted, false},
+		{"repeat by holder", claimOf(1, 1, "a", 100), granted, false},
+		{"other holder", claimOf(1, 1, "b", 100), inProgress, false},
+		{"other request", claimOf(1, 2, "b", 100), controlpb.ClaimResult_CLAIM_KEY_REUSED, false},
+		{"completion by other", completion(1, "b", ran, 1), 0, false},
+		{"not run", completion(1, "a", notRun, -1), 0, true},
+		{"not run repeated", completion(1, "a", notRun, -1), 0, true},
+		{"late repeat of first claim", claimOf(1, 1, "a", 100), inProgress, false},
+		{"granted again", claimOf(1, 1, "b", 100), grantedAgain, false},
+		{"granted again repeated", claimOf(1, 1, "b", 100), grantedAgain, false},
+		{"late completion of first holder", completion(1, "a", notRun, -1), 0, false},
+		{"unknown", completion(1, "b", unknown, -1), 0, true},
+		{"after unknown", claimOf(1, 1, "c", 100), controlpb.ClaimResult_CLAIM_OUTCOME_UNKNOWN, false},
+		{"unknown is not undone", completion(1, "b", notRun, -1), 0, false},
+		{"ran after all", completion(1, "b", ran, MaxKeptBody), 0, true},
+		{"kept", claimOf(1, 1, "d", 100), controlpb.ClaimResult_CLAIM_KEPT_ANSWER, false},
+		{"ran is not undone", completion(1, "b", notRun, -1), 0, false},
+		{"second", claimOf(2, 1, "a", 200), granted, false},
+		{"too large to keep", completion(2, "a", ran, MaxKeptBody+1), 0, true},
+		{"already run", claimOf(2, 1, "b", 200), controlpb.ClaimResult_CLAIM_ALREADY_RUN, false},
+		{"third", claimOf(3, 1, "a", 300), granted, false},
+		{"full", claimOf(4, 1, "a", 300), controlpb.ClaimResult_CLAIM_FULL, false},
+		{"floor", RaiseFloorCommand(200), 0, false},
+		{"lower floor", RaiseFloorCommand(100), 0, false},
+		{"expired", claimOf(1, 1, "a", 100), controlpb.ClaimResult_CLAIM_KEY_EXPIRED, false},
+		{"at the floor", claimOf(2, 1, "b", 200), controlpb.ClaimResult_CLAIM_ALREADY_RUN, false},
+		{"room again", claimOf(4, 1, "a", 300), granted, false},
+		{"bad key", ClaimCommand(&controlpb.ClaimRequest{Key: []byte{1}}), controlpb.ClaimResult_CLAIM_KEY_INVALID, false},
+	}
+	limits := ClaimLimits{MaxClaims: 3}
+	c := NewClaims(limits)
+	for _, row := range rows {
+		got := c.applyNext(row.command)[0]
+		if got.Claim != row.claim || got.Accepted != row.accepted {
+			t.Fatalf("%s: got %v, accepted %v", row.name, got.Claim, got.Accepted)
+		}
+		if kept := got.Kept != nil; kept != (row.claim == controlpb.ClaimResult_CLAIM_KEPT_ANSWER) {
+			t.Fatalf("%s: kept answer is %v", row.name, got.Kept)
+		}
+		snapshot := c.Snapshot()
+		restored, err := RestoreClaims(limits, snapshot)
+		if err != nil || !bytes.Equal(snapshot, restored.Snapshot()) || c.keptBytes != restored.keptBytes {
+			t.Fatalf("%s: restart changed the state, %v", row.name, err)
+		}
+		c = restored
+	}
+}
+
+// Kept answers must stay within their limit, and must give their room back when they expire.
+func TestKeptAnswersAreBounded(t *testing.T) {
+	answer := proto.Size(&controlpb.KeptAnswer{Status: 200, Body: make([]byte, 100)})
+	c := NewClaims(ClaimLimits{MaxKeptBytes: answer})
+	for key := range 2 {
+		c.applyNext(claimOf(key, 1, "a", uint64(key)), completion(key, "a", controlpb.Outcome_OUTCOME_RAN, 100))
+	}
+	if got := c.applyNext(claimOf(1, 1, "b", 1))[0].Claim; got != controlpb.ClaimResult_CLAIM_ALREADY_RUN {
+		t.Errorf("second answer: %v", got)
+	}
+	c.applyNext(RaiseFloorCommand(5))
+	if c.keptBytes != 0 || c.Len() != 0 || len(c.buckets) != 0 {
+		t.Errorf("%d bytes, %d claims, %d buckets left", c.keptBytes, c.Len(), len(c.buckets))
+	}
+}
+
+// keyModel is one idempotency key: who holds it and what is known. It is the sequential specification for porcupine.
+type keyModel struct {
+	holder string
+	state  claimState
+	again  bool
+}
+
+type keyInput struct {
+	holder   string
+	complete bool
+	outcome  controlpb.Outcome
+}
+
+func (k keyModel) step(in keyInput, out CommandResult) (bool, keyModel) {
+	next := k
+	if in.complete {
+		want := stateOf(in.outcome)
+		allowed := k.state == stateInProgress || k.state == want || k.state == stateUnknown && want == stateRan
+		ok := k.holder == in.holder && allowed
+		if ok {
+			next.state = want
+		}
+		return out.Accepted == ok, next
+	}
+	switch out.Claim {
+	case granted:
+		next = keyModel{holder: in.holder, state: stateInProgress}
+		return k.state == 0 || k == next, next
+	case grantedAgain:
+		next = keyModel{holder: in.holder, state: stateInProgress, again: true}
+		return k == next || k.state == stateNotRun && k.holder != in.holder, next
+	case inProgress:
+		held := k.state == stateInProgress && k.holder != in.holder
+		return held || k.state == stateNotRun && k.holder == in.holder, k
+	case controlpb.ClaimResult_CLAIM_ALREADY_RUN:
+		return k.state == stateRan, k
+	case controlpb.ClaimResult_CLAIM_OUTCOME_UNKNOWN:
+		return k.state == stateUnknown, k
+	}
+	return false, k
+}
+
+var keySpecification = porcupine.Model{
+	Init: func() any { return keyModel{} },
+	Step: func(state, input, output any) (bool, any) {
+		return state.(keyModel).step(input.(keyInput), output.(CommandResult))
+	},
+}
+
+// Commands that were proposed twice, delayed and reordered must give a history that a single key allows. A command that
+// is applied twice counts as two operations, both of which its sender may see.
+func TestClaimsOfOneKeyAreLinearizable(t *testing.T) {
+	for seed := range int64(300) {
+		random := rand.New(rand.NewSource(seed))
+		history := randomHistory(random)
+		if !porcupine.CheckOperations(keySpecification, history) {
+			t.Fatalf("seed %d: history is not linearizable: %+v", seed, history)
+		}
+		checkOneRun(t, seed, history)
+	}
+}
+
+// randomHistory calls commands in batches of concurrent ones; each is applied once or twice, in random order.
+func randomHistory(random *rand.Rand) []porcupine.Operation {
+	c := NewClaims(ClaimLimits{})
+	var history []porcupine.Operation
+	now := int64(0)
+	for range 12 {
+		var batch []keyInput
+		for range 1 + random.Intn(3) {
+			in := keyInput{holder: string(rune('a' + random.Intn(4))), complete: random.Intn(2) == 0}
+			in.outcome = controlpb.Outcome(random.Intn(3))
+			batch = append(batch, in)
+			if random.Intn(2) == 0 {
+				batch = append(batch, in)
+			}
+		}
+		random.Shuffle(len(batch), func(i, j int) { batch[i], batch[j] = batch[j], batch[i] })
+		for client, in := range batch {
+			out := c.applyNext(in.command())[0]
+			history = append(history, porcupine.Operation{ClientId: client, Input: in, Call: now, Output: out, Return: now + 1})
+		}
+		now += 2
+		c, _ = RestoreClaims(ClaimLimits{}, c.Snapshot())
+	}
+	return history
+}
+
+func (in keyInput) command() *statepb.ClaimsCommand {
+	if in.complete {
+		return completion(1, in.holder, in.outcome, -1)
+	}
+	return claimOf(1, 1, in.holder, 1)
+}
+
+// checkOneRun asserts requirement 7 without the model: once a holder reported that it ran or cannot know, no claim is
+// granted to anybody.
+func checkOneRun(t *testing.T, seed int64, history []porcupine.Operation) {
+	over := false
+	for _, op := range history {
+		in, out := op.Input.(keyInput), op.Output.(CommandResult)
+		if over && (out.Claim == granted || out.Claim == grantedAgain) {
+			t.Fatalf("seed %d: granted to %s after the key had run: %+v", seed, in.holder, history)
+		}
+		if in.complete && out.Accepted && in.outcome != controlpb.Outcome_OUTCOME_NOT_RUN {
+			over = true
+		}
+	}
+}
+
+// BenchmarkClaims reports the memory of a claim.
+func BenchmarkClaims(b *testing.B) {
+	c := NewClaims(ClaimLimits{})
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		c.claim(&controlpb.ClaimRequest{Key: bytes16(i), Fingerprint: bytes16(1), Holder: "gateway-1/7/123456", KeyTimeMs: uint64(i)})
+	}
+}
