--- /dev/null
+++ b/raft/election.go
@@ -0,0 +1,185 @@
+package raft
+
+import "heatherwall.example/api/raftpb"
+
+func (n *Node) resetElectionTimer() {
+	n.electionElapsed = 0
+	n.electionTimeout = n.config.ElectionTicks + n.config.Rand(n.config.ElectionTicks)
+}
+
+// hearsLeader tells whether a leader has been heard within the shortest election timeout. Votes are refused meanwhile.
+func (n *Node) hearsLeader() bool {
+	return n.leader != 0 && n.electionElapsed < n.config.ElectionTicks
+}
+
+func (n *Node) becomeFollower(term, leader uint64) {
+	if term > n.term {
+		n.term = term
+		n.vote = 0
+	}
+	n.role = Follower
+	n.leader = leader
+	n.votes = nil
+	n.progress = nil
+	n.mustBroadcast = false
+	n.transferTo = 0
+	n.reads = readQueue{}
+	n.resetElectionTimer()
+}
+
+// campaign asks the voters. With preVote, it only asks whether they would vote, and changes no term.
+func (n *Node) campaign(preVote, transfer bool) {
+	if !isVoter(n.membership(), n.config.ID) {
+		return
+	}
+	request := &raftpb.Message{Type: raftpb.MessageType_MESSAGE_PRE_VOTE, Term: n.term + 1}
+	n.role = PreCandidate
+	if !preVote {
+		n.term++
+		n.vote = n.config.ID
+		n.role = Candidate
+		request.Type = raftpb.MessageType_MESSAGE_VOTE
+		request.Transfer = transfer
+	}
+	n.leader = 0
+	n.votes = map[uint64]bool{n.config.ID: true}
+	n.resetElectionTimer()
+	if n.countVotes() {
+		return
+	}
+	for _, id := range voters(n.membership()) {
+		if id == n.config.ID {
+			continue
+		}
+		n.send(&raftpb.Message{
+			Type: request.Type, Term: n.campaignTerm(), To: id, Transfer: request.Transfer,
+			LogIndex: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
+		})
+	}
+}
+
+func (n *Node) campaignTerm() uint64 {
+	if n.role == PreCandidate {
+		return n.term + 1
+	}
+	return n.term
+}
+
+// countVotes takes the next step of a campaign once a majority of the voters has answered alike. It returns whether
+// the campaign is over.
+func (n *Node) countVotes() bool {
+	granted, refused, all := 0, 0, voters(n.membership())
+	for _, id := range all {
+		answer, ok := n.votes[id]
+		if ok && answer {
+			granted++
+		}
+		if ok && !answer {
+			refused++
+		}
+	}
+	majority := len(all)/2 + 1
+	switch {
+	case granted >= majority && n.role == PreCandidate:
+		n.campaign(false, false)
+	case granted >= majority:
+		n.becomeLeader()
+	case refused >= majority:
+		n.becomeFollower(n.term, 0)
+	default:
+		return false
+	}
+	return true
+}
+
+func (n *Node) handleVoteAnswer(m *raftpb.Message) {
+	preVote := m.Type == raftpb.MessageType_MESSAGE_PRE_VOTE_ANSWER
+	if preVote != (n.role == PreCandidate) || (!preVote && n.role != Candidate) {
+		return
+	}
+	if !m.Reject && m.Term != n.campaignTerm() {
+		return
+	}
+	if _, ok := n.votes[m.From]; !ok {
+		n.votes[m.From] = !m.Reject
+	}
+	n.countVotes()
+}
+
+func (n *Node) handleVoteRequest(m *raftpb.Message) {
+	preVote := m.Type == raftpb.MessageType_MESSAGE_PRE_VOTE
+	answer := &raftpb.Message{Type: raftpb.MessageType_MESSAGE_VOTE_ANSWER, To: m.From}
+	if preVote {
+		answer.Type = raftpb.MessageType_MESSAGE_PRE_VOTE_ANSWER
+	}
+	if !n.mayVoteFor(m, preVote) {
+		answer.Reject = true
+		n.send(answer)
+		return
+	}
+	answer.Term = m.Term
+	if !preVote {
+		n.vote = m.From
+		n.resetElectionTimer()
+	}
+	n.send(answer)
+}
+
+// mayVoteFor decides on a vote request whose term is not below the node's.
+//
+// A replica outside the membership never votes. Candidates ask only replicas that are voters in their own log, so a
+// learner that is asked has been promoted by an entry that it lacks; it votes only for a log that is newer than its
+// own. Without that vote, the loss of the leader right after a promotion would leave the group without a majority.
+func (n *Node) mayVoteFor(m *raftpb.Message, preVote bool) bool {
+	member := findMember(n.membership(), n.config.ID)
+	if member == nil || !n.log.isUpToDate(m.LogIndex, m.LogTerm) {
+		return false
+	}
+	if member.Learner && m.LogIndex == n.log.lastIndex() && m.LogTerm == n.log.lastTerm() {
+		return false
+	}
+	if preVote {
+		return m.Term > n.term
+	}
+	return n.vote == m.From || (n.vote == 0 && n.leader == 0)
+}
+
+// hasQuorum tells whether a majority of the voters has been heard within an election timeout.
+func (n *Node) hasQuorum() bool {
+	active, all := 0, voters(n.membership())
+	for _, id := range all {
+		if id == n.config.ID || n.ticks-n.progress[id].heardAt <= uint64(n.config.ElectionTicks) {
+			active++
+		}
+	}
+	return active > len(all)/2
+}
+
+func (n *Node) handleTimeoutNow() {
+	n.campaign(false, true)
+}
+
+// TransferLeadership lets a voter campaign at once when it has the whole log. The transfer is given up after an
+// election timeout; Propose fails meanwhile.
+func (n *Node) TransferLeadership(to uint64) error {
+	if n.role != Leader {
+		return &NotLeaderError{Leader: n.leader}
+	}
+	if to == n.config.ID {
+		return nil
+	}
+	if !isVoter(n.membership(), to) {
+		return &InvalidMembershipError{ID: to, Reason: ReasonNotVoter}
+	}
+	n.transferTo = to
+	n.transferElapsed = 0
+	n.continueTransfer(to)
+	n.sendAppend(to)
+	return nil
+}
+
+func (n *Node) continueTransfer(id uint64) {
+	if id == n.transferTo && n.progress[id].match == n.log.lastIndex() {
+		n.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TIMEOUT_NOW, To: id})
+	}
+}
--- /dev/null
+++ b/raft/leader.go
@@ -0,0 +1,262 @@
+package raft
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"heatherwall.example/api/raftpb"
+)
+
+func (n *Node) becomeLeader() {
+	n.role = Leader
+	n.leader = n.config.ID
+	n.votes = nil
+	n.progress = map[uint64]*progress{}
+	n.reads = readQueue{}
+	n.promotable = n.log.lastIndex()
+	n.transferTo = 0
+	n.updateProgress()
+	// An entry of the leader's own term is needed before anything earlier counts as committed.
+	n.appendEntry(raftpb.EntryType_ENTRY_DATA, nil)
+	n.heartbeatElapsed = 0
+}
+
+// updateProgress makes the set of replicas that the leader sends to equal to the membership.
+func (n *Node) updateProgress() {
+	for id := range n.progress {
+		if findMember(n.membership(), id) == nil {
+			delete(n.progress, id)
+		}
+	}
+	for _, member := range n.membership().GetMembers() {
+		if n.progress[member.Id] == nil {
+			n.progress[member.Id] = &progress{next: n.log.lastIndex() + 1, heardAt: n.ticks}
+		}
+	}
+	if own := n.progress[n.config.ID]; own != nil {
+		own.match = max(own.match, n.syncedIndex())
+	}
+}
+
+// syncedIndex is the last index that the node itself has synced.
+func (n *Node) syncedIndex() uint64 { return n.log.offset - 1 }
+
+// Propose appends data to the log if the node leads. Whether the entry is committed shows in Ready.Committed.
+// Errors: *NotLeaderError, *TransferringError, *EntryTooLargeError.
+func (n *Node) Propose(data []byte) error {
+	if err := n.checkProposal(uint64(len(data))); err != nil {
+		return err
+	}
+	n.appendEntry(raftpb.EntryType_ENTRY_DATA, data)
+	return n.log.err
+}
+
+func (n *Node) checkProposal(size uint64) error {
+	switch {
+	case n.log.err != nil:
+		return n.log.err
+	case n.role != Leader:
+		return &NotLeaderError{Leader: n.leader}
+	case n.transferTo != 0:
+		return &TransferringError{To: n.transferTo}
+	case size > n.config.MaxEntryBytes:
+		return &EntryTooLargeError{Size: size, Max: n.config.MaxEntryBytes}
+	}
+	return nil
+}
+
+// ProposeMembership appends a membership change, which takes effect at once and is permanent when committed. Besides
+// the errors of Propose: *MembershipPendingError, *NoCommitInTermError, *NotCaughtUpError, *InvalidMembershipError.
+func (n *Node) ProposeMembership(c *raftpb.MembershipChange) error {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(c)
+	if err != nil {
+		return &InvalidMembershipError{ID: c.GetMember().GetId(), Reason: ReasonUndecodable}
+	}
+	if err := n.checkProposal(uint64(len(data))); err != nil {
+		return err
+	}
+	if err := n.checkMembershipChange(c); err != nil {
+		return err
+	}
+	n.appendEntry(raftpb.EntryType_ENTRY_MEMBERSHIP, data)
+	return n.log.err
+}
+
+func (n *Node) checkMembershipChange(c *raftpb.MembershipChange) error {
+	if pending := n.memberships.latest().index; pending > n.log.committed {
+		return &MembershipPendingError{Index: pending}
+	}
+	if !n.hasCommittedInTerm() {
+		return &NoCommitInTermError{Term: n.term}
+	}
+	if _, err := ChangeMembership(n.membership(), c); err != nil {
+		return err
+	}
+	if c.Type != raftpb.MembershipChangeType_MEMBERSHIP_PROMOTE {
+		return nil
+	}
+	if p := n.progress[c.Member.Id]; p.match < n.promotable {
+		return &NotCaughtUpError{ID: c.Member.Id, Match: p.match, Needed: n.promotable}
+	}
+	return nil
+}
+
+func (n *Node) hasCommittedInTerm() bool {
+	return n.log.matches(n.log.committed, n.term)
+}
+
+func (n *Node) appendEntry(t raftpb.EntryType, data []byte) {
+	e := &raftpb.Entry{Term: n.term, Index: n.log.lastIndex() + 1, Type: t, Data: data}
+	n.appendToLog([]*raftpb.Entry{e})
+	if t == raftpb.EntryType_ENTRY_MEMBERSHIP {
+		n.updateProgress()
+	}
+	n.mustBroadcast = true
+}
+
+// broadcastAppend sends new entries and the commit index to all members. Ready calls it, so that proposals made since
+// the last Ready share messages.
+func (n *Node) broadcastAppend() {
+	n.mustBroadcast = false
+	for _, id := range n.others() {
+		n.sendAppend(id)
+		n.sendRest(id)
+	}
+}
+
+// sendRest sends further appends until the replica has been sent everything or its window is full.
+func (n *Node) sendRest(id uint64) {
+	p := n.progress[id]
+	for p.state == stateReplicate && !p.isPaused() && p.next <= n.log.lastIndex() && n.log.err == nil {
+		n.sendAppend(id)
+	}
+}
+
+// sendAppend sends one append with what the replica lacks, as far as its state allows. The message may be empty: it
+// then carries the commit index and lets the replica report a gap.
+func (n *Node) sendAppend(id uint64) {
+	p := n.progress[id]
+	if p == nil || p.isPaused() {
+		return
+	}
+	previous := p.next - 1
+	term, ok := n.log.term(previous)
+	if !ok || p.next < n.log.firstIndex() {
+		n.sendSnapshot(id, p)
+		return
+	}
+	entries, err := n.log.entries(p.next, n.log.lastIndex()+1, n.config.MaxMessageBytes)
+	if err != nil {
+		n.log.failUnlessAbsent(err)
+		return
+	}
+	n.send(&raftpb.Message{
+		Type: raftpb.MessageType_MESSAGE_APPEND, To: id, LogIndex: previous, LogTerm: term,
+		Entries: entries, Commit: n.log.committed,
+	})
+	p.sent(previous+uint64(len(entries)), len(entries))
+}
+
+func (n *Node) sendSnapshot(id uint64, p *progress) {
+	s := n.log.snapshot
+	if s == nil {
+		stored, err := n.log.storage.Snapshot()
+		if err != nil {
+			n.log.fail(err)
+			return
+		}
+		s = stored
+	}
+	p.becomeSnapshot(s.Index, n.ticks)
+	n.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_SNAPSHOT, To: id, Snapshot: s})
+}
+
+// retrySnapshots sends a snapshot again that has not been answered for long.
+func (n *Node) retrySnapshots() {
+	limit := uint64(snapshotRetryTimeouts * n.config.ElectionTicks)
+	for _, id := range n.others() {
+		if p := n.progress[id]; p.state == stateSnapshot && n.ticks-p.snapshotAt >= limit {
+			p.becomeProbe()
+			p.next = p.match + 1
+			n.sendAppend(id)
+		}
+	}
+}
+
+func (n *Node) handleAppendAnswer(m *raftpb.Message) {
+	p := n.progress[m.From]
+	if n.role != Leader || p == nil {
+		return
+	}
+	p.heardAt = n.ticks
+	if m.Reject {
+		n.handleReject(m, p)
+		return
+	}
+	if m.LogIndex > n.log.lastIndex() {
+		n.log.fail(&InvariantError{Index: m.LogIndex, Detail: "a follower acknowledged an entry that the leader lacks"})
+		return
+	}
+	wasPaused := p.isPaused()
+	advanced := p.acknowledge(m.LogIndex)
+	if p.state == stateProbe || (p.state == stateSnapshot && p.match >= p.snapshotIndex) {
+		p.becomeReplicate()
+	}
+	if advanced && n.advanceCommit() {
+		n.mustBroadcast = true
+	} else if wasPaused {
+		n.sendAppend(m.From)
+	}
+	n.sendRest(m.From)
+	n.afterCommit()
+	if n.role == Leader && advanced {
+		n.continueTransfer(m.From)
+	}
+}
+
+func (n *Node) handleReject(m *raftpb.Message, p *progress) {
+	next := m.RejectHint + 1
+	if m.LogTerm > 0 {
+		index, _ := n.log.lastWithTermAtMost(m.RejectHint, m.LogTerm)
+		next = index + 1
+	}
+	if p.reject(m.LogIndex, next) {
+		n.sendAppend(m.From)
+	}
+}
+
+// advanceCommit commits what a majority of the voters has synced. Only entries of the leader's own term count; earlier
+// ones are committed with them. It returns whether the commit index moved.
+func (n *Node) advanceCommit() bool {
+	index := n.quorumValue(func(p *progress) uint64 { return p.match })
+	if index <= n.log.committed || !n.log.matches(index, n.term) {
+		return false
+	}
+	n.log.commitTo(index)
+	return true
+}
+
+// afterCommit does what waits for a commit: held reads, and the leader's own removal.
+func (n *Node) afterCommit() {
+	if n.role != Leader {
+		return
+	}
+	n.admitHeldReads()
+	if n.memberships.latest().index <= n.log.committed && !isVoter(n.membership(), n.config.ID) {
+		n.becomeFollower(n.term, 0)
+	}
+}
+
+// quorumValue returns the highest value that a majority of the voters has reached.
+func (n *Node) quorumValue(value func(*progress) uint64) uint64 {
+	var values []uint64
+	for _, id := range voters(n.membership()) {
+		values = append(values, value(n.progress[id]))
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
--- /dev/null
+++ b/raft/node.go
@@ -0,0 +1,252 @@
+package raft
+
+import (
+	"heatherwall.example/api/raftpb"
+)
+
+// Role is what a replica does at present.
+type Role int
+
+// Roles. A learner or a replica outside the membership stays a follower.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Node is one replica of one group. It is not safe for concurrent use. Step and Tick may be called between Ready and
+// Advance.
+type Node struct {
+	config Config
+	log    *replicatedLog
+
+	term   uint64
+	vote   uint64
+	role   Role
+	leader uint64
+
+	// ticks counts Tick calls since the start.
+	ticks uint64
+	// electionElapsed counts ticks since the leader was last heard, a vote was given or a campaign was started.
+	electionElapsed  int
+	electionTimeout  int
+	heartbeatElapsed int
+
+	memberships membershipHistory
+	// votes holds the answers to the current campaign.
+	votes map[uint64]bool
+
+	// Leader state.
+	progress map[uint64]*progress
+	// promotable is the commit index at the last heartbeat; a learner that has it may become a voter.
+	promotable uint64
+	reads      readQueue
+	transferTo uint64
+	// mustBroadcast is set when new entries or a new commit index are to be sent.
+	mustBroadcast bool
+	// transferElapsed counts ticks since the transfer began.
+	transferElapsed int
+
+	// Output for the next Ready.
+	messages []*raftpb.Message
+	results  []Read
+	saved    savedState
+	// reported is the membership that the caller has been told.
+	reported *raftpb.Membership
+}
+
+// New starts a replica from what its storage holds. An empty storage is that of a replica which joins: it waits for a
+// leader.
+func New(c Config) (*Node, error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	state, membership, err := c.Storage.InitialState()
+	if err != nil {
+		return nil, err
+	}
+	log, err := newReplicatedLog(c.Storage, state.Commit)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{config: c, log: log, term: state.Term, vote: state.Vote}
+	n.term = max(n.term, log.lastTerm())
+	n.saved = savedState{term: state.Term, vote: state.Vote, commit: state.Commit}
+	if err := n.loadMemberships(membership); err != nil {
+		return nil, err
+	}
+	n.resetElectionTimer()
+	return n, log.err
+}
+
+// loadMemberships reads the changes in the log that follow the snapshot.
+func (n *Node) loadMemberships(base *raftpb.Membership) error {
+	start := n.log.applied
+	n.memberships = membershipHistory{{index: start, membership: base}}
+	entries, err := n.log.entries(start+1, n.log.lastIndex()+1, ^uint64(0))
+	if err != nil {
+		return err
+	}
+	n.memberships, err = n.memberships.add(entries)
+	return err
+}
+
+// Err returns the failure that stopped the node, or nil. A stopped node sends nothing more.
+func (n *Node) Err() error { return n.log.err }
+
+// Tick advances the node's time by one tick.
+func (n *Node) Tick() {
+	if n.log.err != nil {
+		return
+	}
+	n.ticks++
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	n.electionElapsed++
+	if n.electionElapsed >= n.electionTimeout {
+		n.leader = 0
+		n.resetElectionTimer()
+		n.campaign(true, false)
+	}
+}
+
+func (n *Node) tickLeader() {
+	if !n.hasQuorum() {
+		n.becomeFollower(n.term, 0)
+		return
+	}
+	if n.transferTo != 0 {
+		n.transferElapsed++
+		if n.transferElapsed >= n.config.ElectionTicks {
+			n.transferTo = 0
+		}
+	}
+	n.retrySnapshots()
+	n.heartbeatElapsed++
+	if n.heartbeatElapsed >= n.config.HeartbeatTicks || n.reads.hasWaiting() {
+		n.heartbeat()
+	}
+}
+
+// Step handles a message of another replica. Messages may be lost, repeated or reordered. *InvalidMessageError leaves
+// the node as it was; every other error stops it.
+func (n *Node) Step(m *raftpb.Message) error {
+	if n.log.err != nil {
+		return n.log.err
+	}
+	if err := n.checkMessage(m); err != nil {
+		return err
+	}
+	if !n.admitTerm(m) {
+		return nil
+	}
+	n.dispatch(m)
+	return n.log.err
+}
+
+func (n *Node) dispatch(m *raftpb.Message) {
+	switch m.Type {
+	case raftpb.MessageType_MESSAGE_PRE_VOTE, raftpb.MessageType_MESSAGE_VOTE:
+		n.handleVoteRequest(m)
+	case raftpb.MessageType_MESSAGE_PRE_VOTE_ANSWER, raftpb.MessageType_MESSAGE_VOTE_ANSWER:
+		n.handleVoteAnswer(m)
+	case raftpb.MessageType_MESSAGE_APPEND:
+		n.followLeader(m)
+		n.handleAppend(m)
+	case raftpb.MessageType_MESSAGE_HEARTBEAT:
+		n.followLeader(m)
+		n.handleHeartbeat(m)
+	case raftpb.MessageType_MESSAGE_SNAPSHOT:
+		n.followLeader(m)
+		n.handleSnapshot(m)
+	case raftpb.MessageType_MESSAGE_APPEND_ANSWER:
+		n.handleAppendAnswer(m)
+	case raftpb.MessageType_MESSAGE_HEARTBEAT_ANSWER:
+		n.handleHeartbeatAnswer(m)
+	case raftpb.MessageType_MESSAGE_READ_INDEX:
+		n.handleReadIndex(m)
+	case raftpb.MessageType_MESSAGE_READ_INDEX_ANSWER:
+		n.results = append(n.results, Read{ID: m.ReadId, Index: m.LogIndex})
+	case raftpb.MessageType_MESSAGE_TIMEOUT_NOW:
+		n.handleTimeoutNow()
+	}
+}
+
+// admitTerm compares the term of a message with the node's. It returns false if the message is to be ignored.
+func (n *Node) admitTerm(m *raftpb.Message) bool {
+	switch {
+	case m.Term < n.term:
+		n.answerOldTerm(m)
+		return false
+	case m.Term == n.term:
+		return true
+	}
+	switch m.Type {
+	case raftpb.MessageType_MESSAGE_PRE_VOTE:
+		return !n.hearsLeader()
+	case raftpb.MessageType_MESSAGE_VOTE:
+		if n.hearsLeader() && !m.Transfer {
+			return false
+		}
+	case raftpb.MessageType_MESSAGE_PRE_VOTE_ANSWER:
+		if !m.Reject {
+			return true // the term is the one that the candidate would have
+		}
+	}
+	n.becomeFollower(m.Term, 0)
+	return true
+}
+
+// answerOldTerm tells a leader or a pre-candidate of an earlier term the current term, so that it gives up or catches
+// up; nothing else would tell them.
+func (n *Node) answerOldTerm(m *raftpb.Message) {
+	switch m.Type {
+	case raftpb.MessageType_MESSAGE_APPEND, raftpb.MessageType_MESSAGE_HEARTBEAT, raftpb.MessageType_MESSAGE_SNAPSHOT:
+		n.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_HEARTBEAT_ANSWER, To: m.From})
+	case raftpb.MessageType_MESSAGE_PRE_VOTE:
+		n.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_PRE_VOTE_ANSWER, To: m.From, Reject: true})
+	}
+}
+
+// followLeader accepts the sender, whose term is the node's, as leader.
+func (n *Node) followLeader(m *raftpb.Message) {
+	if n.role == Leader {
+		n.log.fail(&InvariantError{Index: m.LogIndex, Detail: "two leaders in one term"})
+		return
+	}
+	if n.role != Follower {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.leader = m.From
+	n.electionElapsed = 0
+}
+
+// send fills in the sender's fields. The term is the node's unless it is set.
+func (n *Node) send(m *raftpb.Message) {
+	m.From = n.config.ID
+	m.Group = n.config.Group
+	if m.Term == 0 {
+		m.Term = n.term
+	}
+	n.messages = append(n.messages, m)
+}
+
+func (n *Node) membership() *raftpb.Membership { return n.memberships.latest().membership }
+
+// others returns the ids of all members but the node itself, in ascending order.
+func (n *Node) others() []uint64 {
+	var ids []uint64
+	for _, member := range n.membership().GetMembers() {
+		if member.Id != n.config.ID {
+			ids = append(ids, member.Id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/raft/read.go
@@ -0,0 +1,156 @@
+package raft
+
+import "heatherwall.example/api/raftpb"
+
+// Read answers ReadIndex: once the caller has applied the log up to Index, its state is at least as new as any that
+// was acknowledged before the request.
+type Read struct {
+	ID    uint64
+	Index uint64
+}
+
+// readRequest waits on the leader. from is the replica that asked.
+type readRequest struct {
+	id, from uint64
+	index    uint64
+	// round is the first read round that starts after the request arrived.
+	round uint64
+}
+
+// readQueue holds the leader's read requests in the order of arrival. Rounds are numbered; a heartbeat carries the
+// number of the latest round and its answer confirms that round and all earlier ones.
+type readQueue struct {
+	// held requests wait until the leader has committed an entry of its term.
+	held []readRequest
+	// pending requests wait for their round to be confirmed.
+	pending []readRequest
+	// round is the latest round that has been started, confirmed the latest that a quorum has confirmed.
+	round, confirmed uint64
+}
+
+// hasWaiting tells whether a request waits for a round that has not been started.
+func (q *readQueue) hasWaiting() bool {
+	return len(q.pending) > 0 && q.pending[len(q.pending)-1].round > q.round
+}
+
+// take removes the requests that are confirmed.
+func (q *readQueue) take(confirmed uint64) []readRequest {
+	q.confirmed = confirmed
+	i := 0
+	for i < len(q.pending) && q.pending[i].round <= confirmed {
+		i++
+	}
+	done := q.pending[:i]
+	q.pending = q.pending[i:]
+	return done
+}
+
+// ReadIndex asks for a read index; the answer is in Ready.Reads, or never comes if a message or the leadership is
+// lost. id must be unique over restarts of the replica. The error is *NotLeaderError if no leader is known.
+func (n *Node) ReadIndex(id uint64) error {
+	if n.log.err != nil {
+		return n.log.err
+	}
+	if n.role == Leader {
+		n.addRead(readRequest{id: id, from: n.config.ID})
+		return nil
+	}
+	if n.leader == 0 {
+		return &NotLeaderError{}
+	}
+	n.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_READ_INDEX, To: n.leader, ReadId: id})
+	return nil
+}
+
+func (n *Node) handleReadIndex(m *raftpb.Message) {
+	if n.role == Leader {
+		n.addRead(readRequest{id: m.ReadId, from: m.From})
+	}
+}
+
+func (n *Node) addRead(r readRequest) {
+	if !n.hasCommittedInTerm() {
+		n.reads.held = append(n.reads.held, r)
+		return
+	}
+	r.index = n.log.committed
+	r.round = n.reads.round + 1
+	n.reads.pending = append(n.reads.pending, r)
+	n.startRound()
+}
+
+// admitHeldReads passes on requests that arrived before the first commit of the term.
+func (n *Node) admitHeldReads() {
+	if len(n.reads.held) == 0 || !n.hasCommittedInTerm() {
+		return
+	}
+	held := n.reads.held
+	n.reads.held = nil
+	for _, r := range held {
+		n.addRead(r)
+	}
+}
+
+// startRound starts a round for waiting requests unless one is in progress; they then share the next one.
+func (n *Node) startRound() {
+	if n.config.BatchReads && len(n.others()) > 0 {
+		return
+	}
+	if n.reads.hasWaiting() && n.reads.confirmed == n.reads.round {
+		n.heartbeat()
+	}
+}
+
+// heartbeat sends a heartbeat to every member. If read requests wait, it starts a read round.
+func (n *Node) heartbeat() {
+	n.heartbeatElapsed = 0
+	n.promotable = n.log.committed
+	if n.reads.hasWaiting() {
+		n.reads.round++
+	}
+	if own := n.progress[n.config.ID]; own != nil {
+		own.confirmedRound = n.reads.round
+	}
+	for _, id := range n.others() {
+		n.send(&raftpb.Message{
+			Type: raftpb.MessageType_MESSAGE_HEARTBEAT, To: id, ReadId: n.reads.round,
+			Commit: min(n.progress[id].match, n.log.committed),
+		})
+	}
+	n.confirmReads()
+}
+
+func (n *Node) handleHeartbeatAnswer(m *raftpb.Message) {
+	p := n.progress[m.From]
+	if n.role != Leader || p == nil {
+		return
+	}
+	p.heardAt = n.ticks
+	p.paused = false
+	if len(p.inflight) >= maxInflight {
+		p.inflight = p.inflight[1:]
+	}
+	if p.match < n.log.lastIndex() {
+		n.sendAppend(m.From)
+	}
+	p.confirmedRound = max(p.confirmedRound, m.ReadId)
+	n.confirmReads()
+}
+
+// confirmReads answers the requests whose round a quorum has confirmed.
+func (n *Node) confirmReads() {
+	confirmed := n.quorumValue(func(p *progress) uint64 { return p.confirmedRound })
+	if confirmed <= n.reads.confirmed {
+		return
+	}
+	for _, r := range n.reads.take(confirmed) {
+		if r.from == n.config.ID {
+			n.results = append(n.results, Read{ID: r.id, Index: r.index})
+			continue
+		}
+		n.send(&raftpb.Message{
+			Type: raftpb.MessageType_MESSAGE_READ_INDEX_ANSWER, To: r.from, ReadId: r.id, LogIndex: r.index,
+		})
+	}
+	n.startRound()
+}
--- /dev/null
+++ b/raft/read_test.go
@@ -0,0 +1,56 @@
+package raft
+
+import "testing"
+
+// Guards against a leader that was frozen, and replaced meanwhile, and still confirms a read index from old answers.
+func TestFrozenLeaderConfirmsNoRead(t *testing.T) {
+	c := newCluster(t, 3)
+	old := c.leader()
+	c.propose(old, "a")
+	frozen := old.node
+	old.node = nil
+	c.propose(c.leader(), "b")
+	c.cutOff(old.id)
+	old.node = frozen
+	if err := old.node.ReadIndex(7); err != nil {
+		t.Fatal(err)
+	}
+	c.run(old)
+	c.tick(1)
+	if len(old.reads) != 0 {
+		t.Fatalf("read confirmed without a quorum: %v", old.reads)
+	}
+	c.cutOff()
+	c.tick(2 * testElectionTicks)
+	if len(old.reads) != 0 {
+		t.Fatalf("read of the old term confirmed: %v", old.reads)
+	}
+}
+
+// Guards against reads that followers do not forward, and against a confirmed index below the last commit.
+func TestReadIndexFromEveryReplica(t *testing.T) {
+	c := newCluster(t, 3)
+	l := c.leader()
+	c.propose(l, "a")
+	for _, id := range c.ids() {
+		h := c.hosts[id]
+		if err := h.node.ReadIndex(id); err != nil {
+			t.Fatal(err)
+		}
+		c.settle()
+		if len(h.reads) != 1 || h.reads[0].ID != id || h.reads[0].Index != l.node.log.committed {
+			t.Errorf("replica %d: reads %v", id, h.reads)
+		}
+	}
+}
+
+// Guards against a leader without a quorum that keeps its role.
+func TestLeaderWithoutQuorumStepsDown(t *testing.T) {
+	c := newCluster(t, 3)
+	l := c.leader()
+	c.cutOff(l.id)
+	c.tick(testElectionTicks + 1)
+	if l.node.Status().Role == Leader || l.node.Status().Current {
+		t.Fatalf("status %+v", l.node.Status())
+	}
+}
