--- /dev/null
+++ b/gateway/admin.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// Limits of the announce and admin listeners.
+const (
+	smallHeaderBytes = 16 << 10
+	adminTimeout     = 10 * time.Second
+)
+
+// callerServer serves callers, and /readyz for the platform's balancer.
+func (d *daemon) callerServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", d.serveReady)
+	mux.Handle("/", d.path)
+	return &http.Server{
+		Handler:           mux,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+	}
+}
+
+func (d *daemon) announceServer() *http.Server {
+	s := &announceServer{configuration: d.lease, registrar: d.state, log: d.log, counters: d.counters}
+	return smallServer(s.handler(), announceTimeout)
+}
+
+func (d *daemon) adminServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeStatus(w, http.StatusOK, "ok") })
+	mux.HandleFunc("GET /readyz", d.serveReady)
+	mux.Handle("GET /metrics", d.counters)
+	return smallServer(mux, adminTimeout)
+}
+
+func smallServer(h http.Handler, timeout time.Duration) *http.Server {
+	return &http.Server{Handler: h, MaxHeaderBytes: smallHeaderBytes, ReadHeaderTimeout: timeout, ReadTimeout: timeout, WriteTimeout: timeout, IdleTimeout: callerIdleTimeout}
+}
+
+// serveReady answers 200 only while this gateway may serve requests.
+func (d *daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	_, valid := d.lease.Valid()
+	switch {
+	case d.path.stopping.Load():
+		writeStatus(w, http.StatusServiceUnavailable, string(Draining))
+	case !valid:
+		writeStatus(w, http.StatusServiceUnavailable, string(ConfigurationStale))
+	default:
+		writeStatus(w, http.StatusOK, "ready")
+	}
+}
+
+func writeStatus(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text + "\n"))
+}
--- /dev/null
+++ b/gateway/announce.go
@@ -0,0 +1,221 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"heatherwall.example/telemetry"
+)
+
+// Timing of registrations, see sections 5.3 and 5.4 of docs/design.md.
+const (
+	serverRenewInterval = time.Second
+	serverSwitchTimeout = 4 * time.Second
+	announceTimeout     = 2 * time.Second
+	// maxAnnounceBytes bounds the body of an announcement.
+	maxAnnounceBytes = 4 << 10
+	maxNameBytes     = 128
+	maxSlots         = 1 << 16
+)
+
+// announcement is the body of announce, renew and leave.
+type announcement struct {
+	Service       string `json:"service"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	Incarnation   uint64 `json:"incarnation"`
+	Sequence      uint64 `json:"sequence"`
+	State         string `json:"state"`
+	Slots         int    `json:"slots"`
+	Connections   int    `json:"connections"`
+	Inflight      int    `json:"inflight"`
+	Grant         uint64 `json:"grant"`
+}
+
+// announceAnswer tells the server how to go on.
+type announceAnswer struct {
+	Grant    uint64 `json:"grant"`
+	RenewMs  int64  `json:"renew_ms"`
+	SwitchMs int64  `json:"switch_ms"`
+}
+
+// AnnounceError is the body of a refused announcement; Status is the HTTP status.
+type AnnounceError struct {
+	Status int    `json:"status"`
+	Reason string `json:"reason"`
+	Detail string `json:"detail"`
+}
+
+func (e *AnnounceError) Error() string { return fmt.Sprintf("%s: %s", e.Reason, e.Detail) }
+
+// Reasons of refused announcements.
+const (
+	announceUnauthenticated = "unauthenticated"
+	announceInvalid         = "invalid"
+	announceStale           = "stale"
+	announceUnknown         = "unknown_server"
+	announceNotReady        = "not_ready"
+	announceTooLarge        = "too_large"
+)
+
+// announceKind selects one of the three operations.
+type announceKind int
+
+const (
+	kindAnnounce announceKind = iota
+	kindRenew
+	kindLeave
+)
+
+// registrar is the part of the state that the announce endpoint uses.
+type registrar interface {
+	// Register applies an announcement and returns the grant for the answer, or *AnnounceError.
+	Register(kind announceKind, a announcement) (grant uint64, err error)
+}
+
+// announceServer serves the announce listener.
+type announceServer struct {
+	configuration configuration
+	registrar     registrar
+	log           *telemetry.Logger
+	counters      *telemetry.Counters
+}
+
+func (s *announceServer) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/servers/announce", s.serve(kindAnnounce))
+	mux.HandleFunc("POST /v1/servers/renew", s.serve(kindRenew))
+	mux.HandleFunc("POST /v1/servers/leave", s.serve(kindLeave))
+	return mux
+}
+
+func (s *announceServer) serve(kind announceKind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		a, err := s.read(w, r)
+		var grant uint64
+		if err == nil {
+			grant, err = s.registrar.Register(kind, a)
+		}
+		if err != nil {
+			s.refuse(w, err)
+			return
+		}
+		if kind == kindAnnounce {
+			s.log.Log(eventServerAnnounced, telemetry.F("service", a.Service), telemetry.F("address", a.Address), telemetry.F("state", a.State))
+		}
+		if kind == kindLeave {
+			s.log.Log(eventServerLeft, telemetry.F("service", a.Service), telemetry.F("address", a.Address))
+		}
+		writeJSON(w, http.StatusOK, announceAnswer{Grant: grant, RenewMs: serverRenewInterval.Milliseconds(), SwitchMs: serverSwitchTimeout.Milliseconds()})
+	}
+}
+
+func (s *announceServer) refuse(w http.ResponseWriter, err error) {
+	var refused *AnnounceError
+	if !errors.As(err, &refused) {
+		refused = &AnnounceError{Status: http.StatusBadRequest, Reason: announceInvalid, Detail: err.Error()}
+	}
+	s.counters.Counter("announce_refusals", "reason", refused.Reason).Inc(1)
+	s.log.Log(eventAnnounceRefused, telemetry.F("reason", refused.Reason), telemetry.F("detail", refused.Detail))
+	writeJSON(w, refused.Status, refused)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the other side has gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// read authenticates and checks one announcement.
+func (s *announceServer) read(w http.ResponseWriter, r *http.Request) (announcement, error) {
+	var a announcement
+	l, ok := s.configuration.Valid()
+	if !ok {
+		return a, &AnnounceError{http.StatusServiceUnavailable, announceNotReady, "no confirmed configuration"}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
+	if err != nil {
+		return a, &AnnounceError{http.StatusRequestEntityTooLarge, announceTooLarge, err.Error()}
+	}
+	if err := decodeStrict(body, &a); err != nil {
+		return a, &AnnounceError{http.StatusBadRequest, announceInvalid, err.Error()}
+	}
+	if !credentialMatches(l.view.services[a.Service], r.Header.Get("Authorization")) {
+		return a, &AnnounceError{http.StatusUnauthorized, announceUnauthenticated, "expected the credential of the service"}
+	}
+	return a, a.check()
+}
+
+// decodeStrict refuses unknown fields and anything after the first value.
+func decodeStrict(body []byte, into any) error {
+	d := json.NewDecoder(strings.NewReader(string(body)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return &TrailingDataError{}
+	}
+	return nil
+}
+
+// TrailingDataError reports bytes after the JSON value of a body.
+type TrailingDataError struct{}
+
+func (e *TrailingDataError) Error() string { return "expected nothing after the JSON value" }
+
+// credentialMatches compares in constant time. An unknown service takes as long as a wrong credential.
+func credentialMatches(s *service, authorization string) bool {
+	token, isBearer := strings.CutPrefix(authorization, "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	var want [sha256.Size]byte
+	if s != nil {
+		want = s.credential
+	}
+	equal := subtle.ConstantTimeCompare(sum[:], want[:]) == 1
+	return equal && isBearer && s != nil
+}
+
+func (a *announcement) check() error {
+	address, err := netip.ParseAddrPort(a.Address)
+	switch {
+	case err != nil || address.Port() == 0 || !address.Addr().IsValid() || address.Addr().IsUnspecified():
+		return invalidField("address", "an IP number with a port")
+	case a.FailureDomain == "" || len(a.FailureDomain) > maxNameBytes:
+		return invalidField("failure_domain", "a name of at most 128 bytes")
+	case a.Region == "" || len(a.Region) > maxNameBytes:
+		return invalidField("region", "a name of at most 128 bytes")
+	case a.State != stateReady && a.State != stateCold && a.State != stateDraining:
+		return invalidField("state", "ready, cold or draining")
+	case a.Incarnation == 0:
+		return invalidField("incarnation", "a number above 0")
+	case a.Slots <= 0 || a.Slots > maxSlots:
+		return invalidField("slots", "1 to 65536")
+	case a.Connections < 0 || a.Connections > maxSlots:
+		return invalidField("connections", "0 to 65536")
+	case a.Inflight < 0:
+		return invalidField("inflight", "0 or more")
+	}
+	return nil
+}
+
+func invalidField(field, expected string) error {
+	return &AnnounceError{http.StatusBadRequest, announceInvalid, fmt.Sprintf("%s: expected %s", field, expected)}
+}
+
+// States of a backend server, as announced and in the state header.
+const (
+	stateReady    = "ready"
+	stateCold     = "cold"
+	stateDraining = "draining"
+)
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// attempt is one try to have a backend server run a request.
+type attempt struct {
+	selection selection
+	target    target
+	ctx       context.Context
+	cancel    context.CancelFunc
+	gate      *sendGate
+	release   func()
+	// answer is set when the server answered the request.
+	answer *http.Response
+	err    error
+	result result
+}
+
+// done releases the slot and ends the attempt. It is called exactly once.
+func (a *attempt) done() {
+	a.cancel()
+	if a.answer != nil {
+		_ = a.answer.Body.Close()
+	}
+	a.release()
+	a.selection.Done(a.result)
+}
+
+// mayHaveRun is false only if no byte was written or the server said that it did not run the request.
+func (a *attempt) mayHaveRun() bool {
+	return a.gate.wrote.Load() && a.result.kind != resultShed
+}
+
+// startAttempt prepares an attempt; send runs it.
+func (p *requestPath) startAttempt(c *call, s selection) *attempt {
+	a := &attempt{selection: s, target: s.Server()}
+	a.ctx, a.cancel = context.WithCancel(c.ctx)
+	p.byDomain.add(a.target.domain, 1)
+	a.release = func() { p.byDomain.add(a.target.domain, -1) }
+	a.gate = &sendGate{check: func() error { return p.checkSend(a.target) }}
+	return a
+}
+
+// checkSend repeats the checks that may have changed since the selection: the lease and the failure domains out.
+func (p *requestPath) checkSend(t target) error {
+	l, ok := p.configuration.Valid()
+	if !ok {
+		return &SendForbiddenError{Reason: sendStale}
+	}
+	if l.domainsOut[t.domain] {
+		return &SendForbiddenError{Reason: sendDomainOut}
+	}
+	return nil
+}
+
+// Reasons for stopping an attempt before its first byte.
+const (
+	sendStale     = "the configuration lease ran out"
+	sendDomainOut = "the failure domain was taken out"
+)
+
+// send runs the attempt up to the header of the answer.
+func (p *requestPath) send(c *call, a *attempt, retriesLeft int) {
+	started := time.Now()
+	response, err := p.transport.RoundTrip(newBackendRequest(c, a, retriesLeft))
+	wrote := a.gate.wrote.Load()
+	if err != nil {
+		// After the stop no byte can be written any more, so "nothing was written" stays true.
+		wrote = a.gate.stop()
+	}
+	if err == nil && !belongsToAttempt(response, c.requestID, wrote) {
+		_ = response.Body.Close()
+		response, err = nil, &ForeignAnswerError{Address: a.target.address}
+		wrote = a.gate.stop()
+	}
+	a.answer, a.err = response, err
+	if err != nil {
+		a.result.kind = classifyError(c.ctx, a.ctx, err, wrote)
+	} else {
+		a.result = answerReport(response.Header)
+		a.result.kind = classifyAnswer(response)
+	}
+	a.result.latency = time.Since(started)
+}
+
+// ForeignAnswerError reports an answer that does not belong to the request: it came before the request was written, or
+// carries another request ID, or switches protocols.
+type ForeignAnswerError struct {
+	Address string
+}
+
+func (e *ForeignAnswerError) Error() string {
+	return "backend server " + e.Address + " sent an answer that does not belong to the request"
+}
+
+// belongsToAttempt guards against answers of an earlier request that arrive late on a kept-alive connection.
+func belongsToAttempt(r *http.Response, requestID string, wrote bool) bool {
+	echoed := r.Header.Get(headerRequestID)
+	return wrote && r.StatusCode != http.StatusSwitchingProtocols && (echoed == "" || echoed == requestID)
+}
+
+func classifyAnswer(r *http.Response) resultKind {
+	switch {
+	case r.Header.Get(headerNotRun) == "true":
+		return resultShed
+	case r.StatusCode >= http.StatusInternalServerError:
+		return resultFailed
+	}
+	return resultAnswered
+}
+
+// classifyError maps a failed round trip. ctx is the call's context, own that of the attempt.
+func classifyError(ctx, own context.Context, err error, wrote bool) resultKind {
+	var unreachable *UnreachableError
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && wrote:
+		return resultTimeout
+	case own.Err() != nil && wrote:
+		return resultCanceled
+	case wrote:
+		return resultBroken
+	case errors.As(err, &unreachable) && ctx.Err() == nil && own.Err() == nil:
+		return resultUnreachable
+	}
+	return resultNotSent
+}
+
+// newBackendRequest builds the request of one attempt. The body never has GetBody, and a request that is not idempotent
+// always has a body value, so that net/http cannot send it a second time by itself.
+func newBackendRequest(c *call, a *attempt, retriesLeft int) *http.Request {
+	h := backendHeader(c.r.Header)
+	remaining := max(time.Until(c.deadline).Milliseconds(), 1)
+	h.Set(headerDeadline, strconv.FormatInt(remaining, 10))
+	h.Set(headerDepth, strconv.Itoa(c.depth))
+	h.Set(headerRetriesLeft, strconv.Itoa(retriesLeft))
+	h.Set(headerRequestID, c.requestID)
+	request := &http.Request{
+		Method:        c.r.Method,
+		URL:           &url.URL{Scheme: "http", Host: a.target.address, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.r.URL.RawQuery, ForceQuery: c.r.URL.ForceQuery},
+		Host:          c.r.Host,
+		Header:        h,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		ContentLength: int64(len(c.body)),
+	}
+	if len(c.body) > 0 || !c.rule.idempotent {
+		request.Body = io.NopCloser(bytes.NewReader(c.body))
+	}
+	if len(c.r.Trailer) > 0 {
+		request.Trailer = c.r.Trailer.Clone()
+		request.ContentLength = -1
+		request.Body = io.NopCloser(bytes.NewReader(c.body))
+	}
+	return request.WithContext(withGate(a.ctx, a.gate))
+}
--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"heatherwall.example/api/controlpb"
+)
+
+// Limits of a call tree and of one request.
+const (
+	maxDepth       = 8
+	maxRetries     = 2
+	defaultMaxBody = 1 << 20
+	// defaultDeadline applies to rules without one.
+	defaultDeadline = 10 * time.Second
+	// minDeadline is the shortest remaining time in which a request is still worth sending.
+	minDeadline = 2 * time.Millisecond
+	// fingerprintBytes is the length of a shortened SHA-256 sum.
+	fingerprintBytes = 16
+)
+
+type fingerprint [fingerprintBytes]byte
+
+// call is one request on its way through the gateway. It belongs to the goroutine of its handler.
+type call struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	arrived time.Duration
+
+	lease   *lease
+	caller  caller
+	rule    *rule
+	regions []string // permitted regions; allRegions set means no restriction
+	// allRegions tells that neither rule nor tenant restricts the regions.
+	allRegions bool
+
+	deadline    time.Time
+	depth       int
+	retriesLeft int
+	requestID   string
+
+	body        []byte
+	fingerprint fingerprint
+	claim       *heldClaim // nil when the request is idempotent or no key was given
+}
+
+// step is one stage of the request path; a refusal ends it.
+type step func(p *requestPath, c *call) *Refusal
+
+// steps run in the order of section 5.7 of docs/design.md, up to the claim.
+var steps = []step{
+	(*requestPath).admit,
+	(*requestPath).authenticate,
+	(*requestPath).matchRule,
+	(*requestPath).checkHome,
+	(*requestPath).checkKey,
+	(*requestPath).limitTree,
+	(*requestPath).readBody,
+	(*requestPath).checkPoison,
+	(*requestPath).takeClaim,
+}
+
+// admit refuses while the gateway stops or has no right to serve.
+func (p *requestPath) admit(c *call) *Refusal {
+	if p.draining.Load() {
+		return refuse(Draining, "this gateway is stopping").after(time.Second)
+	}
+	l, ok := p.configuration.Valid()
+	if l.view == nil {
+		return refuse(NotReady, "no configuration has been confirmed yet").after(time.Second)
+	}
+	if !ok {
+		return refuse(ConfigurationStale, "the configuration could not be confirmed").after(time.Second)
+	}
+	c.lease = l
+	return nil
+}
+
+func (p *requestPath) authenticate(c *call) *Refusal {
+	token, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return refuse(Unauthenticated, "expected a bearer token")
+	}
+	// The table is keyed by the hash of the token, so the time of the look-up tells nothing about other tokens.
+	c.caller, ok = c.lease.view.callers[sha256.Sum256([]byte(token))]
+	if !ok {
+		return refuse(Unauthenticated, "the token belongs to no caller")
+	}
+	return nil
+}
+
+func (p *requestPath) matchRule(c *call) *Refusal {
+	c.rule = c.lease.view.match(c.r.Header.Get(headerService), c.r.Method, c.r.URL.Path)
+	if c.rule == nil {
+		return refuse(NoRule, "no rule covers this method and path")
+	}
+	if !c.rule.admits(c.caller) {
+		return refuse(NotAllowed, "the rule does not admit this caller")
+	}
+	return nil
+}
+
+// checkHome refuses before the body is read, so that nothing of a foreign request is stored here.
+func (p *requestPath) checkHome(c *call) *Refusal {
+	c.regions, c.allRegions = c.rule.allowedRegions(c.caller)
+	if c.allRegions || slices.Contains(c.regions, p.region) {
+		return nil
+	}
+	r := refuse(HomeRegion, "this gateway lies outside the home regions of the request")
+	r.Regions = c.regions
+	r.closeConnection = true
+	return r
+}
+
+// checkKey refuses a request without a usable key before its body is read.
+func (p *requestPath) checkKey(c *call) *Refusal {
+	if c.rule.idempotent {
+		return nil
+	}
+	keys := c.r.Header.Values(headerKey)
+	if len(keys) == 0 {
+		if c.rule.keyOptional {
+			return nil
+		}
+		return refuse(KeyRequired, "expected the header Idempotency-Key with a UUID version 7")
+	}
+	key, err := uuid.Parse(strings.Trim(keys[0], `"`))
+	if err != nil || len(keys) > 1 || key.Version() != 7 || key.Variant() != uuid.RFC4122 {
+		return refuse(KeyInvalid, "expected one Idempotency-Key that is a UUID version 7 (RFC 9562)")
+	}
+	c.claim = newClaim(c, key)
+	return nil
+}
+
+// limitTree reads the limits that the request shares with the calls above it.
+func (p *requestPath) limitTree(c *call) *Refusal {
+	depth, ok := headerNumber(c.r.Header, headerDepth, 0)
+	if !ok {
+		return refuse(BadRequest, headerDepth+": expected a number")
+	}
+	if depth >= maxDepth {
+		return refuse(TooDeep, "the call tree is deeper than 8")
+	}
+	retries, ok := headerNumber(c.r.Header, headerRetriesLeft, maxRetries)
+	if !ok {
+		return refuse(BadRequest, headerRetriesLeft+": expected a number")
+	}
+	remaining, ok := headerNumber(c.r.Header, headerDeadline, int(c.rule.deadline.Milliseconds()))
+	if !ok {
+		return refuse(BadRequest, headerDeadline+": expected a number of milliseconds")
+	}
+	limit := min(c.rule.deadline, time.Duration(remaining)*time.Millisecond)
+	if limit < minDeadline {
+		return refuse(DeadlineTooShort, "the remaining time is too short for any backend server")
+	}
+	c.depth, c.retriesLeft, c.deadline = depth+1, min(retries, maxRetries), time.Now().Add(limit)
+	return nil
+}
+
+// headerNumber reads a number of at most nine digits; ok is false for anything else.
+func headerNumber(h http.Header, name string, absent int) (n int, ok bool) {
+	text := h.Get(name)
+	if text == "" {
+		return absent, true
+	}
+	if len(text) > 9 {
+		return 0, false
+	}
+	v, err := strconv.ParseUint(text, 10, 32)
+	return int(v), err == nil
+}
+
+// readBody buffers the body up to the limit of the rule, within the deadline.
+func (p *requestPath) readBody(c *call) *Refusal {
+	if c.r.ContentLength > c.rule.maxBody {
+		r := refuse(RequestTooLarge, "the body is larger than the rule permits")
+		r.closeConnection = true
+		return r
+	}
+	// The deadline of the read must be lifted again: the server keeps reading to notice that the caller goes away.
+	controller := http.NewResponseController(c.w)
+	_ = controller.SetReadDeadline(c.deadline)
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.rule.maxBody))
+	_ = controller.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuse(RequestTooLarge, "the body is larger than the rule permits")
+	case err != nil && !time.Now().Before(c.deadline):
+		return refuse(DeadlineExceeded, "the body did not arrive in time")
+	case err != nil:
+		return refuse(BadRequest, "the body could not be read to its end")
+	}
+	c.body = body
+	return nil
+}
+
+// checkPoison computes the fingerprint and refuses requests that crashed backend servers.
+func (p *requestPath) checkPoison(c *call) *Refusal {
+	c.fingerprint = requestFingerprint(c.caller.member, c.r.Method, c.r.URL.EscapedPath(), c.r.URL.RawQuery, c.body)
+	if wait := p.poison.Remaining(p.clock.now(), c.fingerprint); wait > 0 {
+		return refuse(Poison, "backend servers crashed twice while they ran this request").after(wait)
+	}
+	return nil
+}
+
+// requestFingerprint is SHA-256 over length-prefixed fields, shortened.
+func requestFingerprint(member, method, path, query string, body []byte) fingerprint {
+	h := sha256.New()
+	for _, field := range []string{member, method, path, query} {
+		writeField(h, field)
+	}
+	h.Write(body)
+	return fingerprint(h.Sum(nil)[:fingerprintBytes])
+}
+
+func writeField(w io.Writer, field string) {
+	_, _ = io.WriteString(w, strconv.Itoa(len(field))+":"+field)
+}
+
+// keptAnswer returns the answer that a repeat of a claimed request gets.
+func writeKept(w http.ResponseWriter, kept *controlpb.KeptAnswer) {
+	h := w.Header()
+	for _, header := range kept.GetHeaders() {
+		h.Add(header.GetName(), header.GetValue())
+	}
+	h.Set(headerKept, "true")
+	h.Set("Content-Length", strconv.Itoa(len(kept.GetBody())))
+	w.WriteHeader(int(kept.GetStatus()))
+	_, _ = w.Write(kept.GetBody())
+}
--- /dev/null
+++ b/gateway/conn.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Limits of connections to backend servers.
+const (
+	dialTimeout              = time.Second
+	idleConnectionTimeout    = 30 * time.Second
+	maxIdlePerServer         = 32
+	maxAnswerHeaderBytes     = 256 << 10
+	backendWriteBufferBytes  = 16 << 10
+	backendKeepAliveInterval = 15 * time.Second
+)
+
+// SendForbiddenError reports an attempt that was stopped before its first byte was written.
+type SendForbiddenError struct {
+	Reason string
+}
+
+func (e *SendForbiddenError) Error() string { return "sending was stopped: " + e.Reason }
+
+// sendGate belongs to one attempt. It decides at the first byte whether the request may still be sent, ties the attempt
+// to one connection, and records whether anything was written. It outlives the attempt: a connection that the
+// transport tries later finds it closed.
+type sendGate struct {
+	mu      sync.Mutex
+	check   func() error // nil error permits the first byte
+	conn    *backendConn
+	stopped bool
+	wrote   atomic.Bool
+}
+
+// enter is called before every write of the attempt. Only the first connection that is permitted to write may go on,
+// so that net/http cannot send a request twice.
+func (g *sendGate) enter(c *backendConn) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conn == c {
+		return nil
+	}
+	if g.conn != nil {
+		return &SendForbiddenError{Reason: "the request was already written to another connection"}
+	}
+	if g.stopped {
+		return &SendForbiddenError{Reason: "the attempt has ended"}
+	}
+	if err := g.check(); err != nil {
+		g.stopped = true
+		return err
+	}
+	g.conn = c
+	g.wrote.Store(true)
+	return nil
+}
+
+// stop forbids a first byte from now on and reports whether one was written before.
+func (g *sendGate) stop() (wrote bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = true
+	return g.wrote.Load()
+}
+
+// backendConn is a connection to a backend server whose writes pass the gate of the attempt that uses it.
+type backendConn struct {
+	net.Conn
+	gate atomic.Pointer[sendGate]
+}
+
+// NoGateError reports a write without an attempt; it is a programming error.
+type NoGateError struct{}
+
+func (e *NoGateError) Error() string { return "write to a backend server outside an attempt" }
+
+func (c *backendConn) Write(p []byte) (int, error) {
+	g := c.gate.Load()
+	if g == nil {
+		return 0, &NoGateError{}
+	}
+	if err := g.enter(c); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// newTransport returns the transport to backend servers. Every request must carry a gate, see withGate.
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: backendKeepAliveInterval}
+	return &http.Transport{
+		Proxy: nil,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, &UnreachableError{Address: address, Err: err}
+			}
+			return &backendConn{Conn: conn}, nil
+		},
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerServer,
+		IdleConnTimeout:        idleConnectionTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		WriteBufferSize:        backendWriteBufferBytes,
+		ForceAttemptHTTP2:      false,
+	}
+}
+
+// UnreachableError reports that no connection to a backend server could be opened.
+type UnreachableError struct {
+	Address string
+	Err     error
+}
+
+func (e *UnreachableError) Error() string { return fmt.Sprintf("connect to %s: %v", e.Address, e.Err) }
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// withGate lets the connection that the transport chooses for the request write through the gate.
+func withGate(ctx context.Context, g *sendGate) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*backendConn); ok {
+				c.gate.Store(g)
+			}
+		},
+	})
+}
--- /dev/null
+++ b/gateway/drain.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"heatherwall.example/telemetry"
+)
+
+// drain stops without interrupting a request: /readyz fails first, requests that still arrive in the grace period are
+// served with Connection: close, then the listener closes and requests in flight end within their deadlines.
+func (d *daemon) drain() {
+	d.log.Log(eventDraining)
+	d.path.stopping.Store(true)
+	time.Sleep(drainGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.DrainSeconds)*time.Second)
+	defer cancel()
+	d.path.draining.Store(true)
+	if err := d.servers["callers"].Shutdown(ctx); err != nil {
+		d.log.Log(eventDrainTimeout, telemetry.F("in_flight", int(d.path.inFlight.Load())))
+		_ = d.servers["callers"].Close()
+	}
+	finished := make(chan struct{})
+	go func() {
+		d.path.background.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+	case <-ctx.Done():
+	}
+}
+
+// close ends everything else and waits for the daemon's goroutines.
+func (d *daemon) close() {
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	d.peers.Stop()
+	d.claims.Close()
+	if t, ok := d.path.transport.(*http.Transport); ok {
+		t.CloseIdleConnections()
+	}
+	d.work.Wait()
+	d.log.Log(eventStopped)
+}
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/hex"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/settings"
+	"heatherwall.example/telemetry"
+)
+
+const (
+	testToken      = "token-1"
+	testCredential = "credential-1"
+	// testPatience bounds polling for liveness.
+	testPatience = 20 * time.Second
+)
+
+func hexSum(s string) string {
+	sum := sha256.Sum256([]byte(s))
+	return hex.EncodeToString(sum[:])
+}
+
+// certificates writes a key and certificate for name, signed by a common authority, into a folder of the test.
+type certificates struct {
+	folder string
+	key    *ecdsa.PrivateKey
+	ca     *x509.Certificate
+}
+
+func newCertificates(t *testing.T) *certificates {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must(t, err)
+	c := &certificates{folder: t.TempDir(), key: key}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	must(t, err)
+	c.ca, err = x509.ParseCertificate(der)
+	must(t, err)
+	c.write(t, "ca.pem", "CERTIFICATE", der)
+	return c
+}
+
+func (c *certificates) write(t *testing.T, name, kind string, der []byte) string {
+	t.Helper()
+	path := filepath.Join(c.folder, name)
+	must(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+	return path
+}
+
+func (c *certificates) issue(t *testing.T, name string) *settings.TLS {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour), ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	der, err := x509.CreateCertificate(rand.Reader, template, c.ca, &key.PublicKey, c.key)
+	must(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	must(t, err)
+	return &settings.TLS{Certificate: c.write(t, name+".pem", "CERTIFICATE", der), Key: c.write(t, name+".key", "EC PRIVATE KEY", keyDER), Authority: filepath.Join(c.folder, "ca.pem")}
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// eventually polls until ok returns true.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testPatience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not reached: %s", what)
+}
+
+// controlStub is a control replica that confirms one configuration and grants every claim once.
+type controlStub struct {
+	controlpb.UnimplementedConfigurationsServer
+	controlpb.UnimplementedClaimsServer
+	address string
+
+	mu     sync.Mutex
+	answer *controlpb.RenewAnswer
+	claims map[string]*controlpb.CompleteRequest
+	holder map[string]*controlpb.ClaimRequest
+}
+
+func (s *controlStub) set(change func(a *controlpb.RenewAnswer)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.answer)
+}
+
+func (s *controlStub) Watch(stream grpc.BidiStreamingServer[controlpb.RenewRequest, controlpb.RenewAnswer]) error {
+	for {
+		request, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		s.mu.Lock()
+		answer := &controlpb.RenewAnswer{Nonce: request.Nonce, Revision: s.answer.Revision, Full: true, Sections: s.answer.Sections,
+			DomainsOut: s.answer.DomainsOut, Gateways: s.answer.Gateways, GatewaysDigest: s.answer.GatewaysDigest, ClaimLeaders: s.answer.ClaimLeaders, ClusterId: 7}
+		s.mu.Unlock()
+		if err := stream.Send(answer); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *controlStub) Claim(_ context.Context, r *controlpb.ClaimRequest) (*controlpb.ClaimAnswer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := string(r.Key)
+	first, taken := s.holder[key]
+	done := s.claims[key]
+	result := controlpb.ClaimResult_CLAIM_GRANTED
+	switch {
+	case !taken || first.Holder == r.Holder:
+		s.holder[key] = r
+	case !bytes.Equal(first.Fingerprint, r.Fingerprint):
+		result = controlpb.ClaimResult_CLAIM_KEY_REUSED
+	case done == nil:
+		result = controlpb.ClaimResult_CLAIM_IN_PROGRESS
+	case done.Outcome == outcomeNotRun:
+		s.holder[key], result = r, controlpb.ClaimResult_CLAIM_GRANTED_AGAIN
+		delete(s.claims, key)
+	case done.Outcome == outcomeUnknown:
+		result = controlpb.ClaimResult_CLAIM_OUTCOME_UNKNOWN
+	case done.Kept != nil:
+		return &controlpb.ClaimAnswer{Result: controlpb.ClaimResult_CLAIM_KEPT_ANSWER, Kept: done.Kept}, nil
+	default:
+		result = controlpb.ClaimResult_CLAIM_ALREADY_RUN
+	}
+	return &controlpb.ClaimAnswer{Result: result}, nil
+}
+
+func (s *controlStub) Complete(_ context.Context, r *controlpb.CompleteRequest) (*controlpb.CompleteAnswer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if first := s.holder[string(r.Key)]; first != nil && first.Holder == r.Holder {
+		s.claims[string(r.Key)] = r
+	}
+	return &controlpb.CompleteAnswer{Accepted: true}, nil
+}
+
+func (s *controlStub) completed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.claims)
+}
+
+func startControl(t *testing.T, c *certificates, name string, sections []*controlpb.Section) *controlStub {
+	t.Helper()
+	s := &controlStub{claims: map[string]*controlpb.CompleteRequest{}, holder: map[string]*controlpb.ClaimRequest{}, answer: &controlpb.RenewAnswer{Revision: 1, Sections: sections}}
+	id, err := loadIdentity(c.issue(t, name))
+	must(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	s.address = l.Addr().String()
+	server := grpc.NewServer(grpc.Creds(credentials.NewTLS(id.serverConfig())))
+	controlpb.RegisterConfigurationsServer(server, s)
+	controlpb.RegisterClaimsServer(server, s)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+	return s
+}
+
+// testGateway is a gateway started by Run.
+type testGateway struct {
+	Addresses
+	stop   context.CancelFunc
+	ended  chan error
+	client *http.Client
+}
+
+func startGateway(t *testing.T, c *certificates, name string, replicas ...*controlStub) *testGateway {
+	t.Helper()
+	any := settings.Listener{Address: "127.0.0.1:0"}
+	s := &settings.Gateway{
+		Instance: settings.Instance{Name: name, Region: "north", FailureDomain: "north-a", LogLevel: "info"},
+		Callers:  any, Announce: any, Admin: any, Peer: settings.Listener{Address: "127.0.0.1:0", TLS: c.issue(t, name)},
+		MaxRequests: 100, DrainSeconds: 20,
+	}
+	for i, r := range replicas {
+		s.Control = append(s.Control, settings.Peer{Name: fmt.Sprintf("control-%d", i+1), Address: r.address, Region: "north", FailureDomain: "north-a"})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &testGateway{stop: cancel, ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
+	ready := make(chan Addresses, 1)
+	go func() { g.ended <- Run(ctx, s, telemetry.NewLogger(io.Discard, telemetry.Info), func(a Addresses) { ready <- a }) }()
+	select {
+	case g.Addresses = <-ready:
+	case err := <-g.ended:
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		g.client.CloseIdleConnections()
+		cancel()
+		if err := <-g.ended; err != nil {
+			t.Error(err)
+		}
+	})
+	eventually(t, "gateway is ready", func() bool {
+		r, err := http.Get("http://" + g.Admin + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer r.Body.Close()
+		return r.StatusCode == http.StatusOK
+	})
+	return g
+}
+
+func (g *testGateway) announce(t *testing.T, kind string, a announcement) (int, announceAnswer) {
+	t.Helper()
+	body, err := json.Marshal(a)
+	must(t, err)
+	r, err := http.NewRequest(http.MethodPost, "http://"+g.Announce+"/v1/servers/"+kind, bytes.NewReader(body))
+	must(t, err)
+	r.Header.Set("Authorization", "Bearer "+testCredential)
+	answer, err := http.DefaultClient.Do(r)
+	must(t, err)
+	defer answer.Body.Close()
+	var out announceAnswer
+	_ = json.NewDecoder(answer.Body).Decode(&out)
+	return answer.StatusCode, out
+}
+
+func (g *testGateway) call(t *testing.T, method, path, body string, header ...string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+g.Callers+path, strings.NewReader(body))
+	must(t, err)
+	r.Header.Set("Authorization", "Bearer "+testToken)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	answer, err := g.client.Do(r)
+	must(t, err)
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	must(t, err)
+	return answer, string(text)
+}
+
--- /dev/null
+++ b/gateway/lease.go
@@ -0,0 +1,312 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/settings"
+	"heatherwall.example/telemetry"
+)
+
+// Timing of the configuration lease, see section 5.2 of docs/design.md.
+const (
+	renewInterval  = 600 * time.Millisecond
+	leaseDuration  = 3 * time.Second
+	replicaSilence = time.Second
+	// replicaBackoff separates attempts when replicas refuse connections at once.
+	replicaBackoff = 100 * time.Millisecond
+)
+
+// sectionSet holds the texts of the document's sections by name.
+type sectionSet map[string]*controlpb.Section
+
+// compileFunc turns sections into what the request path uses.
+type compileFunc func(sections []*controlpb.Section) (*view, error)
+
+// lease is one confirmed state of the configuration. It is immutable.
+type lease struct {
+	// expires is the end of the right to serve.
+	expires      time.Duration
+	revision     uint64
+	view         *view // nil until a revision has been compiled
+	sections     sectionSet
+	domainsOut   map[string]bool
+	claimLeaders map[string]string
+	gateways     []*controlpb.GatewayStatus
+	gatewayHash  uint64
+	clusterID    uint64
+}
+
+// ReplicaSilentError reports a control replica that did not answer in time.
+type ReplicaSilentError struct {
+	Replica string
+}
+
+func (e *ReplicaSilentError) Error() string {
+	return fmt.Sprintf("control replica %s was silent for %s", e.Replica, replicaSilence)
+}
+
+// leaseClient keeps the configuration lease alive. Run is called once; Current and Valid may be called from any
+// goroutine.
+type leaseClient struct {
+	replicas []settings.Peer
+	dial     dialFunc
+	compile  compileFunc
+	status   func() *controlpb.GatewayStatus
+	onChange func(*lease) // called after a change of the configuration, the failure domains out or the gateway list
+	clock    clock
+	log      *telemetry.Logger
+	counters *telemetry.Counters
+
+	current atomic.Pointer[lease]
+	nonce   uint64
+}
+
+// Current returns the newest confirmed state; its view is nil before the first confirmation.
+func (c *leaseClient) Current() *lease {
+	if l := c.current.Load(); l != nil {
+		return l
+	}
+	return &lease{}
+}
+
+// Valid returns the configuration if the right to serve has not run out.
+func (c *leaseClient) Valid() (*lease, bool) {
+	l := c.Current()
+	return l, l.view != nil && c.clock.now() < l.expires
+}
+
+// Run renews the lease until ctx ends, at the nearest replica that answers.
+func (c *leaseClient) Run(ctx context.Context) {
+	go c.watchExpiry(ctx)
+	for i := 0; ctx.Err() == nil; i++ {
+		peer := c.replicas[i%len(c.replicas)]
+		err := c.session(ctx, peer)
+		if ctx.Err() != nil {
+			return
+		}
+		c.counters.Counter("lease_replica_changes", "replica", peer.Name).Inc(1)
+		c.log.Log(eventReplicaChanged, telemetry.F("replica", peer.Name), telemetry.F("error", err))
+		sleep(ctx, replicaBackoff)
+	}
+}
+
+// watchExpiry logs the transitions between a valid and a lost lease.
+func (c *leaseClient) watchExpiry(ctx context.Context) {
+	held := false
+	for sleep(ctx, replicaBackoff) {
+		_, valid := c.Valid()
+		if held && !valid {
+			c.log.Log(eventLeaseLost, telemetry.F("revision", c.Current().revision))
+		}
+		if !held && valid {
+			c.log.Log(eventLeaseGained, telemetry.F("revision", c.Current().revision))
+		}
+		held = valid
+	}
+}
+
+// sleep waits for d and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// session renews at one replica until it is silent, breaks the stream or ctx ends.
+func (c *leaseClient) session(ctx context.Context, peer settings.Peer) error {
+	conn, err := c.dial(peer.Name, peer.Address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &leaseSession{client: c, peer: peer, sent: map[uint64]time.Duration{}, answers: make(chan *controlpb.RenewAnswer), broken: make(chan error, 1)}
+	// A replica that never answers must not hold the client for longer than the permitted silence.
+	opening := time.AfterFunc(replicaSilence, cancel)
+	stream, err := controlpb.NewConfigurationsClient(conn).Watch(ctx)
+	if !opening.Stop() {
+		return &ReplicaSilentError{Replica: peer.Name}
+	}
+	if err != nil {
+		return fmt.Errorf("open stream to %s: %w", peer.Name, err)
+	}
+	go s.receive(ctx, stream)
+	return s.run(ctx, stream)
+}
+
+// leaseSession is one stream to one replica.
+type leaseSession struct {
+	client  *leaseClient
+	peer    settings.Peer
+	sent    map[uint64]time.Duration // by nonce; unanswered renewals of this stream
+	answers chan *controlpb.RenewAnswer
+	broken  chan error
+}
+
+type watchStream interface {
+	Send(*controlpb.RenewRequest) error
+	Recv() (*controlpb.RenewAnswer, error)
+}
+
+func (s *leaseSession) receive(ctx context.Context, stream watchStream) {
+	for {
+		a, err := stream.Recv()
+		if err != nil {
+			s.broken <- err
+			return
+		}
+		select {
+		case s.answers <- a:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *leaseSession) run(ctx context.Context, stream watchStream) error {
+	renew := time.NewTicker(renewInterval)
+	defer renew.Stop()
+	silence := time.NewTimer(replicaSilence)
+	defer silence.Stop()
+	if err := s.renew(stream); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-s.broken:
+			return fmt.Errorf("stream of %s: %w", s.peer.Name, err)
+		case <-silence.C:
+			return &ReplicaSilentError{Replica: s.peer.Name}
+		case <-renew.C:
+			if err := s.renew(stream); err != nil {
+				return err
+			}
+		case a := <-s.answers:
+			if s.answer(a) {
+				silence.Reset(replicaSilence)
+			}
+		}
+	}
+}
+
+func (s *leaseSession) renew(stream watchStream) error {
+	c := s.client
+	c.nonce++
+	now := c.clock.now()
+	s.sent[c.nonce] = now
+	request := &controlpb.RenewRequest{Nonce: c.nonce, Gateway: c.status(), GatewaysDigest: c.Current().gatewayHash}
+	request.Gateway.Revision = c.Current().revision
+	if err := stream.Send(request); err != nil {
+		return fmt.Errorf("renewal to %s: %w", s.peer.Name, err)
+	}
+	return nil
+}
+
+// answer takes one renewal answer and reports whether it confirmed the configuration. The lease counts from the moment
+// the renewal with the same nonce was sent, so an answer without such a renewal confirms nothing.
+func (s *leaseSession) answer(a *controlpb.RenewAnswer) bool {
+	sentAt, ok := s.sent[a.GetNonce()]
+	if !ok {
+		return false
+	}
+	maps.DeleteFunc(s.sent, func(_ uint64, at time.Duration) bool { return at <= sentAt })
+	return s.client.accept(a, sentAt+leaseDuration)
+}
+
+// accept publishes a confirmed configuration. It never goes back to an older revision or to another setup.
+func (c *leaseClient) accept(a *controlpb.RenewAnswer, expires time.Duration) bool {
+	old := c.Current()
+	if old.clusterID != 0 && a.GetClusterId() != old.clusterID {
+		c.log.Log(eventClusterRefused, telemetry.F("cluster_id", a.GetClusterId()))
+		return false
+	}
+	if a.GetRevision() < old.revision {
+		c.log.Log(eventRevisionRefused, telemetry.F("revision", a.GetRevision()), telemetry.F("seen", old.revision))
+		return false
+	}
+	next := *old
+	next.clusterID = a.GetClusterId()
+	next.expires = max(old.expires, expires)
+	next.claimLeaders = a.GetClaimLeaders()
+	if err := c.mergeSections(&next, a); err != nil {
+		c.log.Log(eventRevisionRefused, telemetry.F("revision", a.GetRevision()), telemetry.F("error", err))
+		return false
+	}
+	changed := mergeLists(&next, a)
+	c.current.Store(&next)
+	c.counters.Gauge("revision").Update(int64(next.revision))
+	if next.revision != old.revision {
+		c.log.Log(eventRevisionInUse, telemetry.F("revision", next.revision))
+	}
+	if changed || next.revision != old.revision || old.view == nil {
+		c.onChange(&next)
+	}
+	return true
+}
+
+// mergeSections applies the difference and compiles the result if anything changed.
+func (c *leaseClient) mergeSections(next *lease, a *controlpb.RenewAnswer) error {
+	unchanged := len(a.GetSections()) == 0 && len(a.GetRemoved()) == 0 && !a.GetFull()
+	if next.view != nil && (unchanged || a.GetRevision() == next.revision) {
+		next.revision = a.GetRevision()
+		return nil
+	}
+	merged := sectionSet{}
+	if !a.GetFull() {
+		maps.Copy(merged, next.sections)
+	}
+	for _, name := range a.GetRemoved() {
+		delete(merged, name)
+	}
+	for _, s := range a.GetSections() {
+		merged[s.GetName()] = s
+	}
+	sorted := slices.SortedFunc(maps.Values(merged), func(x, y *controlpb.Section) int {
+		return compareStrings(x.GetName(), y.GetName())
+	})
+	compiled, err := c.compile(sorted)
+	if err != nil {
+		return err
+	}
+	next.sections, next.view, next.revision = merged, compiled, a.GetRevision()
+	return nil
+}
+
+func compareStrings(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+// mergeLists takes over the failure domains out and the gateway list; it reports whether one of them changed.
+func mergeLists(next *lease, a *controlpb.RenewAnswer) bool {
+	out := map[string]bool{}
+	for _, d := range a.GetDomainsOut() {
+		out[d] = true
+	}
+	changed := !maps.Equal(out, next.domainsOut)
+	next.domainsOut = out
+	if a.GetGatewaysDigest() != next.gatewayHash || len(a.GetGateways()) > 0 {
+		next.gateways, next.gatewayHash = a.GetGateways(), a.GetGatewaysDigest()
+		changed = true
+	}
+	return changed
+}
--- /dev/null
+++ b/gateway/poison.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// Limits of crash marks, see section 5.8 of docs/design.md.
+const (
+	poisonThreshold = 2
+	markLifetime    = time.Minute
+	// maxMarks bounds the memory of marks; the oldest go first.
+	maxMarks = 10_000
+)
+
+// crashMark counts broken connections on which one request was in flight. Each gateway sends only its own counts, so
+// the sum over gateways counts every break once.
+type crashMark struct {
+	counts  map[string]int // by gateway
+	expires time.Duration
+	regions []string // regions that may hold the mark; empty for all
+}
+
+func (m *crashMark) total() int {
+	n := 0
+	for _, c := range m.counts {
+		n += c
+	}
+	return n
+}
+
+// poisonMarks holds the crash marks known to one gateway. It is safe for use by several goroutines.
+type poisonMarks struct {
+	self string
+
+	mu    sync.Mutex
+	marks map[fingerprint]*crashMark
+}
+
+func newPoisonMarks(self string) *poisonMarks {
+	return &poisonMarks{self: self, marks: map[fingerprint]*crashMark{}}
+}
+
+// Remaining returns how long the request is still refused; 0 when it is not.
+func (m *poisonMarks) Remaining(now time.Duration, f fingerprint) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mark := m.live(now, f)
+	if mark == nil || mark.total() < poisonThreshold {
+		return 0
+	}
+	return mark.expires - now
+}
+
+// Suspect counts a broken connection with the request in flight and reports whether it is poison now.
+func (m *poisonMarks) Suspect(now time.Duration, f fingerprint, regions []string) bool {
+	return m.add(now, f, m.self, 1, regions, markLifetime)
+}
+
+// Clear forgets the marks of a request that succeeded and reports whether there were any.
+func (m *poisonMarks) Clear(now time.Duration, f fingerprint) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	had := m.live(now, f) != nil
+	delete(m.marks, f)
+	return had
+}
+
+func (m *poisonMarks) live(now time.Duration, f fingerprint) *crashMark {
+	mark := m.marks[f]
+	if mark != nil && mark.expires <= now {
+		delete(m.marks, f)
+		return nil
+	}
+	return mark
+}
+
+func (m *poisonMarks) add(now time.Duration, f fingerprint, gateway string, n int, regions []string, life time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mark := m.live(now, f)
+	if mark == nil {
+		m.makeRoom(now)
+		mark = &crashMark{counts: map[string]int{}, regions: regions}
+		m.marks[f] = mark
+	}
+	mark.counts[gateway] += n
+	mark.expires = max(mark.expires, now+life)
+	return mark.total() >= poisonThreshold
+}
+
+// makeRoom deletes expired marks, then the oldest one, when the table is full.
+func (m *poisonMarks) makeRoom(now time.Duration) {
+	if len(m.marks) < maxMarks {
+		return
+	}
+	var oldest fingerprint
+	first := true
+	for f, mark := range m.marks {
+		if mark.expires <= now {
+			delete(m.marks, f)
+			continue
+		}
+		if first || mark.expires < m.marks[oldest].expires {
+			oldest, first = f, false
+		}
+	}
+	if len(m.marks) >= maxMarks {
+		delete(m.marks, oldest)
+	}
+}
--- /dev/null
+++ b/gateway/ports.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+// The request path depends on the interfaces below only; tests put small implementations in their place.
+
+// configuration gives the confirmed configuration.
+type configuration interface {
+	// Valid returns the newest configuration and whether the right to serve is alive.
+	Valid() (*lease, bool)
+}
+
+// query describes the request that a backend server is selected for.
+type query struct {
+	service    string
+	member     string
+	idempotent bool
+	// regions are the only ones permitted; empty with allRegions set means no restriction.
+	regions    []string
+	allRegions bool
+	// tried lists addresses that this request has been sent to.
+	tried    []string
+	deadline time.Duration // on the monotonic clock
+	// hedge is set for a second attempt in parallel, retry for one after a failure.
+	hedge bool
+	retry bool
+}
+
+// selector selects a backend server.
+type selector interface {
+	// Pick returns a selection, or a refusal whose Ran is RanNo.
+	Pick(ctx context.Context, q *query) (selection, *Refusal)
+}
+
+// selection is a backend server with a slot taken. Done is called exactly once and releases the slot.
+type selection interface {
+	Server() target
+	Done(result)
+}
+
+// target is the place of a backend server.
+type target struct {
+	service string
+	address string
+	region  string
+	domain  string
+}
+
+// resultKind is what became of an attempt.
+type resultKind int
+
+// Results of an attempt.
+const (
+	// resultAnswered: the server answered with a status below 500.
+	resultAnswered resultKind = iota
+	// resultFailed: the server answered with a status of 500 or above.
+	resultFailed
+	// resultShed: the server answered that it did not run the request.
+	resultShed
+	// resultUnreachable: no connection could be opened; nothing was written.
+	resultUnreachable
+	// resultBroken: the connection broke after a byte had been written.
+	resultBroken
+	// resultTimeout: the deadline passed after a byte had been written.
+	resultTimeout
+	// resultCanceled: the caller went away, or a parallel attempt answered first.
+	resultCanceled
+	// resultNotSent: the attempt was given up before a byte was written, for a reason of the gateway.
+	resultNotSent
+)
+
+// result reports an attempt to the selector.
+type result struct {
+	kind    resultKind
+	latency time.Duration
+	// state is the value of Heatherwall-State; empty when the answer has none.
+	state string
+	// inflight and slots come from Heatherwall-Load; slots is 0 when the answer has none.
+	inflight int
+	slots    int
+	// retryAfter comes from the server's Retry-After; 0 when there is none.
+	retryAfter time.Duration
+}
--- /dev/null
+++ b/gateway/requestpath.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"heatherwall.example/telemetry"
+)
+
+// Limits of the caller listener.
+const (
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 5 * time.Second
+	callerIdleTimeout = 75 * time.Second
+	// refusalWriteTimeout bounds the writing of a refusal that comes before the deadline is known.
+	refusalWriteTimeout = 10 * time.Second
+	// answerWriteGrace is the time beyond the deadline in which the rest of an answer may be written.
+	answerWriteGrace = time.Second
+)
+
+// requestPath serves requests of callers, see section 5.7 of docs/design.md.
+type requestPath struct {
+	region        string
+	maxRequests   int64
+	clock         clock
+	configuration configuration
+	selector      selector
+	claims        claimer
+	holders       *holderNames
+	poison        *poisonMarks
+	transport     http.RoundTripper
+	log           *telemetry.Logger
+	counters      *telemetry.Counters
+
+	// stopping fails /readyz; requests are still served, with Connection: close.
+	stopping atomic.Bool
+	// draining refuses new requests.
+	draining atomic.Bool
+	inFlight atomic.Int64
+	byDomain domainCounts
+	// background counts work that outlives its handler: losing attempts and outcomes of claims.
+	background sync.WaitGroup
+}
+
+// ServeHTTP answers one request of a caller.
+func (p *requestPath) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer p.inFlight.Add(-1)
+	inFlight := p.inFlight.Add(1)
+	p.counters.Total("requests").Inc(1)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	if p.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c := &call{w: w, r: r, ctx: r.Context(), arrived: p.clock.now()}
+	if inFlight > p.maxRequests {
+		p.answerRefusal(c, refuse(Overloaded, "too many requests in flight at this gateway").after(time.Second))
+		return
+	}
+	p.serve(c)
+}
+
+func (p *requestPath) serve(c *call) {
+	for _, s := range steps {
+		if refusal := s(p, c); refusal != nil {
+			p.answerRefusal(c, refusal)
+			return
+		}
+	}
+	if c.claim != nil && c.claim.kept != nil {
+		p.counters.Total("kept_answers").Inc(1)
+		writeKept(c.w, c.claim.kept)
+		return
+	}
+	p.runAndAnswer(c)
+}
+
+// runAndAnswer has the request run and completes its claim, whatever happens on the way.
+func (p *requestPath) runAndAnswer(c *call) {
+	c.requestID = requestID(c.r)
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(answerWriteGrace))
+	r := &runner{p: p, c: c}
+	a, refusal := r.run()
+	if refusal != nil {
+		p.complete(c, outcomeOf(r.maybeRan), nil)
+		p.answerRefusal(c, refusal)
+		return
+	}
+	p.answer(c, a)
+}
+
+// answer streams an answer and reports the attempt.
+func (p *requestPath) answer(c *call, a *attempt) {
+	s := p.stream(c, a)
+	if s.complete {
+		p.poison.Clear(p.clock.now(), c.fingerprint)
+		p.complete(c, outcomeRan, keptAnswer(c, a, s))
+		a.done()
+		return
+	}
+	a.result.kind = interruptedKind(c)
+	p.complete(c, outcomeUnknown, nil)
+	a.done()
+	p.abortAnswer(a)
+}
+
+// interruptedKind tells why an answer was not read to its end.
+func interruptedKind(c *call) resultKind {
+	switch {
+	case c.r.Context().Err() != nil:
+		return resultCanceled
+	case c.ctx.Err() != nil:
+		return resultTimeout
+	}
+	return resultBroken
+}
+
+// answerRefusal counts a refusal and writes it, unless the caller has gone.
+func (p *requestPath) answerRefusal(c *call, refusal *Refusal) {
+	if c.r.Context().Err() != nil {
+		p.counters.Total("callers_gone").Inc(1)
+		panic(http.ErrAbortHandler)
+	}
+	p.counters.Counter("refusals", "reason", string(refusal.Reason)).Inc(1)
+	refusal.write(c.w)
+}
+
+// requestID joins the caller's identifier of the call tree, or a new one, with a random part of its own. The random part
+// makes an echoed identifier prove that an answer belongs to its request.
+func requestID(r *http.Request) string {
+	own := uuid.NewString()
+	tree, _, _ := strings.Cut(r.Header.Get(headerRequestID), "/")
+	if tree == "" || len(tree) > maxNameBytes {
+		return own
+	}
+	return tree + "/" + own
+}
+
+// domainCounts counts requests in flight by failure domain.
+type domainCounts struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (d *domainCounts) add(domain string, n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.counts == nil {
+		d.counts = map[string]int{}
+	}
+	d.counts[domain] += n
+}
+
+func (d *domainCounts) get(domain string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.counts[domain]
+}
--- /dev/null
+++ b/gateway/run.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/settings"
+	"heatherwall.example/telemetry"
+)
+
+// drainGrace is the time between the failure of /readyz and the closing of the listeners, in which the platform's
+// balancer stops sending.
+const drainGrace = time.Second
+
+// Addresses are the addresses that the listeners are bound to.
+type Addresses struct {
+	Callers  string
+	Announce string
+	Peer     string
+	Admin    string
+}
+
+// ListenError reports a listener that could not be opened.
+type ListenError struct {
+	Listener string
+	Address  string
+	Err      error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("listen for %s on %s: %v", e.Listener, e.Address, e.Err)
+}
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// Run serves until ctx ends, then drains and returns. ready is called once when all listeners are open; it may be nil.
+// Failures before that are *ListenError or *CertificateError; a drain that ran out of time is no failure.
+func Run(ctx context.Context, s *settings.Gateway, log *telemetry.Logger, ready func(Addresses)) error {
+	d, err := newDaemon(s, log)
+	if err != nil {
+		return err
+	}
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return err
+	}
+	return d.run(ctx, ready)
+}
+
+// daemon is one running gateway.
+type daemon struct {
+	settings *settings.Gateway
+	log      *telemetry.Logger
+	counters *telemetry.Counters
+	clock    clock
+	identity *identity
+	dial     dialFunc
+
+	lease  *leaseClient
+	claims *claimClient
+	state  *trivialState
+	path   *requestPath
+
+	listeners map[string]net.Listener
+	servers   map[string]*http.Server
+	peers     *grpc.Server
+	work      sync.WaitGroup
+}
+
+func newDaemon(s *settings.Gateway, log *telemetry.Logger) (*daemon, error) {
+	id, err := loadIdentity(s.Peer.TLS)
+	if err != nil {
+		return nil, err
+	}
+	incarnation := uint64(time.Now().UnixMilli())
+	d := &daemon{settings: s, log: log, counters: telemetry.NewCounters(), clock: newClock(), identity: id, dial: dialPeers(id)}
+	d.lease = &leaseClient{
+		replicas: s.Control, dial: d.dial, compile: trivialCompile, clock: d.clock, log: log, counters: d.counters,
+		status: func() *controlpb.GatewayStatus { return d.status(incarnation) },
+	}
+	d.lease.onChange = func(*lease) {}
+	d.claims = newClaimClient(s.Control, func() map[string]string { return d.lease.Current().claimLeaders }, d.dial)
+	d.state = &trivialState{}
+	d.path = &requestPath{
+		region: s.Region, maxRequests: int64(s.MaxRequests), clock: d.clock, configuration: d.lease, selector: d.state,
+		claims: d.claims, holders: newHolderNames(s.Name, incarnation), poison: newPoisonMarks(s.Name),
+		transport: newTransport(), log: log, counters: d.counters,
+	}
+	return d, nil
+}
+
+func (d *daemon) status(incarnation uint64) *controlpb.GatewayStatus {
+	s := &controlpb.GatewayStatus{
+		Name: d.settings.Name, Incarnation: incarnation, Region: d.settings.Region, FailureDomain: d.settings.FailureDomain,
+		PeerAddress: d.settings.Peer.Address, Draining: d.path.draining.Load(), InFlight: map[string]uint32{},
+	}
+	for domain := range d.lease.Current().domainsOut {
+		s.InFlight[domain] = uint32(d.path.byDomain.get(domain))
+	}
+	return s
+}
+
+// listen opens every listener before any of them serves.
+func (d *daemon) listen() error {
+	d.listeners = map[string]net.Listener{}
+	d.servers = map[string]*http.Server{
+		"callers":  d.callerServer(),
+		"announce": d.announceServer(),
+		"admin":    d.adminServer(),
+	}
+	for name, l := range map[string]settings.Listener{"callers": d.settings.Callers, "announce": d.settings.Announce, "peer": d.settings.Peer, "admin": d.settings.Admin} {
+		listener, err := net.Listen("tcp", l.Address)
+		if err != nil {
+			return &ListenError{Listener: name, Address: l.Address, Err: err}
+		}
+		d.listeners[name] = listener
+		if name == "peer" || l.TLS == nil {
+			continue
+		}
+		if d.servers[name].TLSConfig, err = listenerTLS(l.TLS); err != nil {
+			return err
+		}
+	}
+	d.peers = grpc.NewServer(grpc.Creds(credentials.NewTLS(d.identity.serverConfig())), grpc.MaxRecvMsgSize(maxPeerMessageBytes))
+	return nil
+}
+
+// listenerTLS needs client certificates only where an authority is set.
+func listenerTLS(t *settings.TLS) (*tls.Config, error) {
+	if t.Authority != "" {
+		id, err := loadIdentity(t)
+		if err != nil {
+			return nil, err
+		}
+		return id.serverConfig(), nil
+	}
+	certificate, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
+	if err != nil {
+		return nil, &CertificateError{File: t.Certificate, Err: err}
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{certificate}}, nil
+}
+
+func (d *daemon) closeListeners() {
+	for _, l := range d.listeners {
+		_ = l.Close()
+	}
+}
+
+func (d *daemon) addresses() Addresses {
+	return Addresses{
+		Callers:  d.listeners["callers"].Addr().String(),
+		Announce: d.listeners["announce"].Addr().String(),
+		Peer:     d.listeners["peer"].Addr().String(),
+		Admin:    d.listeners["admin"].Addr().String(),
+	}
+}
+
+func (d *daemon) run(ctx context.Context, ready func(Addresses)) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	d.work.Go(func() { d.lease.Run(background) })
+	for name, server := range d.servers {
+		d.work.Go(func() { serveHTTP(server, d.listeners[name]) })
+	}
+	d.work.Go(func() { _ = d.peers.Serve(d.listeners["peer"]) })
+	a := d.addresses()
+	d.log.Log(eventStarted, telemetry.F("callers", a.Callers), telemetry.F("announce", a.Announce), telemetry.F("peer", a.Peer), telemetry.F("admin", a.Admin))
+	if ready != nil {
+		ready(a)
+	}
+	<-ctx.Done()
+	d.drain()
+	stop()
+	d.close()
+	return nil
+}
+
+// serveHTTP returns when the server is closed.
+func serveHTTP(s *http.Server, l net.Listener) {
+	if s.TLSConfig != nil {
+		_ = s.ServeTLS(l, "", "")
+		return
+	}
+	_ = s.Serve(l)
+}
--- /dev/null
+++ b/gateway/runner.go
@@ -0,0 +1,189 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+)
+
+// runner has one call run by backend servers: attempts, retries and hedging.
+type runner struct {
+	p *requestPath
+	c *call
+	// tried lists the addresses of all attempts so far.
+	tried       []string
+	retriesLeft int
+	// maybeRan is set once an attempt may have run the request.
+	maybeRan bool
+	// refusal is the last refusal of the selector.
+	refusal *Refusal
+}
+
+// run returns an attempt with an answer for the caller, or a refusal. The attempt is not done yet.
+func (r *runner) run() (*attempt, *Refusal) {
+	r.retriesLeft = r.c.retriesLeft
+	s, refusal := r.pick(&query{})
+	if refusal != nil {
+		return nil, refusal
+	}
+	for {
+		a := r.attempt(s)
+		r.maybeRan = r.maybeRan || a.mayHaveRun()
+		next, ok := r.retry(a)
+		if !ok {
+			return r.conclude(a)
+		}
+		a.done()
+		s = next
+	}
+}
+
+// pick selects a server that was not tried before; q carries the flags hedge and retry.
+func (r *runner) pick(q *query) (selection, *Refusal) {
+	c := r.c
+	q.service, q.member, q.idempotent = c.rule.service.name, c.caller.member, c.rule.idempotent
+	q.regions, q.allRegions = c.regions, c.allRegions
+	q.tried, q.deadline = r.tried, r.p.clock.now()+time.Until(c.deadline)
+	s, refusal := r.p.selector.Pick(c.ctx, q)
+	if refusal != nil {
+		r.refusal = refusal
+		return nil, refusal
+	}
+	r.tried = append(r.tried, s.Server().address)
+	return s, nil
+}
+
+// attempt sends the request to a server, with a second one in parallel where the rule permits hedging.
+func (r *runner) attempt(s selection) *attempt {
+	a := r.p.startAttempt(r.c, s)
+	if !r.c.rule.idempotent || r.c.rule.hedge <= 0 {
+		r.p.send(r.c, a, r.retriesLeft)
+		return a
+	}
+	return r.hedged(a)
+}
+
+// hedged sends a second request when the first is slower than the rule's delay, and returns the first good answer. The
+// other attempt is cancelled, and its answer is closed unread.
+func (r *runner) hedged(first *attempt) *attempt {
+	finished := make(chan *attempt, 2)
+	r.sendAsync(first, finished)
+	delay := time.NewTimer(r.c.rule.hedge)
+	defer delay.Stop()
+	select {
+	case a := <-finished:
+		return a
+	case <-delay.C:
+	}
+	s, refusal := r.pick(&query{hedge: true})
+	if refusal != nil {
+		return <-finished
+	}
+	r.p.counters.Counter("retries", "reason", "hedge").Inc(1)
+	second := r.p.startAttempt(r.c, s)
+	r.sendAsync(second, finished)
+	a := <-finished
+	other := second
+	if a == second {
+		other = first
+	}
+	if a.answer != nil && a.result.kind == resultAnswered {
+		r.abandon(other, finished)
+		return a
+	}
+	r.maybeRan = r.maybeRan || a.mayHaveRun()
+	a.done()
+	return <-finished
+}
+
+func (r *runner) sendAsync(a *attempt, finished chan<- *attempt) {
+	p, c, left := r.p, r.c, r.retriesLeft
+	p.background.Go(func() {
+		p.send(c, a, left)
+		finished <- a
+	})
+}
+
+// abandon cancels an attempt that lost and releases it when its round trip has ended.
+func (r *runner) abandon(a *attempt, finished <-chan *attempt) {
+	a.cancel()
+	r.p.background.Go(func() {
+		a := <-finished
+		if a.result.kind != resultBroken {
+			a.result.kind = resultCanceled
+		}
+		a.done()
+	})
+}
+
+// retry selects a server for another attempt if the outcome of a permits one.
+func (r *runner) retry(a *attempt) (selection, bool) {
+	reason := r.retryReason(a)
+	if reason == "" || r.retriesLeft == 0 || r.c.ctx.Err() != nil {
+		return nil, false
+	}
+	s, refusal := r.pick(&query{retry: true})
+	if refusal != nil {
+		return nil, false
+	}
+	r.retriesLeft--
+	r.p.counters.Counter("retries", "reason", reason).Inc(1)
+	return s, true
+}
+
+// retryReason is empty when the request must not be sent again: it may have run and is not idempotent.
+func (r *runner) retryReason(a *attempt) string {
+	if a.mayHaveRun() && !r.c.rule.idempotent {
+		return ""
+	}
+	switch a.result.kind {
+	case resultShed:
+		return "not_run"
+	case resultUnreachable:
+		return "unreachable"
+	case resultBroken:
+		return "broken"
+	case resultFailed:
+		if a.answer.StatusCode == http.StatusBadGateway || a.answer.StatusCode == http.StatusServiceUnavailable {
+			return "failed_answer"
+		}
+	case resultNotSent:
+		var forbidden *SendForbiddenError
+		if errors.As(a.err, &forbidden) && forbidden.Reason == sendDomainOut {
+			return "domain_out"
+		}
+		if !errors.As(a.err, &forbidden) {
+			return "not_sent"
+		}
+	}
+	return ""
+}
+
+// conclude turns the last attempt into an answer or a refusal.
+func (r *runner) conclude(a *attempt) (*attempt, *Refusal) {
+	if a.answer != nil && a.result.kind != resultShed {
+		return a, nil
+	}
+	a.done()
+	return nil, r.finalRefusal(a)
+}
+
+func (r *runner) finalRefusal(a *attempt) *Refusal {
+	var forbidden *SendForbiddenError
+	switch {
+	case errors.Is(r.c.ctx.Err(), context.DeadlineExceeded) && r.maybeRan:
+		return refuse(DeadlineExceeded, "no answer within the deadline").withRan(RanUnknown)
+	case errors.Is(r.c.ctx.Err(), context.DeadlineExceeded):
+		return refuse(DeadlineExceeded, "the request could not be sent within the deadline")
+	case r.maybeRan:
+		return refuse(BackendFailed, "the connection to the backend server broke before the answer")
+	case errors.As(a.err, &forbidden) && forbidden.Reason == sendStale:
+		return refuse(ConfigurationStale, "the configuration could not be confirmed").after(time.Second)
+	case r.refusal != nil:
+		return r.refusal
+	case a.result.kind == resultShed:
+		return refuse(Overloaded, "backend servers shed the request").after(max(a.result.retryAfter, time.Second))
+	}
+	return refuse(NoServer, "no backend server could be reached").after(time.Second)
+}
