--- /dev/null
+++ b/balance/event.go
@@ -0,0 +1,129 @@
+package balance
+
+import "time"
+
+// State is the state of a backend server as it was announced or reported.
+type State uint8
+
+// States of a backend server, in the order of the gossip messages.
+const (
+	StateReady State = iota
+	// StateCold marks cold start: only the owner sends requests, up to a limit that starts at 1.
+	StateCold
+	// StateDraining receives no new request.
+	StateDraining
+	// StateLeft is final for an incarnation.
+	StateLeft
+)
+
+// Server describes a backend server to the engine. Address (IP address and port) identifies it.
+type Server struct {
+	Address       string
+	Service       string
+	Region        string
+	FailureDomain string
+	Incarnation   uint64
+	// Sequence orders the announcements within an incarnation.
+	Sequence uint64
+	State    State
+	// Slots is the number of requests that the server runs at once; 0 counts as 1.
+	Slots int
+	// Connections caps the requests of this gateway in flight at the server; 0 means no cap.
+	Connections int
+	// Owned tells that this gateway owns the server.
+	Owned bool
+	// SendUntil ends the owner's right to send to the cold server; monotonic time of this gateway.
+	SendUntil time.Duration
+	// Evidence is the monotonic time of the newest evidence that the server is not leaving.
+	Evidence time.Duration
+}
+
+// Event is an input of Engine.Apply.
+type Event interface{ event() }
+
+// ServerChanged adds a server or replaces what is known of it. Load and latency are kept unless the incarnation rises.
+type ServerChanged struct{ Server Server }
+
+// ServerRemoved removes a server. Requests in flight finish normally.
+type ServerRemoved struct{ Address string }
+
+// EvidenceSeen renews the evidence of a server without a new snapshot.
+type EvidenceSeen struct {
+	Address string
+	// At is the monotonic time at which the evidence was certainly true.
+	At time.Duration
+}
+
+// SendRightRenewed moves the end of the owner's right to send to a cold server, without a new snapshot.
+type SendRightRenewed struct {
+	Address string
+	// Until is monotonic time.
+	Until time.Duration
+}
+
+// StateReported is the answer to a probe.
+type StateReported struct {
+	Address string
+	// At is the monotonic time at which the probe was sent.
+	At       time.Duration
+	State    State
+	InFlight int
+	Slots    int
+}
+
+// Configured replaces the limits and the set of failure domains out.
+type Configured struct {
+	Services []ServiceLimit
+	Members  []MemberLimit
+	// DomainsOut lists failure domains that receive no new request.
+	DomainsOut []string
+}
+
+// Ticked advances the engine's clock; Engine.Tick applies it.
+type Ticked struct{ Now time.Duration }
+
+// ServiceLimit limits the requests of one service in flight at this gateway.
+type ServiceLimit struct {
+	Service string
+	// MaxInFlight of 0 means no limit.
+	MaxInFlight int
+}
+
+// MemberLimit limits the requests of one member in flight at this gateway.
+type MemberLimit struct {
+	Member string
+	// MaxInFlight of 0 means no limit.
+	MaxInFlight int
+}
+
+func (ServerChanged) event()    {}
+func (ServerRemoved) event()    {}
+func (EvidenceSeen) event()     {}
+func (SendRightRenewed) event() {}
+func (StateReported) event()    {}
+func (Configured) event()       {}
+func (Ticked) event()           {}
+
+// NoticeKind tells what the engine wants the gateway to do or to log.
+type NoticeKind uint8
+
+// Kinds of notices.
+const (
+	// NoticeFallback: the server seems to have fallen back into cold start; its owner is to be told.
+	NoticeFallback NoticeKind = iota
+	// NoticeWarm: the owner's limit for a server that fell back has risen to the server's slots.
+	NoticeWarm
+	// NoticeProbe: evidence is about to run out; a probe is wanted if the budget of measuring allows one.
+	NoticeProbe
+	// NoticeEjected and NoticeReturned are for logs and counters.
+	NoticeEjected
+	NoticeReturned
+)
+
+// Notice is an output of the engine, read by the owner goroutine with Engine.Notices.
+type Notice struct {
+	Kind        NoticeKind
+	Service     string
+	Address     string
+	Incarnation uint64
+}
