--- /dev/null
+++ b/membership/evidence.go
@@ -0,0 +1,42 @@
+package membership
+
+import (
+	"time"
+
+	"heatherwall.example/api/gossippb"
+)
+
+// Evidence records that a server itself answered that it is not leaving. The time is that at which the request or probe
+// was sent, so the answer is not older.
+func (r *Registry) Evidence(address string, at time.Duration) {
+	if rec := r.records[address]; rec != nil {
+		r.evidence(rec, at)
+	}
+}
+
+func (r *Registry) evidence(rec *record, at time.Duration) {
+	if rec.left() || rec.server.State == gossippb.ServerState_SERVER_DRAINING {
+		return
+	}
+	if rec.hasEvidence && at <= rec.evidence {
+		return
+	}
+	rec.evidence, rec.hasEvidence = at, true
+	if rec.listed {
+		r.events = append(r.events, Event{Kind: EvidenceSeen, Server: rec.view()})
+		return
+	}
+	r.changed(rec)
+}
+
+// vouch spreads the freshness of an owner's heartbeat to the servers for which it is evidence: those of the owner's
+// current table, provided that the table is known up to the version that came with the heartbeat.
+func (r *Registry) vouch(owner GatewayID, v *ownerView) {
+	for _, address := range r.addresses() {
+		rec := r.records[address]
+		if rec.server.Owner != owner || rec.vouchIncarnation != v.incarnation || rec.server.Unrenewed {
+			continue
+		}
+		r.evidence(rec, v.freshAt)
+	}
+}
--- /dev/null
+++ b/membership/gossip.go
@@ -0,0 +1,202 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"heatherwall.example/api/gossippb"
+)
+
+// Digest tells how much this gateway knows of each owner's table, in the order of the owners' names.
+func (r *Registry) Digest(now time.Duration) []*gossippb.OwnerDigest {
+	r.now = max(r.now, now)
+	list := []*gossippb.OwnerDigest{{
+		Owner: r.self, Incarnation: r.incarnation, Version: r.version, Heartbeat: r.heartbeat,
+	}}
+	for name, v := range r.owners {
+		if !v.fresh {
+			continue
+		}
+		age := r.now - v.freshAt
+		list = append(list, &gossippb.OwnerDigest{
+			Owner: name, Incarnation: v.incarnation, Version: v.version, Heartbeat: v.heartbeat,
+			AgeMs: uint32((age + time.Millisecond - 1) / time.Millisecond),
+		})
+	}
+	slices.SortFunc(list, func(a, b *gossippb.OwnerDigest) int { return cmp.Compare(a.Owner, b.Owner) })
+	return list
+}
+
+// Delta returns the records that the sender of a digest lacks. A record that replaced one of a lacking table is
+// included even if another owner has it now; otherwise the old record would seem current.
+func (r *Registry) Delta(digest []*gossippb.OwnerDigest) []*gossippb.Server {
+	theirs := map[string]*gossippb.OwnerDigest{}
+	for _, d := range digest {
+		theirs[d.Owner] = d
+	}
+	var list []*gossippb.Server
+	for _, address := range r.addresses() {
+		if rec := r.records[address]; r.lacks(theirs, rec) {
+			list = append(list, rec.server)
+		}
+	}
+	return list
+}
+
+func (r *Registry) lacks(theirs map[string]*gossippb.OwnerDigest, rec *record) bool {
+	d := theirs[rec.server.Owner]
+	if d == nil || d.Incarnation < rec.vouchIncarnation {
+		return true
+	}
+	if d.Incarnation == rec.vouchIncarnation && d.Version < rec.server.OwnerVersion {
+		return true
+	}
+	for _, former := range rec.formerOwners {
+		if r.ahead(former, theirs[former]) {
+			return true
+		}
+	}
+	return false
+}
+
+// ahead reports whether this gateway knows more of an owner's table than a digest tells.
+func (r *Registry) ahead(owner string, d *gossippb.OwnerDigest) bool {
+	incarnation, version := r.incarnation, r.version
+	if owner != r.self {
+		v := r.owners[owner]
+		if v == nil {
+			return false
+		}
+		incarnation, version = v.incarnation, v.version
+	}
+	if d == nil || d.Incarnation < incarnation {
+		return true
+	}
+	return d.Incarnation == incarnation && d.Version < version
+}
+
+// Request makes the request of an exchange: the digest and the changes of servers owned here that no request has
+// carried yet. Send the same request to every peer when servers is not empty.
+func (r *Registry) Request(now time.Duration) *gossippb.ExchangeRequest {
+	q := &gossippb.ExchangeRequest{From: r.self, Digest: r.Digest(now)}
+	addresses := make([]string, 0, len(r.pushes))
+	for a := range r.pushes {
+		addresses = append(addresses, a)
+	}
+	slices.Sort(addresses)
+	for _, a := range addresses {
+		if rec := r.records[a]; rec != nil && rec.server.Owner == r.self {
+			q.Servers = append(q.Servers, rec.server)
+		}
+	}
+	r.pushes = map[string]bool{}
+	return q
+}
+
+// HasPushes reports whether a change waits to be pushed to the peers.
+func (r *Registry) HasPushes() bool { return len(r.pushes) > 0 }
+
+// Handle merges a request and answers it. A request may be of any age, so its digest is no evidence.
+func (r *Registry) Handle(now time.Duration, q *gossippb.ExchangeRequest) *gossippb.ExchangeAnswer {
+	r.now = max(r.now, now)
+	incarnations := r.learnIncarnations(q.Digest)
+	r.mergeServers(q.Servers, incarnations)
+	return &gossippb.ExchangeAnswer{Digest: r.Digest(now), Servers: r.Delta(q.Digest)}
+}
+
+// Merge takes the answer to a request. sent is the time at which the request was sent: what the answer tells is not
+// older, apart from the ages in its digest.
+func (r *Registry) Merge(now, sent time.Duration, a *gossippb.ExchangeAnswer) {
+	r.now = max(r.now, now)
+	incarnations := r.learnIncarnations(a.Digest)
+	r.mergeServers(a.Servers, incarnations)
+	for _, d := range a.Digest {
+		r.mergeDigest(sent, d)
+	}
+}
+
+// FallbackReport makes the request by which a gateway tells the owner that a server has fallen back into cold start.
+// It is nil if the server is unknown, owned here, or not ready.
+func (r *Registry) FallbackReport(now time.Duration, address string, incarnation uint64) (GatewayID, *gossippb.ExchangeRequest) {
+	rec := r.records[address]
+	if rec == nil || rec.held != nil || rec.server.Incarnation != incarnation {
+		return "", nil
+	}
+	if rec.server.State != gossippb.ServerState_SERVER_READY {
+		return "", nil
+	}
+	s := cloneWithState(rec.server, gossippb.ServerState_SERVER_COLD)
+	q := &gossippb.ExchangeRequest{From: r.self, Digest: r.Digest(now), Servers: []*gossippb.Server{s}}
+	return rec.server.Owner, q
+}
+
+// learnIncarnations notes restarts of owners, and returns the incarnations under which a message carries records.
+func (r *Registry) learnIncarnations(digest []*gossippb.OwnerDigest) map[string]uint64 {
+	carried := map[string]uint64{}
+	for _, d := range digest {
+		carried[d.Owner] = d.Incarnation
+		if d.Owner == r.self {
+			continue
+		}
+		v := r.owners[d.Owner]
+		if v == nil {
+			v = &ownerView{incarnation: d.Incarnation}
+			r.owners[d.Owner] = v
+		}
+		if d.Incarnation > v.incarnation {
+			*v = ownerView{incarnation: d.Incarnation}
+		}
+	}
+	return carried
+}
+
+func (r *Registry) mergeServers(list []*gossippb.Server, incarnations map[string]uint64) {
+	sorted := slices.Clone(list)
+	slices.SortFunc(sorted, func(a, b *gossippb.Server) int {
+		return cmp.Or(cmp.Compare(a.Owner, b.Owner), cmp.Compare(a.OwnerVersion, b.OwnerVersion))
+	})
+	for _, s := range sorted {
+		if validate(s) != nil {
+			continue
+		}
+		r.takeFallback(s)
+		r.store(s, incarnations[s.Owner])
+		r.continues(s, incarnations[s.Owner])
+	}
+}
+
+// continues raises the known version of a table by a pushed record that directly follows it.
+func (r *Registry) continues(s *gossippb.Server, incarnation uint64) {
+	v := r.owners[s.Owner]
+	if v != nil && v.incarnation == incarnation && s.OwnerVersion == v.version+1 {
+		v.version++
+	}
+}
+
+// takeFallback acts on the report of another gateway that a server of this one has fallen back.
+func (r *Registry) takeFallback(s *gossippb.Server) {
+	rec := r.records[s.Address]
+	if rec == nil || rec.held == nil || s.State != gossippb.ServerState_SERVER_COLD {
+		return
+	}
+	same := rec.server.Sequence == s.Sequence && rec.server.OwnerVersion == s.OwnerVersion && s.Owner == r.self
+	if same {
+		r.SetCold(s.Address, s.Incarnation, true)
+	}
+}
+
+func (r *Registry) mergeDigest(sent time.Duration, d *gossippb.OwnerDigest) {
+	v := r.owners[d.Owner]
+	if v == nil || d.Incarnation != v.incarnation {
+		return
+	}
+	v.version = max(v.version, d.Version)
+	at := sent - time.Duration(d.AgeMs)*time.Millisecond
+	if v.fresh && at <= v.freshAt {
+		return
+	}
+	v.fresh, v.freshAt = true, at
+	v.heartbeat = max(v.heartbeat, d.Heartbeat)
+	r.vouch(d.Owner, v)
+}
