--- /dev/null
+++ b/api/timing.go
@@ -0,0 +1,14 @@
+package api
+
+import "time"
+
+// Timing that control replicas and gateways must agree on; docs/design.md, section 5.2, derives it.
+const (
+	// ConfigurationLease is how long a gateway may serve after it sent a renewal that was confirmed. It counts on the
+	// gateway's monotonic clock.
+	ConfigurationLease = 3 * time.Second
+	// RenewInterval is the time between two renewals of a gateway.
+	RenewInterval = 600 * time.Millisecond
+	// LeaseMargin is added where another instance waits for a lease to run out, for clocks that run at different speed.
+	LeaseMargin = 200 * time.Millisecond
+)
--- a/cmd/heatherwall/main.go
+++ b/cmd/heatherwall/main.go
@@ -1,4 +1,156 @@
-// Command heatherwall is described in docs/design.md.
+// Command heatherwall is the one program of the system: the gateway of an entry instance, a control replica, and the
+// client of operators.
+//
+// Exit codes: 0 done, 1 refused or failed, 2 wrong usage or settings, 3 outcome unknown.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"heatherwall.example/cmd/heatherwall/internal/operator"
+	"heatherwall.example/control"
+	"heatherwall.example/gateway"
+	"heatherwall.example/settings"
+	"heatherwall.example/telemetry"
+)
+
+// Exit codes of the daemons; the operators' client has the same ones.
+const (
+	exitDone    = 0
+	exitRefused = 1
+	exitUsage   = 2
+)
+
+const usage = `usage: heatherwall COMMAND [flags]
+
+Daemons:
+  gateway   serve callers on an entry instance
+  control   keep the control state on an instance with a disk
+
+Operators:
+  check, diff, apply, get, approve, history, status, domain, key
+
+Each command explains its flags with -h.
+`
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(args []string, stdout, stderr io.Writer) int {
+	if len(args) == 0 {
+		fmt.Fprint(stderr, usage)
+		return exitUsage
+	}
+	switch args[0] {
+	case "gateway":
+		return runGateway(args[1:], stdout, stderr)
+	case "control":
+		return runControl(args[1:], stdout, stderr)
+	case "-h", "-help", "--help", "help":
+		fmt.Fprint(stdout, usage)
+		return exitDone
+	}
+	if code, known := operator.Run(args, stdout, stderr); known {
+		return code
+	}
+	fmt.Fprintf(stderr, "heatherwall: unknown command %q\n\n%s", args[0], usage)
+	return exitUsage
+}
+
+// daemonFlags are the flags that both daemons have.
+type daemonFlags struct {
+	settings  string
+	checkOnly bool
+}
+
+func (f *daemonFlags) register(set *flag.FlagSet) {
+	set.StringVar(&f.settings, "settings", "", "YAML `file` with the settings of this instance (required)")
+	set.BoolVar(&f.checkOnly, "check", false, "validate the settings and exit")
+}
+
+// parse reads the flags and the settings file. ok is false when the caller has to exit with the code.
+func (f *daemonFlags) parse(set *flag.FlagSet, args []string, stderr io.Writer) (text []byte, code int, ok bool) {
+	set.SetOutput(stderr)
+	if err := set.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return nil, exitDone, false
+		}
+		return nil, exitUsage, false
+	}
+	if f.settings == "" || set.NArg() > 0 {
+		fmt.Fprintf(stderr, "%s: expected -settings FILE and no other arguments\n", set.Name())
+		return nil, exitUsage, false
+	}
+	text, err := os.ReadFile(f.settings)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return nil, exitUsage, false
+	}
+	return text, exitDone, true
+}
+
+func runControl(args []string, stdout, stderr io.Writer) int {
+	set := flag.NewFlagSet("heatherwall control", flag.ContinueOnError)
+	var flags daemonFlags
+	flags.register(set)
+	bootstrap := set.Bool("bootstrap", false, "create the control group once, in an empty data folder; every peer must be running and empty")
+	text, code, ok := flags.parse(set, args, stderr)
+	if !ok {
+		return code
+	}
+	s, err := settings.ParseControl(flags.settings, text)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	return serve(flags, s.Instance, stdout, stderr, func(ctx context.Context, log *telemetry.Logger) error {
+		return control.Run(ctx, s, *bootstrap, log)
+	})
+}
+
+func runGateway(args []string, stdout, stderr io.Writer) int {
+	set := flag.NewFlagSet("heatherwall gateway", flag.ContinueOnError)
+	var flags daemonFlags
+	flags.register(set)
+	text, code, ok := flags.parse(set, args, stderr)
+	if !ok {
+		return code
+	}
+	s, err := settings.ParseGateway(flags.settings, text)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	return serve(flags, s.Instance, stdout, stderr, func(ctx context.Context, log *telemetry.Logger) error {
+		return gateway.Run(ctx, s, log, func(gateway.Addresses) {})
+	})
+}
+
+// serve runs a daemon until it ends by itself or receives SIGTERM or SIGINT; a second signal ends the process at once.
+func serve(flags daemonFlags, instance settings.Instance, stdout, stderr io.Writer, daemon func(context.Context, *telemetry.Logger) error) int {
+	if flags.checkOnly {
+		fmt.Fprintf(stdout, "%s: settings are valid\n", flags.settings)
+		return exitDone
+	}
+	level, err := telemetry.ParseLevel(instance.LogLevel)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	context.AfterFunc(ctx, cancel)
+	if err := daemon(ctx, telemetry.NewLogger(stderr, level)); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitRefused
+	}
+	return exitDone
+}
--- /dev/null
+++ b/control/claims.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+const (
+	// keyTimeAhead is how far the time in a key may lie ahead of the leader's clock.
+	keyTimeAhead = 10 * time.Minute
+	// claimRetention is how long claims are kept; keys that are older are refused.
+	claimRetention = time.Hour
+	// floorInterval is the time between two entries that raise the floor.
+	floorInterval = 10 * time.Second
+	// claimTimeout bounds one claim.
+	claimTimeout = 2 * time.Second
+	// claimsPerEntry bounds the commands of one log entry.
+	claimsPerEntry = 1024
+)
+
+// claimServer takes idempotency keys in the claim group of this replica's region.
+type claimServer struct {
+	controlpb.UnimplementedClaimsServer
+	r *replica
+}
+
+// claimBatch collects the commands that arrive while the log syncs; one entry carries them all. It belongs to the loop.
+type claimBatch struct {
+	group    *group
+	commands []*claimCommand
+}
+
+// checkHolder refuses holders that do not start with the gateway's own name, so that no instance completes or repeats
+// another one's claim.
+func checkHolder(ctx context.Context, holder string) error {
+	name := certificateName(ctx)
+	if name != "" && strings.HasPrefix(holder, name+"/") {
+		return nil
+	}
+	err := &IdentityError{Certificate: name, Expected: "holder " + holder}
+	return status.Error(codes.PermissionDenied, err.Error())
+}
+
+// Claim takes a key. CLAIM_NOT_LEADER with an address sends the gateway to the leader; an error leaves the outcome
+// open, and the same holder may ask again.
+func (s *claimServer) Claim(ctx context.Context, r *controlpb.ClaimRequest) (*controlpb.ClaimAnswer, error) {
+	if err := checkHolder(ctx, r.Holder); err != nil {
+		return nil, err
+	}
+	if r.KeyTimeMs > uint64(time.Now().Add(keyTimeAhead).UnixMilli()) {
+		return &controlpb.ClaimAnswer{Result: controlpb.ClaimResult_CLAIM_KEY_INVALID}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	answer, err := call(ctx, s.r.loop, func(finish func(*controlpb.ClaimAnswer, error)) {
+		s.r.queueClaim(r.Region, newClaim(r), func(answer *controlpb.ClaimAnswer, leader string, err error) {
+			if leader != "" || isNotLeader(err) {
+				finish(&controlpb.ClaimAnswer{Result: controlpb.ClaimResult_CLAIM_NOT_LEADER, LeaderAddress: leader}, nil)
+				return
+			}
+			finish(answer, err)
+		})
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return answer, nil
+}
+
+// Complete records the outcome of a claimed request; only the holder may.
+func (s *claimServer) Complete(ctx context.Context, r *controlpb.CompleteRequest) (*controlpb.CompleteAnswer, error) {
+	if err := checkHolder(ctx, r.Holder); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	answer, err := call(ctx, s.r.loop, func(finish func(*controlpb.CompleteAnswer, error)) {
+		s.r.queueClaim(r.Region, newCompletion(r), func(_ *controlpb.ClaimAnswer, leader string, err error) {
+			if leader != "" || isNotLeader(err) {
+				finish(&controlpb.CompleteAnswer{LeaderAddress: leader}, nil)
+				return
+			}
+			finish(&controlpb.CompleteAnswer{Accepted: err == nil}, err)
+		})
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return answer, nil
+}
+
+// queueClaim adds a command to the batch of its region. On a follower it hands back the leader's address.
+func (r *replica) queueClaim(region string, c *claimCommand, done claimResult) {
+	g := r.loop.claimGroup(region)
+	if g == nil {
+		done(nil, "", &NoGroupError{Region: region})
+		return
+	}
+	if !g.leading {
+		if leader := g.leaderAddress(); leader != "" {
+			done(nil, leader, nil)
+			return
+		}
+		done(nil, "", &StaleError{Group: g.id})
+		return
+	}
+	c.done = done
+	b, ok := r.batches[g.id]
+	if !ok {
+		b = &claimBatch{group: g}
+		r.batches[g.id] = b
+	}
+	b.commands = append(b.commands, c)
+	if len(b.commands) >= claimsPerEntry {
+		b.flush()
+	}
+}
+
+func (l *loop) claimGroup(region string) *group {
+	for _, g := range l.groups {
+		if g.region != "" && g.region == region {
+			return g
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/control/errors.go
@@ -0,0 +1,88 @@
+package control
+
+import "fmt"
+
+// StaleError reports that no quorum confirmed, in time, that this replica's state is current.
+type StaleError struct {
+	Group uint64
+}
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("group %d: no quorum confirmed that this replica is current", e.Group)
+}
+
+// OutcomeUnknownError reports a proposal that may or may not be committed, because leadership was lost meanwhile.
+type OutcomeUnknownError struct {
+	Group uint64
+}
+
+func (e *OutcomeUnknownError) Error() string {
+	return fmt.Sprintf("group %d: leadership was lost before the outcome of the proposal was known", e.Group)
+}
+
+// NoGroupError reports a group that this replica does not belong to.
+type NoGroupError struct {
+	Group  uint64
+	Region string
+}
+
+func (e *NoGroupError) Error() string {
+	if e.Region != "" {
+		return fmt.Sprintf("this replica holds no claim group of region %q", e.Region)
+	}
+	return fmt.Sprintf("this replica does not hold group %d", e.Group)
+}
+
+// StoppedError reports a request to a replica that is stopping.
+type StoppedError struct{}
+
+func (e *StoppedError) Error() string {
+	return "the replica is stopping"
+}
+
+// OverloadedError reports that the loop has too many tasks waiting.
+type OverloadedError struct{}
+
+func (e *OverloadedError) Error() string {
+	return "the replica has too many requests waiting"
+}
+
+// BootstrapError reports why a group may not be created.
+type BootstrapError struct {
+	Peer   string
+	Reason string
+}
+
+func (e *BootstrapError) Error() string {
+	return fmt.Sprintf("bootstrap refused: %s: %s", e.Peer, e.Reason)
+}
+
+// EntryError reports a committed entry that is too short to carry its proposal number; the log is damaged.
+type EntryError struct {
+	Group uint64
+	Index uint64
+}
+
+func (e *EntryError) Error() string {
+	return fmt.Sprintf("group %d: entry %d has no proposal number", e.Group, e.Index)
+}
+
+// IdentityError reports a connection whose certificate does not fit the request.
+type IdentityError struct {
+	Certificate string
+	Expected    string
+}
+
+func (e *IdentityError) Error() string {
+	return fmt.Sprintf("certificate of %q: expected that of %s", e.Certificate, e.Expected)
+}
+
+// ClusterError reports a message of another setup.
+type ClusterError struct {
+	Got      uint64
+	Expected uint64
+}
+
+func (e *ClusterError) Error() string {
+	return fmt.Sprintf("setup %x: expected setup %x", e.Got, e.Expected)
+}
--- /dev/null
+++ b/control/group.go
@@ -0,0 +1,280 @@
+package control
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"time"
+
+	"heatherwall.example/api/raftpb"
+	"heatherwall.example/raft"
+	"heatherwall.example/raft/wal"
+	"heatherwall.example/telemetry"
+)
+
+// configurationGroup is the raft group of all control replicas.
+const configurationGroup uint64 = 1
+
+// Each entry starts with the identity of the proposing replica and a number that is unique there, so that the proposer
+// finds the request that waits for it.
+const proposalHeader = 16
+
+// A snapshot is taken after this many entries or bytes, whichever comes first, so that a restart replays little.
+const (
+	snapshotEntries = 5000
+	snapshotBytes   = 16 << 20
+)
+
+// stateMachine is what a group applies its entries to.
+type stateMachine interface {
+	Apply(index uint64, entry []byte) any
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+}
+
+type proposalResult func(result any, err error)
+
+type reader func(err error)
+
+// group is one raft group on this replica: its node, log and state machine.
+type group struct {
+	id      uint64
+	region  string
+	node    *raft.Node
+	log     *wal.Log
+	machine stateMachine
+	self    uint64
+
+	applied      uint64
+	appliedSince int
+	bytesSince   int
+	leading      bool
+
+	proposals    map[uint64]proposalResult
+	nextProposal uint64
+
+	// Readers that arrived while a round was running wait for the next one: a round confirms only what was asked
+	// before it started.
+	waiting []reader
+	running *readRound
+	nextID  uint64
+}
+
+type readRound struct {
+	id      uint64
+	started time.Time
+	readers []reader
+	// index is zero until a quorum has confirmed the round.
+	index uint64
+}
+
+func newGroup(id uint64, region string, self uint64, node *raft.Node, log *wal.Log, machine stateMachine) *group {
+	return &group{
+		id: id, region: region, self: self, node: node, log: log, machine: machine,
+		proposals:    map[uint64]proposalResult{},
+		nextProposal: randomNumber(),
+		nextID:       randomNumber(),
+	}
+}
+
+// randomNumber starts the numbering of a process at a random place, because entries and messages of an earlier process
+// with the same identity may still be around.
+func randomNumber() uint64 {
+	var b [8]byte
+	rand.Read(b[:]) // never fails, by the documentation of crypto/rand
+	return binary.LittleEndian.Uint64(b[:]) >> 1
+}
+
+// propose appends data to the log. done is called once: with the result of the state machine, with a
+// *raft.NotLeaderError, or with *OutcomeUnknownError.
+func (g *group) propose(data []byte, done proposalResult) {
+	number := g.nextProposal
+	g.nextProposal++
+	entry := make([]byte, proposalHeader, proposalHeader+len(data))
+	binary.LittleEndian.PutUint64(entry, g.self)
+	binary.LittleEndian.PutUint64(entry[8:], number)
+	if err := g.node.Propose(append(entry, data...)); err != nil {
+		done(nil, err)
+		return
+	}
+	g.proposals[number] = done
+}
+
+// read calls done once a quorum has confirmed, after this call, that the applied state is current.
+func (g *group) read(done reader) {
+	g.waiting = append(g.waiting, done)
+	g.startRead()
+}
+
+func (g *group) startRead() {
+	if g.running != nil || len(g.waiting) == 0 {
+		return
+	}
+	round := &readRound{id: g.nextID, started: time.Now(), readers: g.waiting}
+	g.nextID++
+	g.waiting = nil
+	if err := g.node.ReadIndex(round.id); err != nil {
+		round.finish(&StaleError{Group: g.id})
+		return
+	}
+	g.running = round
+}
+
+func (r *readRound) finish(err error) {
+	for _, done := range r.readers {
+		done(err)
+	}
+}
+
+func (g *group) expireRead(now time.Time) {
+	if g.running != nil && now.Sub(g.running.started) > readTimeout {
+		g.running.finish(&StaleError{Group: g.id})
+		g.running = nil
+	}
+	g.startRead()
+}
+
+func (g *group) finishRead() {
+	if g.running == nil || g.running.index == 0 || g.applied < g.running.index {
+		return
+	}
+	g.running.finish(nil)
+	g.running = nil
+	g.startRead()
+}
+
+// advance handles one Ready of the node: sync, then send, then apply.
+func (g *group) advance(l *loop) (bool, error) {
+	if err := g.node.Err(); err != nil {
+		return false, err
+	}
+	if !g.node.HasReady() {
+		return false, nil
+	}
+	rd := g.node.Ready()
+	if err := g.save(rd); err != nil {
+		return false, err
+	}
+	l.send(g, rd.Messages)
+	if err := g.apply(rd); err != nil {
+		return false, err
+	}
+	g.node.Advance(rd)
+	for _, r := range rd.Reads {
+		if g.running != nil && g.running.id == r.ID {
+			g.running.index = r.Index
+		}
+	}
+	g.finishRead()
+	g.noteLeadership(l)
+	return true, g.compact(l)
+}
+
+func (g *group) save(rd raft.Ready) error {
+	if rd.Snapshot != nil {
+		if err := g.log.SaveSnapshot(rd.Snapshot); err != nil {
+			return err
+		}
+	}
+	if rd.HardState == nil && len(rd.Entries) == 0 {
+		return nil
+	}
+	return g.log.Save(rd.HardState, rd.Entries)
+}
+
+func (g *group) apply(rd raft.Ready) error {
+	if rd.Snapshot != nil {
+		if err := g.machine.Restore(rd.Snapshot.Data); err != nil {
+			return err
+		}
+		g.applied = rd.Snapshot.Index
+	}
+	for _, e := range rd.Committed {
+		if err := g.applyEntry(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (g *group) applyEntry(e *raftpb.Entry) error {
+	g.applied = e.Index
+	g.appliedSince++
+	g.bytesSince += len(e.Data)
+	if e.Type != raftpb.EntryType_ENTRY_DATA || len(e.Data) == 0 {
+		return nil
+	}
+	if len(e.Data) < proposalHeader {
+		return &EntryError{Group: g.id, Index: e.Index}
+	}
+	result := g.machine.Apply(e.Index, e.Data[proposalHeader:])
+	if binary.LittleEndian.Uint64(e.Data) != g.self {
+		return nil
+	}
+	number := binary.LittleEndian.Uint64(e.Data[8:])
+	if done, ok := g.proposals[number]; ok {
+		delete(g.proposals, number)
+		done(result, nil)
+	}
+	return nil
+}
+
+func (g *group) noteLeadership(l *loop) {
+	leading := g.node.Status().Role == raft.Leader
+	if leading == g.leading {
+		return
+	}
+	g.leading = leading
+	if leading {
+		l.log.Log(eventLeading, telemetry.F("group", g.id), telemetry.F("term", g.node.Status().Term))
+		return
+	}
+	l.log.Log(eventNotLeading, telemetry.F("group", g.id), telemetry.F("waiting", len(g.proposals)))
+	for number, done := range g.proposals {
+		delete(g.proposals, number)
+		done(nil, &OutcomeUnknownError{Group: g.id})
+	}
+}
+
+func (g *group) compact(l *loop) error {
+	if g.appliedSince < snapshotEntries && g.bytesSince < snapshotBytes {
+		return nil
+	}
+	data, err := g.machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	s, err := g.node.NewSnapshot(g.applied, data)
+	if err != nil {
+		return err
+	}
+	if err := g.log.SaveSnapshot(s); err != nil {
+		return err
+	}
+	g.appliedSince, g.bytesSince = 0, 0
+	l.log.Log(eventSnapshot, telemetry.F("group", g.id), telemetry.F("index", s.Index), telemetry.F("bytes", len(data)))
+	return nil
+}
+
+// leaderAddress returns the address of the leader as far as this replica knows, or an empty string, also for no group.
+func (g *group) leaderAddress() string {
+	if g == nil {
+		return ""
+	}
+	st := g.node.Status()
+	if st.Membership == nil {
+		return ""
+	}
+	for _, m := range st.Membership.Members {
+		if m.Id == st.Leader {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// isNotLeader tells whether err says that another replica leads the group.
+func isNotLeader(err error) bool {
+	var target *raft.NotLeaderError
+	return errors.As(err, &target)
+}
--- /dev/null
+++ b/control/identity.go
@@ -0,0 +1,245 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/raftpb"
+	"heatherwall.example/raft"
+	"heatherwall.example/raft/wal"
+	"heatherwall.example/settings"
+	"heatherwall.example/telemetry"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+)
+
+const (
+	// joinInterval is the time between two requests to be added to a group.
+	joinInterval = 500 * time.Millisecond
+	probeTimeout = time.Second
+)
+
+// identity is made together with the data folder. A replica without its folder gets a new one and never votes under
+// the old.
+type identity struct {
+	ID      uint64
+	Cluster uint64
+}
+
+func peerNamed(name string) func(settings.Peer) bool {
+	return func(p settings.Peer) bool { return p.Name == name }
+}
+
+// groupFolder is where a group keeps its log.
+func (r *replica) groupFolder(id uint64) string {
+	return filepath.Join(r.settings.DataFolder, "groups", strconv.FormatUint(id, 10))
+}
+
+// identity loads the identity of the data folder. Without one it bootstraps, or waits until a peer tells the setup's
+// number; meanwhile it answers probes of peers that bootstrap.
+func (r *replica) identity(ctx context.Context, listener *net.TCPListener, bootstrap bool) (identity, error) {
+	saved, found, err := wal.LoadIdentity(r.settings.DataFolder)
+	if err != nil {
+		return identity{}, err
+	}
+	if found {
+		if saved.Name != r.settings.Name {
+			return identity{}, &IdentityError{Certificate: r.settings.Name, Expected: "the owner of the data folder, " + saved.Name}
+		}
+		return identity{ID: saved.ID, Cluster: saved.Cluster}, nil
+	}
+	if bootstrap {
+		return r.bootstrap(ctx)
+	}
+	stop := r.answerProbes(listener)
+	defer stop()
+	return r.learnCluster(ctx)
+}
+
+// borrowedListener lets a server stop without closing the listener that the replica goes on to use: Close only ends
+// the wait in Accept.
+type borrowedListener struct {
+	*net.TCPListener
+}
+
+// Close makes Accept return at once.
+func (l borrowedListener) Close() error {
+	return l.SetDeadline(time.Now())
+}
+
+// answerProbes serves Probe, and nothing else, until stop is called.
+func (r *replica) answerProbes(listener *net.TCPListener) (stop func()) {
+	server := grpc.NewServer(grpc.Creds(credentials.NewTLS(r.tls)))
+	controlpb.RegisterPeersServer(server, &peerServer{r: r})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(borrowedListener{listener})
+	}()
+	return func() {
+		server.Stop()
+		<-done
+		_ = listener.SetDeadline(time.Time{}) // the listener is open; the replica's own server uses it next
+	}
+}
+
+// bootstrap makes the setup's number and the configuration group with this replica as its only voter. Every configured
+// peer must answer that it holds no group; otherwise a replica that lost its folder could make a second group.
+func (r *replica) bootstrap(ctx context.Context) (identity, error) {
+	for _, p := range r.settings.Peers {
+		if p.Name == r.settings.Name {
+			continue
+		}
+		answer, err := probe(ctx, p.Address, r.tls)
+		if err != nil {
+			return identity{}, &BootstrapError{Peer: p.Name, Reason: "no answer: " + err.Error()}
+		}
+		if answer.ClusterId != 0 {
+			return identity{}, &BootstrapError{Peer: p.Name, Reason: "it already belongs to a setup"}
+		}
+	}
+	id := identity{ID: randomNumber() | 1, Cluster: randomNumber() | 1}
+	log, err := wal.Open(r.groupFolder(configurationGroup))
+	if err != nil {
+		return identity{}, err
+	}
+	self := &raftpb.Member{
+		Id: id.ID, Name: r.settings.Name, Address: r.settings.Peer.Address,
+		Region: r.settings.Region, FailureDomain: r.settings.FailureDomain,
+	}
+	if err := log.SaveSnapshot(raft.BootstrapSnapshot([]*raftpb.Member{self}, nil)); err != nil {
+		return identity{}, err
+	}
+	if err := log.Close(); err != nil {
+		return identity{}, err
+	}
+	r.log.Log(eventBootstrapped, telemetry.F("id", id.ID), telemetry.F("cluster", id.Cluster))
+	return id, r.saveIdentity(id)
+}
+
+// saveIdentity writes the identity last, so that a folder with an identity is complete.
+func (r *replica) saveIdentity(id identity) error {
+	return wal.CreateIdentity(r.settings.DataFolder, wal.Identity{ID: id.ID, Cluster: id.Cluster, Name: r.settings.Name})
+}
+
+// learnCluster asks the peers for the setup's number until one of them belongs to a setup.
+func (r *replica) learnCluster(ctx context.Context) (identity, error) {
+	for ctx.Err() == nil {
+		for _, p := range r.settings.Peers {
+			if p.Name == r.settings.Name {
+				continue
+			}
+			answer, err := probe(ctx, p.Address, r.tls)
+			if err != nil || answer.ClusterId == 0 {
+				continue
+			}
+			id := identity{ID: randomNumber() | 1, Cluster: answer.ClusterId}
+			return id, r.saveIdentity(id)
+		}
+		pause(ctx, joinInterval)
+	}
+	return identity{}, ctx.Err()
+}
+
+func probe(ctx context.Context, address string, c *tls.Config) (*controlpb.ProbeAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := dial(address, c)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	return controlpb.NewPeersClient(conn).Probe(ctx, &controlpb.ProbeRequest{})
+}
+
+// keepJoining asks to be added to each group of which this replica should be, but is not, a voter.
+func (r *replica) keepJoining(ctx context.Context) {
+	next := 0
+	for ctx.Err() == nil {
+		groups, err := call(ctx, r.loop, func(finish func([]uint64, error)) { finish(r.groupsToJoin(), nil) })
+		if err != nil {
+			pause(ctx, joinInterval)
+			continue
+		}
+		for _, g := range groups {
+			r.askToJoin(ctx, g, r.settings.Peers[next%len(r.settings.Peers)].Address)
+		}
+		next++
+		pause(ctx, joinInterval)
+	}
+}
+
+// groupsToJoin lists groups without this replica in the membership, as far as it knows.
+func (r *replica) groupsToJoin() []uint64 {
+	var ids []uint64
+	for _, g := range r.loop.sorted() {
+		if memberOf(g.node.Status().Membership, g.self) == nil {
+			ids = append(ids, g.id)
+		}
+	}
+	return ids
+}
+
+// askToJoin asks one peer, and then the leader that it names.
+func (r *replica) askToJoin(ctx context.Context, group uint64, address string) {
+	r.log.Log(eventJoining, telemetry.F("group", group), telemetry.F("peer", address))
+	for range 2 {
+		answer, err := r.join(ctx, group, address)
+		if err != nil || answer.Accepted || answer.LeaderAddress == "" || answer.LeaderAddress == address {
+			return
+		}
+		address = answer.LeaderAddress
+	}
+}
+
+func (r *replica) join(ctx context.Context, group uint64, address string) (*controlpb.JoinAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := dial(address, r.tls)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	return controlpb.NewPeersClient(conn).Join(ctx, &controlpb.JoinRequest{Group: group, ClusterId: r.loop.cluster, Member: r.loop.self})
+}
+
+// openGroup opens the log of a group, replays it into the machine and starts the node.
+func (r *replica) openGroup(id uint64, region string, machine stateMachine) (*group, error) {
+	log, err := wal.Open(r.groupFolder(id))
+	if err != nil {
+		return nil, err
+	}
+	snapshot, err := log.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	if snapshot != nil {
+		if err := machine.Restore(snapshot.Data); err != nil {
+			return nil, err
+		}
+	}
+	node, err := raft.New(raft.Config{
+		ID: r.loop.self.Id, Group: id,
+		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		Storage: log, Rand: randomBelow,
+	})
+	if err != nil {
+		return nil, err
+	}
+	g := newGroup(id, region, r.loop.self.Id, node, log, machine)
+	g.applied = snapshot.GetIndex()
+	r.loop.groups[id] = g
+	return g, nil
+}
+
+// randomBelow returns a number from 0 up to but not including n.
+func randomBelow(n int) int {
+	return int(randomNumber() % uint64(n))
+}
--- /dev/null
+++ b/control/loop.go
@@ -0,0 +1,183 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"heatherwall.example/api/raftpb"
+	"heatherwall.example/telemetry"
+)
+
+// Timing of the loop. Heartbeat and election timeouts are given in ticks; see docs/design.md, section 5.1.
+const (
+	tickInterval   = 100 * time.Millisecond
+	heartbeatTicks = 2
+	electionTicks  = 8
+
+	// readTimeout bounds a read index round; a lost round is given up so that gateways try another replica.
+	readTimeout = 700 * time.Millisecond
+
+	taskQueue = 4096
+	// tasksPerTurn bounds the tasks handled between two syncs, so that one sync serves many of them.
+	tasksPerTurn = 512
+)
+
+// loop owns all replicated state of a replica. Its fields are touched by the goroutine of run only, except tasks, stop
+// and done.
+type loop struct {
+	self    *raftpb.Member
+	cluster uint64
+	log     *telemetry.Logger
+	// send hands messages to the transport; it never blocks.
+	send func(group *group, messages []*raftpb.Message)
+
+	groups map[uint64]*group
+	// beforeSettle runs before each round of syncs, for work that is collected during a turn.
+	beforeSettle func()
+	// everyTick runs after each tick, for work that depends on time.
+	everyTick []func(now time.Time)
+
+	tasks chan func()
+	stop  chan struct{}
+	done  chan struct{}
+	fatal error
+}
+
+func newLoop(self *raftpb.Member, cluster uint64, log *telemetry.Logger) *loop {
+	return &loop{
+		self: self, cluster: cluster, log: log,
+		groups: map[uint64]*group{},
+		tasks:  make(chan func(), taskQueue),
+		stop:   make(chan struct{}),
+		done:   make(chan struct{}),
+	}
+}
+
+// submit hands a task to the loop without waiting. A full queue gives *OverloadedError.
+func (l *loop) submit(task func()) error {
+	select {
+	case <-l.done:
+		return &StoppedError{}
+	default:
+	}
+	select {
+	case l.tasks <- task:
+		return nil
+	default:
+		return &OverloadedError{}
+	}
+}
+
+// call runs a task in the loop and waits until the task has handed a value to its argument, ctx ends, or the loop
+// stops. The task may hand over the value later than it returns.
+func call[T any](ctx context.Context, l *loop, task func(finish func(T, error))) (T, error) {
+	type outcome struct {
+		value T
+		err   error
+	}
+	result := make(chan outcome, 1)
+	finish := func(value T, err error) {
+		select {
+		case result <- outcome{value, err}:
+		default:
+		}
+	}
+	var none T
+	if err := l.submit(func() { task(finish) }); err != nil {
+		return none, err
+	}
+	select {
+	case o := <-result:
+		return o.value, o.err
+	case <-ctx.Done():
+		return none, ctx.Err()
+	case <-l.done:
+		return none, &StoppedError{}
+	}
+}
+
+// run handles tasks and ticks until stop is closed or the storage fails.
+func (l *loop) run() {
+	defer close(l.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.stop:
+			return
+		case task := <-l.tasks:
+			task()
+			l.drainTasks()
+		case now := <-ticker.C:
+			l.tick(now)
+		}
+		if l.beforeSettle != nil {
+			l.beforeSettle()
+		}
+		if err := l.settle(); err != nil {
+			l.fail(err)
+		}
+		if l.fatal != nil {
+			l.log.Log(eventStorageFailed, telemetry.F("error", l.fatal))
+			return
+		}
+	}
+}
+
+// fail stops the loop at the end of its turn.
+func (l *loop) fail(err error) {
+	if l.fatal == nil {
+		l.fatal = err
+	}
+}
+
+func (l *loop) drainTasks() {
+	for range tasksPerTurn {
+		select {
+		case task := <-l.tasks:
+			task()
+		default:
+			return
+		}
+	}
+}
+
+func (l *loop) tick(now time.Time) {
+	for _, g := range l.sorted() {
+		g.node.Tick()
+		g.expireRead(now)
+	}
+	for _, f := range l.everyTick {
+		f(now)
+	}
+}
+
+// settle syncs, sends and applies until no group has anything left to do.
+func (l *loop) settle() error {
+	for progress := true; progress; {
+		progress = false
+		for _, g := range l.sorted() {
+			advanced, err := g.advance(l)
+			if err != nil {
+				return err
+			}
+			progress = progress || advanced
+		}
+	}
+	return nil
+}
+
+func (l *loop) sorted() []*group {
+	groups := make([]*group, 0, len(l.groups))
+	for _, g := range l.groups {
+		groups = append(groups, g)
+	}
+	slices.SortFunc(groups, func(a, b *group) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+	return groups
+}
--- /dev/null
+++ b/control/membership.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/raftpb"
+	"heatherwall.example/telemetry"
+)
+
+// join proposes the next step that brings a replica into a group. A replica that lost its data folder comes back with
+// a new identity: its old identity is removed first, because it can never vote again and would only weigh on the
+// quorum. Promotion follows in promoteLearners once the learner has synced everything committed.
+func (l *loop) join(r *controlpb.JoinRequest) *controlpb.JoinAnswer {
+	answer := &controlpb.JoinAnswer{ClusterId: l.cluster}
+	g, ok := l.groups[r.Group]
+	if !ok || r.ClusterId != l.cluster {
+		return answer
+	}
+	answer.LeaderAddress = g.leaderAddress()
+	if !g.leading {
+		return answer
+	}
+	answer.Accepted = true
+	if change := nextJoinStep(g.node.Status().Membership, r.Member); change != nil {
+		l.proposeMembership(g, change)
+	}
+	return answer
+}
+
+func nextJoinStep(membership *raftpb.Membership, joining *raftpb.Member) *raftpb.MembershipChange {
+	for _, m := range membership.GetMembers() {
+		if m.Id == joining.Id {
+			return nil
+		}
+	}
+	for _, m := range membership.GetMembers() {
+		if m.Name == joining.Name {
+			return &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_REMOVE, Member: m}
+		}
+	}
+	return &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_ADD_LEARNER, Member: joining}
+}
+
+func (l *loop) proposeMembership(g *group, change *raftpb.MembershipChange) {
+	// A refusal means that another change is under way; the joining replica asks again.
+	if err := g.node.ProposeMembership(change); err != nil {
+		return
+	}
+	l.log.Log(eventMembership, telemetry.F("group", g.id), telemetry.F("change", change.Type.String()),
+		telemetry.F("replica", change.Member.Name), telemetry.F("id", change.Member.Id))
+}
+
+// promoteLearners makes a learner a voter once it has synced everything that is committed now.
+func (l *loop) promoteLearners(g *group) {
+	if !g.leading {
+		return
+	}
+	st := g.node.Status()
+	for _, replica := range st.Replicas {
+		if !replica.Learner || replica.Match < st.Commit {
+			continue
+		}
+		l.proposeMembership(g, &raftpb.MembershipChange{
+			Type:   raftpb.MembershipChangeType_MEMBERSHIP_PROMOTE,
+			Member: memberOf(st.Membership, replica.ID),
+		})
+		return
+	}
+}
+
+func memberOf(membership *raftpb.Membership, id uint64) *raftpb.Member {
+	for _, m := range membership.GetMembers() {
+		if m.Id == id {
+			return m
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/control/operators.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"heatherwall.example/api"
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/telemetry"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+const (
+	// changeTimeout bounds the decision on a change.
+	changeTimeout = 5 * time.Second
+	// maxChangeBytes bounds a signed change.
+	maxChangeBytes = 4 << 20
+	// historyLimit bounds one page of history.
+	historyLimit = 1000
+	// inForcePoll is the time between two looks at the gateways' reports.
+	inForcePoll = 50 * time.Millisecond
+)
+
+// operatorServer serves the command line.
+type operatorServer struct {
+	controlpb.UnimplementedOperatorsServer
+	r *replica
+}
+
+// Apply decides a signed change. On a replica that does not lead, the answer names the leader. An error leaves the
+// outcome open; the operator sends the same change, with the same ID, again.
+func (s *operatorServer) Apply(ctx context.Context, r *controlpb.ApplyRequest) (*controlpb.ApplyAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	answer, err := call(ctx, s.r.loop, func(finish func(*controlpb.ApplyAnswer, error)) {
+		g := s.r.loop.groups[configurationGroup]
+		if g == nil || !g.leading {
+			finish(&controlpb.ApplyAnswer{NotLeader: true, LeaderAddress: g.leaderAddress()}, nil)
+			return
+		}
+		s.r.proposeChange(g, r.Change, func(outcome *controlpb.ChangeOutcome, err error) {
+			finish(&controlpb.ApplyAnswer{Outcome: outcome}, err)
+		})
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	if answer.Outcome != nil {
+		s.r.log.Log(eventAccepted, telemetry.F("result", answer.Outcome.Result.String()),
+			telemetry.F("revision", answer.Outcome.Revision), telemetry.F("operator", certificateName(ctx)))
+	}
+	return answer, nil
+}
+
+// read runs f in the loop after a quorum has confirmed that the configuration is current.
+func read[T any](ctx context.Context, r *replica, f func() (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	value, err := call(ctx, r.loop, func(finish func(T, error)) {
+		r.readConfiguration(func(err error) {
+			if err != nil {
+				var none T
+				finish(none, err)
+				return
+			}
+			finish(f())
+		})
+	})
+	if err != nil {
+		return value, status.Error(codes.Unavailable, err.Error())
+	}
+	return value, nil
+}
+
+// Get returns the newest document, or that of a revision that is still kept.
+func (s *operatorServer) Get(ctx context.Context, r *controlpb.GetRequest) (*controlpb.GetAnswer, error) {
+	return read(ctx, s.r, func() (*controlpb.GetAnswer, error) { return s.r.configuration.get(r) })
+}
+
+// History returns decided changes from a revision on.
+func (s *operatorServer) History(ctx context.Context, r *controlpb.HistoryRequest) (*controlpb.HistoryAnswer, error) {
+	if r.Limit == 0 || r.Limit > historyLimit {
+		r.Limit = historyLimit
+	}
+	return read(ctx, s.r, func() (*controlpb.HistoryAnswer, error) { return s.r.configuration.history(r), nil })
+}
+
+// Status describes this replica and the gateways it knows of. It answers even when the replica is not current, and
+// says so in the groups.
+func (s *operatorServer) Status(ctx context.Context, _ *controlpb.StatusRequest) (*controlpb.StatusAnswer, error) {
+	groups, err := s.r.groupStatus(ctx)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	answer, err := call(ctx, s.r.loop, func(finish func(*controlpb.StatusAnswer, error)) {
+		finish(s.r.configuration.summary(), nil)
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	answer.Groups = groups
+	answer.ClusterId = s.r.loop.cluster
+	answer.Gateways = s.r.directory.gateways(time.Now())
+	answer.AnsweredBy = s.r.settings.Name
+	return answer, nil
+}
+
+// InForce waits until every gateway has the revision or has lost its lease, at most until ctx ends. Only the leader
+// answers, because only it knows when the revision was committed at the latest.
+func (s *operatorServer) InForce(ctx context.Context, r *controlpb.InForceRequest) (*controlpb.InForceAnswer, error) {
+	for {
+		answer, err := call(ctx, s.r.loop, func(finish func(*controlpb.InForceAnswer, error)) {
+			finish(s.r.inForce(r.Revision, time.Now()), nil)
+		})
+		if err != nil {
+			return nil, status.Error(codes.Unavailable, err.Error())
+		}
+		if answer.InForce || answer.NotLeader {
+			return answer, nil
+		}
+		pause(ctx, inForcePoll)
+		if ctx.Err() != nil {
+			return answer, nil
+		}
+	}
+}
+
+func (r *replica) inForce(revision uint64, now time.Time) *controlpb.InForceAnswer {
+	g := r.loop.groups[configurationGroup]
+	if g == nil || !g.leading {
+		return &controlpb.InForceAnswer{NotLeader: true, LeaderAddress: g.leaderAddress()}
+	}
+	if r.configuration.revision() < revision {
+		return &controlpb.InForceAnswer{}
+	}
+	if applied, ok := r.configuration.appliedAt(revision); ok && now.Sub(applied) > api.ConfigurationLease+api.LeaseMargin {
+		return &controlpb.InForceAnswer{InForce: true}
+	}
+	r.refreshReport(now)
+	done, waiting := r.directory.inForce(revision, g.memberIDs(), now)
+	return &controlpb.InForceAnswer{InForce: done, WaitingFor: waiting}
+}
+
+func (g *group) memberIDs() []uint64 {
+	var ids []uint64
+	for _, m := range g.node.Status().Membership.GetMembers() {
+		ids = append(ids, m.Id)
+	}
+	return ids
+}
--- /dev/null
+++ b/control/peers.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"context"
+	"crypto/x509"
+	"slices"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/raftpb"
+	"heatherwall.example/telemetry"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+)
+
+// certificateName returns the common name of the verified client certificate.
+func certificateName(ctx context.Context) string {
+	p, ok := peer.FromContext(ctx)
+	if !ok {
+		return ""
+	}
+	info, ok := p.AuthInfo.(credentials.TLSInfo)
+	if !ok || len(info.State.VerifiedChains) == 0 {
+		return ""
+	}
+	var leaf *x509.Certificate = info.State.VerifiedChains[0][0]
+	return leaf.Subject.CommonName
+}
+
+// peerServer answers the other control replicas.
+type peerServer struct {
+	controlpb.UnimplementedPeersServer
+	r *replica
+}
+
+// checkReplica refuses certificates that do not belong to a configured replica.
+func (s *peerServer) checkReplica(ctx context.Context) (string, error) {
+	name := certificateName(ctx)
+	if slices.ContainsFunc(s.r.settings.Peers, peerNamed(name)) {
+		return name, nil
+	}
+	err := &IdentityError{Certificate: name, Expected: "a configured control replica"}
+	s.r.log.Log(eventPeerRefused, telemetry.F("error", err))
+	return "", status.Error(codes.PermissionDenied, err.Error())
+}
+
+// Exchange takes raft messages and reports of one replica.
+func (s *peerServer) Exchange(stream grpc.BidiStreamingServer[controlpb.PeerBatch, controlpb.PeerBatchAck]) error {
+	if _, err := s.checkReplica(stream.Context()); err != nil {
+		return err
+	}
+	for {
+		batch, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := s.take(batch); err != nil {
+			return status.Error(codes.Unavailable, err.Error())
+		}
+		if err := stream.Send(&controlpb.PeerBatchAck{}); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *peerServer) take(batch *controlpb.PeerBatch) error {
+	if batch.ClusterId != s.r.loop.cluster {
+		return &ClusterError{Got: batch.ClusterId, Expected: s.r.loop.cluster}
+	}
+	if batch.Report != nil {
+		s.r.directory.takeReport(batch.Report)
+	}
+	if len(batch.Messages) == 0 {
+		return nil
+	}
+	return s.r.loop.submit(func() {
+		for _, m := range batch.Messages {
+			s.r.loop.step(m)
+		}
+	})
+}
+
+// step hands a message to its group.
+func (l *loop) step(m *raftpb.Message) {
+	if g, ok := l.groups[m.Group]; ok {
+		// A message that the node refuses is out of date; raft needs no answer to it.
+		_ = g.node.Step(m)
+	}
+}
+
+// Probe tells which groups this replica holds.
+func (s *peerServer) Probe(ctx context.Context, _ *controlpb.ProbeRequest) (*controlpb.ProbeAnswer, error) {
+	if _, err := s.checkReplica(ctx); err != nil {
+		return nil, err
+	}
+	if s.r.loop == nil {
+		return &controlpb.ProbeAnswer{Name: s.r.settings.Name}, nil
+	}
+	groups, err := s.r.groupStatus(ctx)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &controlpb.ProbeAnswer{Name: s.r.settings.Name, ClusterId: s.r.loop.cluster, Groups: groups}, nil
+}
+
+// Join adds the calling replica to a group that this replica leads. It is repeated until the caller sees itself in the
+// membership.
+func (s *peerServer) Join(ctx context.Context, r *controlpb.JoinRequest) (*controlpb.JoinAnswer, error) {
+	name, err := s.checkReplica(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if name != r.Member.GetName() {
+		err := &IdentityError{Certificate: name, Expected: r.Member.GetName()}
+		return nil, status.Error(codes.PermissionDenied, err.Error())
+	}
+	answer, err := call(ctx, s.r.loop, func(finish func(*controlpb.JoinAnswer, error)) {
+		finish(s.r.loop.join(r), nil)
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return answer, nil
+}
+
+// groupStatus describes every group of this replica.
+func (r *replica) groupStatus(ctx context.Context) ([]*controlpb.GroupStatus, error) {
+	return call(ctx, r.loop, func(finish func([]*controlpb.GroupStatus, error)) {
+		var all []*controlpb.GroupStatus
+		for _, g := range r.loop.sorted() {
+			all = append(all, g.status())
+		}
+		finish(all, nil)
+	})
+}
+
+func (g *group) status() *controlpb.GroupStatus {
+	st := g.node.Status()
+	return &controlpb.GroupStatus{
+		Group: g.id, Region: g.region, Id: g.self,
+		Leader: st.Leader, LeaderAddress: g.leaderAddress(),
+		Term: st.Term, Commit: st.Commit, Applied: g.applied,
+		Membership: st.Membership, Current: st.Current,
+	}
+}
--- /dev/null
+++ b/control/replica.go
@@ -0,0 +1,254 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/raftpb"
+	"heatherwall.example/settings"
+	"heatherwall.example/telemetry"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+)
+
+const (
+	// reportInterval is the time between two reports to the other replicas.
+	reportInterval = time.Second
+	// maxMessageBytes bounds what a gRPC peer may send; snapshots of a group are the largest messages.
+	maxMessageBytes = 128 << 20
+	// handoverTimeout bounds how long a stopping replica waits for another one to take over its leaderships.
+	handoverTimeout = 2 * time.Second
+	// stopTimeout bounds how long a stopping replica waits for calls in flight.
+	stopTimeout = 5 * time.Second
+
+	adminHeaderTimeout = 5 * time.Second
+)
+
+// replica ties the parts of one control replica together.
+type replica struct {
+	settings *settings.Control
+	log      *telemetry.Logger
+	counters *telemetry.Counters
+	tls      *tls.Config
+
+	loop          *loop
+	transport     *transport
+	directory     *directory
+	configuration *configurationMachine
+	// batches holds the claim commands of this turn of the loop, by group.
+	batches map[uint64]*claimBatch
+	// creating marks regions whose claim group is proposed and not decided.
+	creating map[string]bool
+	floorsAt time.Time
+	// reportDue is set when a gateway's state changed and the other replicas should know at once.
+	reportDue  atomic.Bool
+	reportedAt time.Time
+	stopping   atomic.Bool
+}
+
+// Run starts a control replica and serves until ctx ends, then hands over its leaderships and stops. bootstrap creates
+// the configuration group in an empty data folder; see Bootstrap. Errors are of the types of this package and of
+// settings, raft and wal.
+func Run(ctx context.Context, s *settings.Control, bootstrap bool, log *telemetry.Logger) error {
+	tlsConfig, err := s.Peer.TLS.Load()
+	if err != nil {
+		return err
+	}
+	r := &replica{settings: s, log: log, counters: telemetry.NewCounters(), tls: tlsConfig, batches: map[uint64]*claimBatch{}, creating: map[string]bool{}}
+	peers, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort(s.Peer.Address)))
+	if err != nil {
+		return err
+	}
+	defer peers.Close()
+	admin, err := net.Listen("tcp", s.Admin.Address)
+	if err != nil {
+		return err
+	}
+	defer admin.Close()
+	return r.run(ctx, peers, admin, bootstrap)
+}
+
+func (r *replica) run(ctx context.Context, peers *net.TCPListener, admin net.Listener, bootstrap bool) error {
+	identity, err := r.identity(ctx, peers, bootstrap)
+	if err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := r.open(background, identity); err != nil {
+		return err
+	}
+	server := r.server()
+	var wg sync.WaitGroup
+	wg.Go(func() { r.loop.run() })
+	wg.Go(func() { _ = server.Serve(peers) })
+	web := &http.Server{Handler: r.adminMux(), ReadHeaderTimeout: adminHeaderTimeout}
+	wg.Go(func() { _ = web.Serve(admin) })
+	wg.Go(func() { r.keepJoining(background) })
+	r.log.Log(eventStarted, telemetry.F("id", identity.ID), telemetry.F("cluster", identity.Cluster), telemetry.F("address", peers.Addr().String()))
+
+	select {
+	case <-ctx.Done():
+		r.handOver()
+	case <-r.loop.done:
+	}
+	r.stopping.Store(true)
+	stopServer(server)
+	_ = web.Close()
+	close(r.loop.stop)
+	cancel()
+	wg.Wait()
+	r.transport.wait()
+	return errors.Join(r.loop.fatal, r.closeLogs())
+}
+
+// stopServer lets calls in flight finish; streams of gateways do not end by themselves, so the wait is bounded.
+func stopServer(server *grpc.Server) {
+	stopped := make(chan struct{})
+	go func() {
+		server.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopTimeout):
+		server.Stop()
+		<-stopped
+	}
+}
+
+func (r *replica) server() *grpc.Server {
+	server := grpc.NewServer(
+		grpc.Creds(credentials.NewTLS(r.tls)),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.ConnectionTimeout(5*time.Second),
+	)
+	controlpb.RegisterPeersServer(server, &peerServer{r: r})
+	controlpb.RegisterConfigurationsServer(server, &configurationServer{r: r})
+	controlpb.RegisterClaimsServer(server, &claimServer{r: r})
+	controlpb.RegisterOperatorsServer(server, &operatorServer{r: r})
+	return server
+}
+
+// open opens every group that the data folder holds.
+func (r *replica) open(ctx context.Context, id identity) error {
+	self := &raftpb.Member{
+		Id: id.ID, Name: r.settings.Name, Address: r.settings.Peer.Address,
+		Region: r.settings.Region, FailureDomain: r.settings.FailureDomain,
+	}
+	r.loop = newLoop(self, id.Cluster, r.log)
+	r.transport = newTransport(ctx, r.tls, id.Cluster, r.log)
+	r.directory = newDirectory(id.ID)
+	r.loop.send = r.sendMessages
+	r.configuration = newConfigurationMachine()
+	if _, err := r.openGroup(configurationGroup, "", r.configuration); err != nil {
+		return err
+	}
+	if err := r.openClaimGroups(); err != nil {
+		return err
+	}
+	r.loop.beforeSettle = r.flushClaims
+	r.loop.everyTick = append(r.loop.everyTick, r.everyTick)
+	return nil
+}
+
+// sendMessages hands the messages of a group to the transport.
+func (r *replica) sendMessages(g *group, messages []*raftpb.Message) {
+	if len(messages) == 0 {
+		return
+	}
+	for address, list := range messagesFor(g.node.Status().Membership, messages) {
+		r.transport.send(address, &controlpb.PeerBatch{Messages: list})
+	}
+}
+
+// everyTick does the work of the loop that depends on time: reports, promotion of learners, claim groups and floors.
+func (r *replica) everyTick(now time.Time) {
+	if r.reportDue.Swap(false) || now.Sub(r.reportedAt) >= reportInterval {
+		r.reportedAt = now
+		r.sendReport(now)
+	}
+	for _, g := range r.loop.sorted() {
+		r.loop.promoteLearners(g)
+	}
+	r.maintainClaimGroups()
+	r.raiseFloors(now)
+}
+
+func (r *replica) requestReport() {
+	r.reportDue.Store(true)
+}
+
+func (r *replica) refreshReport(now time.Time) *controlpb.ReplicaReport {
+	leaders := map[string]string{}
+	for _, g := range r.loop.groups {
+		if a := g.leaderAddress(); g.region != "" && a != "" {
+			leaders[g.region] = a
+		}
+	}
+	return r.directory.report(r.configuration.revision(), leaders, now)
+}
+
+func (r *replica) sendReport(now time.Time) {
+	report := r.refreshReport(now)
+	for _, m := range r.loop.groups[configurationGroup].node.Status().Membership.GetMembers() {
+		if m.Id != r.loop.self.Id {
+			r.transport.send(m.Address, &controlpb.PeerBatch{Report: report})
+		}
+	}
+}
+
+// handOver moves every leadership of this replica to another voter, so that a planned stop interrupts nothing.
+func (r *replica) handOver() {
+	deadline := time.Now().Add(handoverTimeout)
+	for time.Now().Before(deadline) {
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		leading, err := call(ctx, r.loop, func(finish func(bool, error)) { finish(r.transferAll(), nil) })
+		cancel()
+		if err != nil || !leading {
+			return
+		}
+		time.Sleep(tickInterval)
+	}
+}
+
+// transferAll asks the best follower of each led group to take over, and tells whether any group is still led here.
+func (r *replica) transferAll() bool {
+	leading := false
+	for _, g := range r.loop.sorted() {
+		st := g.node.Status()
+		var best, match uint64
+		for _, other := range st.Replicas {
+			if other.ID != g.self && !other.Learner && other.Match >= match {
+				best, match = other.ID, other.Match
+			}
+		}
+		if best == 0 {
+			continue
+		}
+		leading = true
+		if st.TransferTo == 0 {
+			// A refusal leaves the leadership here; the next round asks again.
+			_ = g.node.TransferLeadership(best)
+		}
+	}
+	return leading
+}
+
+func (r *replica) closeLogs() error {
+	var all error
+	for _, g := range r.loop.groups {
+		all = errors.Join(all, g.log.Close())
+	}
+	r.log.Log(eventStopped)
+	return all
+}
