--- /dev/null
+++ b/testbed/answer/answer.go
@@ -0,0 +1,90 @@
+// Package answer builds and verifies the answers of stand-in backend servers. An answer is a JSON line, filler, and a
+// last line with the SHA-256 of everything before it, so that a caller can tell a cut or foreign answer.
+package answer
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+)
+
+// Headers between the load generator and stand-in servers. Gateways forward them like any other header.
+const (
+	RequestHeader = "Standin-Request"
+	SendingHeader = "Standin-Sending"
+	CrashHeader   = "Standin-Crash"
+)
+
+// Head is the first line of an answer.
+type Head struct {
+	Request string `json:"request"`
+	Key     string `json:"key"`
+	Server  string `json:"server"`
+	Region  string `json:"region"`
+	// BodySHA256 is the hexadecimal digest of the request body as the server read it.
+	BodySHA256 string `json:"body_sha256"`
+}
+
+// MismatchError reports an answer that is not the whole answer to its request.
+type MismatchError struct {
+	Field    string
+	Expected string
+	Got      string
+}
+
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("%s: expected %q, got %q", e.Field, e.Expected, e.Got)
+}
+
+const lineEnd = '\n'
+
+// Encode returns an answer with the given number of filler bytes.
+func Encode(h Head, filler int) []byte {
+	line, err := json.Marshal(h)
+	if err != nil {
+		panic(err) // a struct of strings always has a JSON form
+	}
+	var b bytes.Buffer
+	b.Write(line)
+	b.WriteByte(lineEnd)
+	b.Write(bytes.Repeat([]byte{'.'}, filler))
+	b.WriteByte(lineEnd)
+	b.WriteString(Digest(b.Bytes()))
+	return b.Bytes()
+}
+
+// Digest returns the hexadecimal SHA-256 of body.
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+// Verify checks that body is the whole answer to the request and returns its head. Otherwise the error is a
+// *MismatchError.
+func Verify(body []byte, request, key, bodySHA256 string) (Head, error) {
+	var h Head
+	end := bytes.LastIndexByte(body, lineEnd)
+	if end < 0 {
+		return h, &MismatchError{Field: "checksum", Expected: "a last line", Got: "none"}
+	}
+	covered, sum := body[:end+1], string(body[end+1:])
+	if sum != Digest(covered) {
+		return h, &MismatchError{Field: "checksum", Expected: Digest(covered), Got: sum}
+	}
+	first, _, _ := bytes.Cut(covered, []byte{lineEnd})
+	if err := json.Unmarshal(first, &h); err != nil {
+		return h, &MismatchError{Field: "head", Expected: "JSON", Got: err.Error()}
+	}
+	for _, f := range [][3]string{
+		{"request", request, h.Request},
+		{"key", key, h.Key},
+		{"body_sha256", bodySHA256, h.BodySHA256},
+	} {
+		if f[1] != f[2] {
+			return h, &MismatchError{Field: f[0], Expected: f[1], Got: f[2]}
+		}
+	}
+	return h, nil
+}
--- /dev/null
+++ b/testbed/backend/load.go
@@ -0,0 +1,36 @@
+package backend
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// loadReport is the value of the load header. A lagging report repeats an older value.
+type loadReport struct {
+	mu    sync.Mutex
+	kind  Report
+	lag   time.Duration
+	taken time.Time
+	value string
+}
+
+func (l *loadReport) text(now time.Time, inFlight, slots int) string {
+	switch l.kind {
+	case FalseReport:
+		return fmt.Sprintf("0/%d", slots)
+	case LaggingReport:
+		return l.lagging(now, inFlight, slots)
+	}
+	return fmt.Sprintf("%d/%d", inFlight, slots)
+}
+
+func (l *loadReport) lagging(now time.Time, inFlight, slots int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.value == "" || now.Sub(l.taken) >= l.lag {
+		l.taken = now
+		l.value = fmt.Sprintf("%d/%d", inFlight, slots)
+	}
+	return l.value
+}
--- /dev/null
+++ b/testbed/backend/warmth.go
@@ -0,0 +1,76 @@
+package backend
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// coldSlowdown is the factor on the service time of a server that has just started cold.
+	coldSlowdown = 4.0
+	// fallOverWarmth is the warmth below which a fully loaded server falls over.
+	fallOverWarmth = 0.5
+)
+
+// warmth tells how far a cold start has come. A server warms up with time and with completed runs, whichever is
+// further.
+type warmth struct {
+	mu           sync.Mutex
+	cold         bool
+	since        time.Time
+	completed    int
+	coldTime     time.Duration
+	coldRequests int
+}
+
+// chill starts a cold start at now; without a cold time the server stays warm.
+func (w *warmth) chill(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cold = w.coldTime > 0
+	w.since = now
+	w.completed = 0
+}
+
+func (w *warmth) done() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.completed++
+}
+
+// level is 0 for a server that has just started and 1 for a warm one.
+func (w *warmth) level(now time.Time) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.cold {
+		return 1
+	}
+	byTime := float64(now.Sub(w.since)) / float64(w.coldTime)
+	byRuns := 0.0
+	if w.coldRequests > 0 {
+		byRuns = float64(w.completed) / float64(w.coldRequests)
+	}
+	level := max(byTime, byRuns)
+	if level >= 1 {
+		w.cold = false
+		return 1
+	}
+	return level
+}
+
+func (w *warmth) isCold(now time.Time) bool { return w.level(now) < 1 }
+
+// slowdown is the factor on the service time with so many requests running.
+func (w *warmth) slowdown(now time.Time, running, slots int) float64 {
+	level := w.level(now)
+	if level >= 1 {
+		return 1
+	}
+	capacity := 1 + float64(slots-1)*level
+	return (1 + (coldSlowdown-1)*(1-level)) * max(1, float64(running)/capacity)
+}
+
+// fallsOver reports whether a server with so many requests running breaks down.
+func (w *warmth) fallsOver(now time.Time, running, slots int) bool {
+	return running >= slots && w.level(now) < fallOverWarmth
+}
--- /dev/null
+++ b/testbed/check/check.go
@@ -0,0 +1,185 @@
+// Package check compares the journals of stand-in servers with those of callers.
+package check
+
+import (
+	"fmt"
+	"slices"
+
+	"heatherwall.example/testbed/journal"
+)
+
+// Kind names a violation.
+type Kind string
+
+// Kinds of violations.
+const (
+	// Doubled is a request that must run at most once and was started more often.
+	Doubled Kind = "doubled"
+	// Misplaced is a run, or an answer passed on, outside the home regions.
+	Misplaced Kind = "misplaced"
+	// FalseNotRun is a sending that was refused as not run although a server ran it.
+	FalseNotRun Kind = "false_not_run"
+	// Mismatched is an answer that was cut, or belongs to another request, and was passed on as complete.
+	Mismatched Kind = "mismatched"
+)
+
+// Violation is one finding.
+type Violation struct {
+	Kind    Kind   `json:"kind"`
+	Request string `json:"request"`
+	Detail  string `json:"detail"`
+}
+
+// Report is the result of a comparison.
+type Report struct {
+	Calls       int `json:"calls"`
+	Requests    int `json:"requests"`
+	Whole       int `json:"whole"`
+	RefusedNot  int `json:"refused_not_run"`
+	Unknown     int `json:"unknown"`
+	Runs        int `json:"runs"`
+	Doubled     int `json:"doubled"`
+	Misplaced   int `json:"misplaced"`
+	FalseNotRun int `json:"false_not_run"`
+	Mismatched  int `json:"mismatched"`
+	FellOver    int `json:"fell_over"`
+	// LatestAfterLeave is the longest time between an accepted leave and a later request at that server, in
+	// nanoseconds.
+	LatestAfterLeave int64       `json:"latest_after_leave_ns"`
+	Violations       []Violation `json:"violations,omitempty"`
+}
+
+// Line is the report on one line.
+func (r Report) Line() string {
+	return fmt.Sprintf("check: calls=%d requests=%d whole=%d refused_not_run=%d unknown=%d runs=%d doubled=%d misplaced=%d false_not_run=%d cut_or_swapped=%d fell_over=%d",
+		r.Calls, r.Requests, r.Whole, r.RefusedNot, r.Unknown, r.Runs, r.Doubled, r.Misplaced, r.FalseNotRun, r.Mismatched, r.FellOver)
+}
+
+// Sound reports whether there is no violation.
+func (r Report) Sound() bool { return len(r.Violations) == 0 }
+
+// Files compares server journals with caller journals. It fails with *journal.FileError.
+func Files(servers, callers []string) (Report, error) {
+	c := newComparison()
+	for _, file := range servers {
+		if err := journal.Read(file, c.addRun); err != nil {
+			return Report{}, err
+		}
+	}
+	for _, file := range callers {
+		if err := journal.Read(file, c.addCall); err != nil {
+			return Report{}, err
+		}
+	}
+	return c.report(), nil
+}
+
+type start struct {
+	sending string
+	region  string
+	server  string
+}
+
+type comparison struct {
+	result Report
+	// starts lists the runs of each request.
+	starts map[string][]start
+	// sendings holds the sendings that a server started.
+	sendings map[string]string
+	calls    map[string][]journal.Call
+}
+
+func newComparison() *comparison {
+	return &comparison{starts: map[string][]start{}, sendings: map[string]string{}, calls: map[string][]journal.Call{}}
+}
+
+func (c *comparison) addRun(r journal.Run) {
+	switch r.Event {
+	case journal.Started:
+		c.result.Runs++
+		c.starts[r.Request] = append(c.starts[r.Request], start{sending: r.Sending, region: r.Region, server: r.Server})
+		c.sendings[r.Sending] = r.Server
+	case journal.FellOver:
+		c.result.FellOver++
+	}
+	if r.Event == journal.Started || r.Event == journal.Shed {
+		c.result.LatestAfterLeave = max(c.result.LatestAfterLeave, r.AfterLeave)
+	}
+}
+
+func (c *comparison) addCall(call journal.Call) {
+	c.result.Calls++
+	switch {
+	case call.Told == journal.OK && call.Mismatch == "":
+		c.result.Whole++
+	case call.Told == journal.Refused && call.Ran == journal.RanNo:
+		c.result.RefusedNot++
+	case call.Told != journal.OK:
+		c.result.Unknown++
+	}
+	c.calls[call.Request] = append(c.calls[call.Request], call)
+}
+
+func (c *comparison) report() Report {
+	c.result.Requests = len(c.calls)
+	names := make([]string, 0, len(c.calls))
+	for name := range c.calls {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		c.compare(name, c.calls[name])
+	}
+	return c.result
+}
+
+func (c *comparison) compare(request string, calls []journal.Call) {
+	starts := c.starts[request]
+	if calls[0].Once && len(starts) > 1 {
+		c.result.Doubled++
+		c.violation(Doubled, request, fmt.Sprintf("started at %v", starts))
+	}
+	c.comparePlaces(request, calls, starts)
+	for _, call := range calls {
+		c.compareCall(request, call, starts)
+	}
+}
+
+func (c *comparison) comparePlaces(request string, calls []journal.Call, starts []start) {
+	home := calls[0].Home
+	if len(home) == 0 {
+		return
+	}
+	for _, s := range starts {
+		if !slices.Contains(home, s.region) {
+			c.result.Misplaced++
+			c.violation(Misplaced, request, fmt.Sprintf("home %v, ran in %s at %s", home, s.region, s.server))
+		}
+	}
+	for _, call := range calls {
+		passed := call.Told == journal.OK && call.GatewayRegion != "" && !slices.Contains(home, call.GatewayRegion)
+		if passed {
+			c.result.Misplaced++
+			c.violation(Misplaced, request, fmt.Sprintf("home %v, answered by gateway %s in %s", home, call.Gateway, call.GatewayRegion))
+		}
+	}
+}
+
+func (c *comparison) compareCall(request string, call journal.Call, starts []start) {
+	if server, ran := c.sendings[call.Sending]; ran && call.Told == journal.Refused && call.Ran == journal.RanNo {
+		c.result.FalseNotRun++
+		c.violation(FalseNotRun, request, fmt.Sprintf("sending %s refused as %s, ran at %s", call.Sending, call.Reason, server))
+	}
+	switch {
+	case call.Mismatch != "":
+		c.result.Mismatched++
+		c.violation(Mismatched, request, fmt.Sprintf("sending %s through %s: %s", call.Sending, call.Gateway, call.Mismatch))
+	case call.Told == journal.OK && len(starts) == 0:
+		c.result.Mismatched++
+		c.violation(Mismatched, request, fmt.Sprintf("sending %s was answered, but no server ran the request", call.Sending))
+	}
+}
+
+func (c *comparison) violation(k Kind, request, detail string) {
+	c.result.Violations = append(c.result.Violations, Violation{Kind: k, Request: request, Detail: detail})
+}
--- /dev/null
+++ b/testbed/cmd/standin/check.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"heatherwall.example/testbed/check"
+)
+
+// maxPrinted limits the violations that are printed.
+const maxPrinted = 20
+
+func compare(_ context.Context, arguments []string) int {
+	var servers, callers string
+	set := flag.NewFlagSet("check", flag.ContinueOnError)
+	set.StringVar(&servers, "servers", "", "journals of servers, separated by commas")
+	set.StringVar(&callers, "callers", "", "journals of callers, separated by commas")
+	if err := set.Parse(arguments); err != nil {
+		return exitUsage
+	}
+	report, err := check.Files(splitList(servers), splitList(callers))
+	if err != nil {
+		return fail(err)
+	}
+	for i, v := range report.Violations {
+		if i == maxPrinted {
+			break
+		}
+		fmt.Printf("%s: request %s: %s\n", v.Kind, v.Request, v.Detail)
+	}
+	fmt.Println(report.Line())
+	if !report.Sound() {
+		return exitFailed
+	}
+	return exitDone
+}
--- /dev/null
+++ b/testbed/cmd/standin/serve.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"heatherwall.example/testbed/backend"
+	"heatherwall.example/testbed/journal"
+)
+
+// AddressError reports an address that is not an IP number with a port.
+type AddressError struct {
+	Text string
+}
+
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("%q: expected an IP number with a port", e.Text)
+}
+
+type serveFlags struct {
+	options  backend.Options
+	count    int
+	gateways string
+	journal  string
+}
+
+func parseServe(arguments []string) (*serveFlags, error) {
+	f := &serveFlags{}
+	o := &f.options
+	set := flag.NewFlagSet("serve", flag.ContinueOnError)
+	set.IntVar(&f.count, "count", 1, "number of servers, on consecutive ports")
+	set.StringVar(&o.Address, "address", "127.0.0.1:20000", "address of the first server")
+	set.StringVar(&o.Service, "service", "", "name of the service")
+	set.StringVar(&o.Region, "region", "", "region")
+	set.StringVar(&o.FailureDomain, "failure-domain", "", "failure domain")
+	set.StringVar(&f.gateways, "announce", "", "announce addresses of gateways, separated by commas")
+	set.StringVar(&o.Credential, "credential", "", "credential of the service")
+	set.IntVar(&o.Slots, "slots", 6, "requests run at the same time")
+	set.IntVar(&o.Queue, "queue", 12, "requests that may wait for a slot")
+	set.IntVar(&o.Connections, "connections", 220, "announced limit of connections")
+	set.DurationVar(&o.ServiceTime, "service-time", 2*time.Millisecond, "median time of a run")
+	set.DurationVar(&o.ShiftEvery, "shift-every", 0, "mean time between shifts of the service time; 0 for none")
+	set.Float64Var(&o.ShiftFactor, "shift-factor", 4, "factor on the service time in every second period")
+	set.DurationVar(&o.Cold, "cold", 0, "longest duration of a cold start; 0 starts warm")
+	set.IntVar(&o.ColdRequests, "cold-requests", 0, "completed runs that end a cold start early; 0 for none")
+	set.DurationVar(&o.Restart, "restart", backend.DefaultRestart, "time away after falling over")
+	set.IntVar(&o.AnswerBytes, "answer-bytes", 64, "filler in an answer")
+	set.Func("report", "load reports: true, lagging or false", func(v string) error {
+		o.Report = backend.Report(v)
+		return nil
+	})
+	set.DurationVar(&o.ReportLag, "report-lag", 500*time.Millisecond, "age of lagging load reports")
+	set.DurationVar(&o.Drain, "drain", backend.DefaultDrain, "time in which a leaving server still takes requests")
+	set.BoolVar(&o.ExitOnCrash, "crash", false, "end the process on a request with the header Standin-Crash")
+	set.Uint64Var(&o.Seed, "seed", 1, "seed of everything random")
+	set.StringVar(&f.journal, "journal", "", "journal file; empty for none")
+	if err := set.Parse(arguments); err != nil {
+		return nil, err
+	}
+	o.Gateways = splitList(f.gateways)
+	return f, nil
+}
+
+func splitList(text string) []string {
+	var parts []string
+	for part := range strings.SplitSeq(text, ",") {
+		if part != "" {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
+func serve(ctx context.Context, arguments []string) int {
+	f, err := parseServe(arguments)
+	if err != nil {
+		return exitUsage
+	}
+	writer, err := journal.Create(f.journal)
+	if err != nil {
+		return fail(err)
+	}
+	defer writer.Close()
+	f.options.Journal = writer
+	servers, err := f.servers()
+	if err != nil {
+		return fail(err)
+	}
+	return runServers(ctx, servers)
+}
+
+func (f *serveFlags) servers() ([]*backend.Server, error) {
+	first, err := netip.ParseAddrPort(f.options.Address)
+	if err != nil {
+		return nil, &AddressError{Text: f.options.Address}
+	}
+	var sequence atomic.Uint64
+	servers := make([]*backend.Server, f.count)
+	for i := range servers {
+		o := f.options
+		o.Address = netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i)).String()
+		servers[i] = backend.New(o, &sequence)
+	}
+	return servers, nil
+}
+
+func runServers(ctx context.Context, servers []*backend.Server) int {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	failures := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { failures <- s.Run(ctx) }()
+	}
+	fmt.Fprintf(os.Stderr, "standin: %d servers run\n", len(servers))
+	code := exitDone
+	for range servers {
+		if err := <-failures; err != nil {
+			code = fail(err)
+			cancel()
+		}
+	}
+	return code
+}
--- /dev/null
+++ b/testbed/journal/clock.go
@@ -0,0 +1,23 @@
+package journal
+
+import "golang.org/x/sys/unix"
+
+// Now returns nanoseconds of the monotonic clock of this machine. The values of different processes on one machine can
+// be compared; they survive no restart of the machine.
+func Now() int64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		panic(&ClockError{Cause: err})
+	}
+	return t.Nano()
+}
+
+// ClockError reports that the monotonic clock could not be read.
+type ClockError struct {
+	Cause error
+}
+
+func (e *ClockError) Error() string { return "read the monotonic clock: " + e.Cause.Error() }
+
+// Unwrap returns the error of the system call.
+func (e *ClockError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/testbed/load/options.go
@@ -0,0 +1,119 @@
+// Package load is the open-loop load generator of the tests: requests leave at times that come from the seed, whatever
+// becomes of the earlier ones. It verifies every answer and journals what callers are told.
+package load
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"heatherwall.example/testbed/journal"
+)
+
+// Gateway is an address to which requests are sent.
+type Gateway struct {
+	Address string
+	// Region is known to the comparison only; it may be empty.
+	Region string
+}
+
+// Target is one kind of request.
+type Target struct {
+	Method string
+	// Path may hold a query. Each request gets a further path segment of its own.
+	Path string
+	// Once marks requests that are not idempotent and carry a key.
+	Once bool
+	// Home lists the home regions that the comparison expects; empty for all.
+	Home   []string
+	Token  string
+	Weight int
+	// BodyBytes is the size of the request body.
+	BodyBytes int
+	// Deadline is sent as Heatherwall-Deadline-Ms; 0 for none.
+	Deadline time.Duration
+}
+
+// Options describe a load.
+type Options struct {
+	Gateways []Gateway
+	Targets  []Target
+	// Rate is in requests per second.
+	Rate float64
+	// Requests is the number of requests; resends come on top.
+	Requests int
+	// Resends is how often a request is sent again, through another gateway, after a lost answer or an unknown outcome.
+	Resends int
+	// TwinShare is the share of requests sent through two gateways at the same time.
+	TwinShare float64
+	// RetryRefused also resends after a refusal that says "not run".
+	RetryRefused bool
+	// Timeout limits one sending.
+	Timeout time.Duration
+	Seed    uint64
+	Journal *journal.Writer
+}
+
+// TargetError reports a target or gateway that could not be parsed.
+type TargetError struct {
+	Text     string
+	Expected string
+}
+
+func (e *TargetError) Error() string { return fmt.Sprintf("%q: expected %s", e.Text, e.Expected) }
+
+// ParseGateways reads "ADDRESS@REGION,ADDRESS,...".
+func ParseGateways(text string) []Gateway {
+	var gateways []Gateway
+	for part := range strings.SplitSeq(text, ",") {
+		if part == "" {
+			continue
+		}
+		address, region, _ := strings.Cut(part, "@")
+		gateways = append(gateways, Gateway{Address: address, Region: region})
+	}
+	return gateways
+}
+
+const targetForm = "METHOD PATH [once] [token=T] [home=A+B] [weight=N] [body=BYTES] [deadline=DURATION]"
+
+// ParseTarget reads "METHOD PATH [once] [token=T] [home=A+B] [weight=N] [body=BYTES] [deadline=DURATION]".
+func ParseTarget(text string) (Target, error) {
+	fields := strings.Fields(text)
+	if len(fields) < 2 {
+		return Target{}, &TargetError{Text: text, Expected: targetForm}
+	}
+	t := Target{Method: fields[0], Path: fields[1], Weight: 1}
+	for _, field := range fields[2:] {
+		if err := t.set(field); err != nil {
+			return Target{}, err
+		}
+	}
+	return t, nil
+}
+
+func (t *Target) set(field string) error {
+	name, value, _ := strings.Cut(field, "=")
+	var err error
+	switch name {
+	case "once":
+		t.Once = true
+	case "token":
+		t.Token = value
+	case "home":
+		t.Home = strings.Split(value, "+")
+	case "weight":
+		t.Weight, err = strconv.Atoi(value)
+	case "body":
+		t.BodyBytes, err = strconv.Atoi(value)
+	case "deadline":
+		t.Deadline, err = time.ParseDuration(value)
+	default:
+		return &TargetError{Text: field, Expected: targetForm}
+	}
+	if err != nil {
+		return &TargetError{Text: field, Expected: targetForm}
+	}
+	return nil
+}
--- /dev/null
+++ b/testbed/load/send.go
@@ -0,0 +1,131 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"heatherwall.example/testbed/answer"
+	"heatherwall.example/testbed/backend"
+	"heatherwall.example/testbed/journal"
+)
+
+const maxAnswer = 16 << 20
+
+// problem is the part of an RFC 9457 problem body that callers need.
+type problem struct {
+	Reason string `json:"reason"`
+	Ran    string `json:"ran"`
+}
+
+// send makes one sending and returns what the caller was told.
+func (l *generator) send(ctx context.Context, r *request, key, sending string, g Gateway) journal.Call {
+	c := journal.Call{
+		Sequence: r.sequence, Request: r.id, Sending: sending, Key: key,
+		Once: r.target.Once, Path: r.target.Path, Home: r.target.Home,
+		Gateway: g.Address, GatewayRegion: g.Region, SentAt: journal.Now(),
+	}
+	l.exchange(ctx, r, &c)
+	c.ToldAt = journal.Now()
+	l.options.Journal.Write(c)
+	l.tally.sending(c)
+	return c
+}
+
+func (l *generator) exchange(ctx context.Context, r *request, c *journal.Call) {
+	ctx, cancel := context.WithTimeout(ctx, l.options.Timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, r.target.Method, r.url(c.Gateway), bodyOf(r))
+	if err != nil {
+		c.Told, c.Failure = journal.Cut, err.Error()
+		return
+	}
+	setHeaders(request, r.target, c)
+	response, err := l.client.Do(request)
+	if err != nil {
+		c.Told, c.Failure = journal.Cut, err.Error()
+		return
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		c.Told, c.Failure = journal.Cut, err.Error()
+		return
+	}
+	classify(c, response, text, answer.Digest(r.body))
+}
+
+// bodyOf hides the reader's type, so that net/http has no GetBody and never sends a request twice by itself.
+func bodyOf(r *request) io.Reader {
+	if len(r.body) == 0 {
+		return nil
+	}
+	return struct{ io.Reader }{bytes.NewReader(r.body)}
+}
+
+func (r *request) url(gateway string) string {
+	return "http://" + gateway + r.target.Path + "/" + strconv.FormatUint(r.sequence, 10)
+}
+
+func setHeaders(request *http.Request, t *Target, c *journal.Call) {
+	request.ContentLength = int64(t.BodyBytes)
+	request.Header.Set(answer.RequestHeader, c.Request)
+	request.Header.Set(answer.SendingHeader, c.Sending)
+	if t.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+t.Token)
+	}
+	if c.Key != "" {
+		request.Header.Set(backend.KeyHeader, c.Key)
+	}
+	if t.Deadline > 0 {
+		request.Header.Set(backend.DeadlineHeader, strconv.FormatInt(t.Deadline.Milliseconds(), 10))
+	}
+}
+
+// classify fills in what an entire HTTP response tells the caller.
+func classify(c *journal.Call, response *http.Response, text []byte, bodySHA256 string) {
+	c.Status = response.StatusCode
+	if response.Header.Get("Content-Type") == "application/problem+json" {
+		classifyProblem(c, text)
+		return
+	}
+	if response.Header.Get(backend.NotRunHeader) == "true" {
+		c.Told, c.Reason, c.Ran = journal.Refused, "backend_shed", journal.RanNo
+		return
+	}
+	c.Told = journal.OK
+	head, err := answer.Verify(text, c.Request, c.Key, bodySHA256)
+	if err != nil {
+		c.Mismatch = err.Error()
+		return
+	}
+	c.Server = head.Server
+}
+
+func classifyProblem(c *journal.Call, text []byte) {
+	var p problem
+	c.Told = journal.Refused
+	if err := json.Unmarshal(text, &p); err != nil {
+		c.Mismatch = fmt.Sprintf("problem body: %v", err)
+		return
+	}
+	c.Reason, c.Ran = p.Reason, p.Ran
+	if p.Ran != journal.RanNo && p.Ran != journal.RanUnknown && p.Ran != journal.RanYes {
+		c.Mismatch = fmt.Sprintf("problem body: ran is %q", p.Ran)
+	}
+}
+
+// newClient returns a client that keeps enough connections for an open loop.
+func newClient() *http.Client {
+	const idlePerGateway = 512
+	return &http.Client{Transport: &http.Transport{
+		Proxy:               nil,
+		MaxIdleConnsPerHost: idlePerGateway,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
--- /dev/null
+++ b/testbed/load/summary.go
@@ -0,0 +1,122 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"heatherwall.example/testbed/journal"
+)
+
+const (
+	minLatency     = int64(time.Microsecond)
+	maxLatency     = int64(time.Minute)
+	latencyFigures = 3
+)
+
+// Summary counts what callers were told. Latencies are in microseconds and run from the due time of a request to its
+// last answer, so that a stalled generator does not hide them.
+type Summary struct {
+	Requests int `json:"requests"`
+	Sendings int `json:"sendings"`
+	// OK, RefusedNotRun and Unknown count requests by the outcome of the last sending.
+	OK            int            `json:"ok"`
+	RefusedNotRun int            `json:"refused_not_run"`
+	Unknown       int            `json:"unknown"`
+	Mismatched    int            `json:"mismatched"`
+	Cut           int            `json:"cut"`
+	Reasons       map[string]int `json:"reasons"`
+	P50           float64        `json:"p50_us"`
+	P99           float64        `json:"p99_us"`
+	P999          float64        `json:"p999_us"`
+	Max           float64        `json:"max_us"`
+	Seconds       float64        `json:"seconds"`
+	Seed          uint64         `json:"seed"`
+}
+
+// Line is the summary on one line.
+func (s Summary) Line() string {
+	names := make([]string, 0, len(s.Reasons))
+	for name := range s.Reasons {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var reasons strings.Builder
+	for _, name := range names {
+		fmt.Fprintf(&reasons, " %s=%d", name, s.Reasons[name])
+	}
+	return fmt.Sprintf("load: requests=%d sendings=%d ok=%d refused_not_run=%d unknown=%d mismatched=%d cut=%d p50=%.0fus p99=%.0fus max=%.0fus seconds=%.1f%s",
+		s.Requests, s.Sendings, s.OK, s.RefusedNotRun, s.Unknown, s.Mismatched, s.Cut, s.P50, s.P99, s.Max, s.Seconds, reasons.String())
+}
+
+// JSON is the summary as one JSON object.
+func (s Summary) JSON() string {
+	text, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // numbers and strings always have a JSON form
+	}
+	return string(text)
+}
+
+// tally gathers the summary while requests are under way.
+type tally struct {
+	mu      sync.Mutex
+	summary Summary
+	latency *hdrhistogram.Histogram
+}
+
+func newTally(seed uint64) *tally {
+	return &tally{
+		summary: Summary{Reasons: map[string]int{}, Seed: seed},
+		latency: hdrhistogram.New(minLatency, maxLatency, latencyFigures),
+	}
+}
+
+func (t *tally) sending(c journal.Call) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.summary.Sendings++
+	switch c.Told {
+	case journal.Refused:
+		t.summary.Reasons[c.Reason]++
+	case journal.Cut:
+		t.summary.Cut++
+	}
+	if c.Mismatch != "" {
+		t.summary.Mismatched++
+	}
+}
+
+func (t *tally) request(last journal.Call, latency time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.summary.Requests++
+	switch {
+	case last.Told == journal.OK:
+		t.summary.OK++
+		t.latency.RecordValue(min(max(int64(latency), minLatency), maxLatency))
+	case last.Told == journal.Refused && last.Ran == journal.RanNo:
+		t.summary.RefusedNotRun++
+	default:
+		t.summary.Unknown++
+	}
+}
+
+func (t *tally) result(elapsed time.Duration) Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.summary
+	s.P50 = micros(t.latency.ValueAtQuantile(50))
+	s.P99 = micros(t.latency.ValueAtQuantile(99))
+	s.P999 = micros(t.latency.ValueAtQuantile(99.9))
+	s.Max = micros(t.latency.Max())
+	s.Seconds = elapsed.Seconds()
+	return s
+}
+
+func micros(ns int64) float64 { return float64(ns) / float64(time.Microsecond) }
--- /dev/null
+++ b/testbed/relay/relay_test.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+)
+
+// Guards against a cut that is not silent, or that drops the wrong direction.
+func TestCutDropsSilently(t *testing.T) {
+	lines := make(chan string, 4)
+	target := echoServer(t, lines)
+	r, err := Start("127.0.0.1:0", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.Close() })
+	c := dial(t, r.Address())
+	exchange(t, c, lines)
+	if err := r.Cut(Backward); err != nil {
+		t.Fatal(err)
+	}
+	send(t, c)
+	if <-lines != "line\n" {
+		t.Error("the forward direction was cut as well")
+	}
+	c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	if n, err := c.Read(make([]byte, 1)); n != 0 || !isTimeout(err) {
+		t.Errorf("expected silence, got %d bytes and %v", n, err)
+	}
+	if err := r.Cut(None); err != nil {
+		t.Fatal(err)
+	}
+	exchange(t, dial(t, r.Address()), lines)
+	if err := r.Cut("sideways"); err == nil {
+		t.Error("an unknown direction was accepted")
+	}
+}
+
+func echoServer(t *testing.T, lines chan<- string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				for r := bufio.NewReader(c); ; {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						c.Close()
+						return
+					}
+					lines <- line
+					c.Write([]byte(line))
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func send(t *testing.T, c net.Conn) {
+	t.Helper()
+	if _, err := c.Write([]byte("line\n")); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func exchange(t *testing.T, c net.Conn, lines <-chan string) {
+	t.Helper()
+	send(t, c)
+	<-lines
+	if line, err := bufio.NewReader(c).ReadString('\n'); err != nil || line != "line\n" {
+		t.Fatalf("expected the line back, got %q and %v", line, err)
+	}
+}
+
+func isTimeout(err error) bool {
+	e, ok := err.(net.Error)
+	return ok && e.Timeout()
+}
