--- a/control/admin.go
+++ b/control/admin.go
@@ -20,7 +20,7 @@
 		ctx, cancel := context.WithTimeout(request.Context(), readyTimeout)
 		defer cancel()
 		groups, err := r.groupStatus(ctx)
-		if err != nil || r.stopping.Load() || !allCurrent(groups) {
+		if err != nil || r.isStopping() || !allCurrent(groups) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/control/claimgroups.go
+++ b/control/claimgroups.go
@@ -7,8 +7,6 @@
 	"heatherwall.example/api/raftpb"
 	"heatherwall.example/api/statepb"
 	"heatherwall.example/controlstate"
-	"heatherwall.example/raft"
-	"heatherwall.example/raft/wal"
 	"heatherwall.example/telemetry"
 )
 
@@ -56,14 +54,7 @@
 	if _, err := os.Stat(folder); err == nil || memberOf(&raftpb.Membership{Members: cg.Voters}, r.loop.self.Id) == nil {
 		return nil
 	}
-	log, err := wal.Open(folder)
-	if err != nil {
-		return err
-	}
-	if err := log.SaveSnapshot(raft.BootstrapSnapshot(cg.Voters, nil)); err != nil {
-		return err
-	}
-	return log.Close()
+	return createGroup(folder, cg.Voters)
 }
 
 // createClaimGroups proposes the claim group of each region that has none, once every configured replica of the region
@@ -98,9 +89,10 @@
 	}
 	r.floorsAt = now
 	floor := uint64(now.Add(-claimRetention).UnixMilli())
+	command := []*statepb.ClaimsCommand{controlstate.RaiseFloorCommand(floor)}
 	for _, g := range r.loop.sorted() {
 		if g.region != "" && g.leading {
-			g.propose(controlstate.RaiseFloorEntry(floor), func(any, error) {})
+			g.propose(controlstate.ClaimsEntry(command), func(any, error) {})
 		}
 	}
 }
--- a/control/claims.go
+++ b/control/claims.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/statepb"
+	"heatherwall.example/controlstate"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -59,12 +61,12 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	answer, err := call(ctx, s.r.loop, func(finish func(*controlpb.ClaimAnswer, error)) {
-		s.r.queueClaim(r.Region, newClaim(r), func(answer *controlpb.ClaimAnswer, leader string, err error) {
+		s.r.queueClaim(r.Region, controlstate.ClaimCommand(r), func(result controlstate.CommandResult, leader string, err error) {
 			if leader != "" || isNotLeader(err) {
 				finish(&controlpb.ClaimAnswer{Result: controlpb.ClaimResult_CLAIM_NOT_LEADER, LeaderAddress: leader}, nil)
 				return
 			}
-			finish(answer, err)
+			finish(&controlpb.ClaimAnswer{Result: result.Claim, Kept: result.Kept}, err)
 		})
 	})
 	if err != nil {
@@ -81,12 +83,12 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	answer, err := call(ctx, s.r.loop, func(finish func(*controlpb.CompleteAnswer, error)) {
-		s.r.queueClaim(r.Region, newCompletion(r), func(_ *controlpb.ClaimAnswer, leader string, err error) {
+		s.r.queueClaim(r.Region, controlstate.CompleteCommand(r), func(result controlstate.CommandResult, leader string, err error) {
 			if leader != "" || isNotLeader(err) {
 				finish(&controlpb.CompleteAnswer{LeaderAddress: leader}, nil)
 				return
 			}
-			finish(&controlpb.CompleteAnswer{Accepted: err == nil}, err)
+			finish(&controlpb.CompleteAnswer{Accepted: result.Accepted}, err)
 		})
 	})
 	if err != nil {
@@ -96,27 +98,26 @@
 }
 
 // queueClaim adds a command to the batch of its region. On a follower it hands back the leader's address.
-func (r *replica) queueClaim(region string, c *claimCommand, done claimResult) {
+func (r *replica) queueClaim(region string, command *statepb.ClaimsCommand, done claimResult) {
 	g := r.loop.claimGroup(region)
 	if g == nil {
-		done(nil, "", &NoGroupError{Region: region})
+		done(controlstate.CommandResult{}, "", &NoGroupError{Region: region})
 		return
 	}
 	if !g.leading {
 		if leader := g.leaderAddress(); leader != "" {
-			done(nil, leader, nil)
+			done(controlstate.CommandResult{}, leader, nil)
 			return
 		}
-		done(nil, "", &StaleError{Group: g.id})
+		done(controlstate.CommandResult{}, "", &StaleError{Group: g.id})
 		return
 	}
-	c.done = done
 	b, ok := r.batches[g.id]
 	if !ok {
 		b = &claimBatch{group: g}
 		r.batches[g.id] = b
 	}
-	b.commands = append(b.commands, c)
+	b.commands = append(b.commands, &claimCommand{command: command, done: done})
 	if len(b.commands) >= claimsPerEntry {
 		b.flush()
 	}
--- a/control/errors.go
+++ b/control/errors.go
@@ -86,3 +86,12 @@
 func (e *ClusterError) Error() string {
 	return fmt.Sprintf("setup %x: expected setup %x", e.Got, e.Expected)
 }
+
+// ChangeSizeError reports a change above the limit.
+type ChangeSizeError struct {
+	Bytes int
+}
+
+func (e *ChangeSizeError) Error() string {
+	return fmt.Sprintf("change of %d bytes: expected at most %d", e.Bytes, maxChangeBytes)
+}
--- a/control/identity.go
+++ b/control/identity.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"os"
 	"path/filepath"
@@ -26,13 +27,6 @@
 	probeTimeout = time.Second
 )
 
-// identity is made together with the data folder. A replica without its folder gets a new one and never votes under
-// the old.
-type identity struct {
-	ID      uint64
-	Cluster uint64
-}
-
 func peerNamed(name string) func(settings.Peer) bool {
 	return func(p settings.Peer) bool { return p.Name == name }
 }
@@ -44,23 +38,26 @@
 
 // identity loads the identity of the data folder. Without one it bootstraps, or waits until a peer tells the setup's
 // number; meanwhile it answers probes of peers that bootstrap.
-func (r *replica) identity(ctx context.Context, listener *net.TCPListener, bootstrap bool) (identity, error) {
-	saved, found, err := wal.LoadIdentity(r.settings.DataFolder)
-	if err != nil {
-		return identity{}, err
-	}
-	if found {
-		if saved.Name != r.settings.Name {
-			return identity{}, &IdentityError{Certificate: r.settings.Name, Expected: "the owner of the data folder, " + saved.Name}
-		}
-		return identity{ID: saved.ID, Cluster: saved.Cluster}, nil
-	}
-	if bootstrap {
-		return r.bootstrap(ctx)
-	}
-	stop := r.answerProbes(listener)
-	defer stop()
-	return r.learnCluster(ctx)
+func (r *replica) identity(ctx context.Context, listener *net.TCPListener, bootstrap bool) (wal.Identity, error) {
+	saved, err := wal.LoadIdentity(r.settings.DataFolder)
+	var missing *wal.NoIdentityError
+	switch {
+	case errors.As(err, &missing) && bootstrap:
+		return r.bootstrap(ctx, wal.Identity{})
+	case errors.As(err, &missing):
+		stop := r.answerProbes(listener)
+		defer stop()
+		return r.learnCluster(ctx)
+	case err != nil:
+		return wal.Identity{}, err
+	case saved.Name != r.settings.Name:
+		return wal.Identity{}, &IdentityError{Certificate: r.settings.Name, Expected: "the owner of the data folder, " + saved.Name}
+	}
+	// A bootstrap that was interrupted after the identity was made is completed.
+	if _, err := os.Stat(r.groupFolder(configurationGroup)); bootstrap && os.IsNotExist(err) {
+		return r.bootstrap(ctx, saved)
+	}
+	return saved, nil
 }
 
 // borrowedListener lets a server stop without closing the listener that the replica goes on to use: Close only ends
@@ -91,46 +88,57 @@
 }
 
 // bootstrap makes the setup's number and the configuration group with this replica as its only voter. Every configured
-// peer must answer that it holds no group; otherwise a replica that lost its folder could make a second group.
-func (r *replica) bootstrap(ctx context.Context) (identity, error) {
+// peer must answer that it holds no group; otherwise a replica that lost its folder could make a second group. saved is
+// the identity of an interrupted bootstrap, or empty.
+func (r *replica) bootstrap(ctx context.Context, saved wal.Identity) (wal.Identity, error) {
 	for _, p := range r.settings.Peers {
 		if p.Name == r.settings.Name {
 			continue
 		}
 		answer, err := probe(ctx, p.Address, r.tls)
 		if err != nil {
-			return identity{}, &BootstrapError{Peer: p.Name, Reason: "no answer: " + err.Error()}
+			return saved, &BootstrapError{Peer: p.Name, Reason: "no answer: " + err.Error()}
 		}
 		if answer.ClusterId != 0 {
-			return identity{}, &BootstrapError{Peer: p.Name, Reason: "it already belongs to a setup"}
+			return saved, &BootstrapError{Peer: p.Name, Reason: "it already belongs to a setup"}
 		}
 	}
-	id := identity{ID: randomNumber() | 1, Cluster: randomNumber() | 1}
-	log, err := wal.Open(r.groupFolder(configurationGroup))
-	if err != nil {
-		return identity{}, err
-	}
-	self := &raftpb.Member{
-		Id: id.ID, Name: r.settings.Name, Address: r.settings.Peer.Address,
-		Region: r.settings.Region, FailureDomain: r.settings.FailureDomain,
+	id := saved
+	if id.ID == 0 {
+		var err error
+		if id, err = wal.CreateIdentity(r.settings.DataFolder, r.settings.Name, randomNumber()|1); err != nil {
+			return id, err
+		}
 	}
-	if err := log.SaveSnapshot(raft.BootstrapSnapshot([]*raftpb.Member{self}, nil)); err != nil {
-		return identity{}, err
+	if err := createGroup(r.groupFolder(configurationGroup), []*raftpb.Member{r.member(id.ID)}); err != nil {
+		return id, err
 	}
-	if err := log.Close(); err != nil {
-		return identity{}, err
+	r.log.Log(eventBootstrapped, telemetry.F("id", id.ID), telemetry.F("cluster", id.ClusterID))
+	return id, nil
+}
+
+// member describes this replica to its groups.
+func (r *replica) member(id uint64) *raftpb.Member {
+	return &raftpb.Member{
+		Id: id, Name: r.settings.Name, Address: r.settings.Peer.Address,
+		Region: r.settings.Region, FailureDomain: r.settings.FailureDomain,
 	}
-	r.log.Log(eventBootstrapped, telemetry.F("id", id.ID), telemetry.F("cluster", id.Cluster))
-	return id, r.saveIdentity(id)
 }
 
-// saveIdentity writes the identity last, so that a folder with an identity is complete.
-func (r *replica) saveIdentity(id identity) error {
-	return wal.CreateIdentity(r.settings.DataFolder, wal.Identity{ID: id.ID, Cluster: id.Cluster, Name: r.settings.Name})
+// createGroup writes the first snapshot of a group with an empty state machine.
+func createGroup(folder string, voters []*raftpb.Member) error {
+	log, err := wal.Open(folder)
+	if err != nil {
+		return err
+	}
+	if err := log.SaveSnapshot(raft.BootstrapSnapshot(voters, nil)); err != nil {
+		return err
+	}
+	return log.Close()
 }
 
 // learnCluster asks the peers for the setup's number until one of them belongs to a setup.
-func (r *replica) learnCluster(ctx context.Context) (identity, error) {
+func (r *replica) learnCluster(ctx context.Context) (wal.Identity, error) {
 	for ctx.Err() == nil {
 		for _, p := range r.settings.Peers {
 			if p.Name == r.settings.Name {
@@ -140,12 +148,11 @@
 			if err != nil || answer.ClusterId == 0 {
 				continue
 			}
-			id := identity{ID: randomNumber() | 1, Cluster: answer.ClusterId}
-			return id, r.saveIdentity(id)
+			return wal.CreateIdentity(r.settings.DataFolder, r.settings.Name, answer.ClusterId)
 		}
 		pause(ctx, joinInterval)
 	}
-	return identity{}, ctx.Err()
+	return wal.Identity{}, ctx.Err()
 }
 
 func probe(ctx context.Context, address string, c *tls.Config) (*controlpb.ProbeAnswer, error) {
--- a/control/loop.go
+++ b/control/loop.go
@@ -33,6 +33,8 @@
 	send func(group *group, messages []*raftpb.Message)
 
 	groups map[uint64]*group
+	// contacts holds the address of each replica that has sent a message, by identity.
+	contacts map[uint64]string
 	// beforeSettle runs before each round of syncs, for work that is collected during a turn.
 	beforeSettle func()
 	// everyTick runs after each tick, for work that depends on time.
@@ -47,10 +49,10 @@
 func newLoop(self *raftpb.Member, cluster uint64, log *telemetry.Logger) *loop {
 	return &loop{
 		self: self, cluster: cluster, log: log,
-		groups: map[uint64]*group{},
-		tasks:  make(chan func(), taskQueue),
-		stop:   make(chan struct{}),
-		done:   make(chan struct{}),
+		groups: map[uint64]*group{}, contacts: map[uint64]string{},
+		tasks: make(chan func(), taskQueue),
+		stop:  make(chan struct{}),
+		done:  make(chan struct{}),
 	}
 }
 
--- a/control/operators.go
+++ b/control/operators.go
@@ -34,6 +34,9 @@
 func (s *operatorServer) Apply(ctx context.Context, r *controlpb.ApplyRequest) (*controlpb.ApplyAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
+	if size := len(r.GetChange().GetChange()); size > maxChangeBytes {
+		return nil, status.Error(codes.InvalidArgument, (&ChangeSizeError{Bytes: size}).Error())
+	}
 	answer, err := call(ctx, s.r.loop, func(finish func(*controlpb.ApplyAnswer, error)) {
 		g := s.r.loop.groups[configurationGroup]
 		if g == nil || !g.leading {
@@ -76,7 +79,7 @@
 
 // Get returns the newest document, or that of a revision that is still kept.
 func (s *operatorServer) Get(ctx context.Context, r *controlpb.GetRequest) (*controlpb.GetAnswer, error) {
-	return read(ctx, s.r, func() (*controlpb.GetAnswer, error) { return s.r.configuration.get(r) })
+	return read(ctx, s.r, func() (*controlpb.GetAnswer, error) { return s.r.configuration.state.Get(r.Revision) })
 }
 
 // History returns decided changes from a revision on.
@@ -84,7 +87,9 @@
 	if r.Limit == 0 || r.Limit > historyLimit {
 		r.Limit = historyLimit
 	}
-	return read(ctx, s.r, func() (*controlpb.HistoryAnswer, error) { return s.r.configuration.history(r), nil })
+	return read(ctx, s.r, func() (*controlpb.HistoryAnswer, error) {
+		return &controlpb.HistoryAnswer{Entries: s.r.configuration.state.History(r.FromRevision, r.Limit)}, nil
+	})
 }
 
 // Status describes this replica and the gateways it knows of. It answers even when the replica is not current, and
--- a/control/peers.go
+++ b/control/peers.go
@@ -49,15 +49,20 @@
 
 // Exchange takes raft messages and reports of one replica.
 func (s *peerServer) Exchange(stream grpc.BidiStreamingServer[controlpb.PeerBatch, controlpb.PeerBatchAck]) error {
-	if _, err := s.checkReplica(stream.Context()); err != nil {
+	name, err := s.checkReplica(stream.Context())
+	if err != nil {
 		return err
 	}
+	return s.r.untilStopped(func() error { return s.receive(stream, s.r.peerAddress(name)) })
+}
+
+func (s *peerServer) receive(stream grpc.BidiStreamingServer[controlpb.PeerBatch, controlpb.PeerBatchAck], address string) error {
 	for {
 		batch, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		if err := s.take(batch); err != nil {
+		if err := s.take(batch, address); err != nil {
 			return status.Error(codes.Unavailable, err.Error())
 		}
 		if err := stream.Send(&controlpb.PeerBatchAck{}); err != nil {
@@ -66,7 +71,7 @@
 	}
 }
 
-func (s *peerServer) take(batch *controlpb.PeerBatch) error {
+func (s *peerServer) take(batch *controlpb.PeerBatch, address string) error {
 	if batch.ClusterId != s.r.loop.cluster {
 		return &ClusterError{Got: batch.ClusterId, Expected: s.r.loop.cluster}
 	}
@@ -78,13 +83,19 @@
 	}
 	return s.r.loop.submit(func() {
 		for _, m := range batch.Messages {
-			s.r.loop.step(m)
+			s.r.loop.step(m, address)
 		}
 	})
 }
 
-// step hands a message to its group.
-func (l *loop) step(m *raftpb.Message) {
+func (r *replica) peerAddress(name string) string {
+	return r.settings.Peers[slices.IndexFunc(r.settings.Peers, peerNamed(name))].Address
+}
+
+// step hands a message to its group. It notes the sender's address, because a replica that joins has no membership yet
+// and could not answer.
+func (l *loop) step(m *raftpb.Message, address string) {
+	l.contacts[m.From] = address
 	if g, ok := l.groups[m.Group]; ok {
 		// A message that the node refuses is out of date; raft needs no answer to it.
 		_ = g.node.Step(m)
--- a/control/replica.go
+++ b/control/replica.go
@@ -13,11 +13,14 @@
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/raftpb"
+	"heatherwall.example/raft/wal"
 	"heatherwall.example/settings"
 	"heatherwall.example/telemetry"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
 )
 
 const (
@@ -52,7 +55,8 @@
 	// reportDue is set when a gateway's state changed and the other replicas should know at once.
 	reportDue  atomic.Bool
 	reportedAt time.Time
-	stopping   atomic.Bool
+	// stopping is closed when the replica stops; streams, which never end by themselves, end then.
+	stopping chan struct{}
 }
 
 // Run starts a control replica and serves until ctx ends, then hands over its leaderships and stops. bootstrap creates
@@ -63,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	r := &replica{settings: s, log: log, counters: telemetry.NewCounters(), tls: tlsConfig, batches: map[uint64]*claimBatch{}, creating: map[string]bool{}}
+	r := &replica{settings: s, log: log, counters: telemetry.NewCounters(), tls: tlsConfig, batches: map[uint64]*claimBatch{}, creating: map[string]bool{}, stopping: make(chan struct{})}
 	peers, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort(s.Peer.Address)))
 	if err != nil {
 		return err
@@ -94,14 +98,14 @@
 	web := &http.Server{Handler: r.adminMux(), ReadHeaderTimeout: adminHeaderTimeout}
 	wg.Go(func() { _ = web.Serve(admin) })
 	wg.Go(func() { r.keepJoining(background) })
-	r.log.Log(eventStarted, telemetry.F("id", identity.ID), telemetry.F("cluster", identity.Cluster), telemetry.F("address", peers.Addr().String()))
+	r.log.Log(eventStarted, telemetry.F("id", identity.ID), telemetry.F("cluster", identity.ClusterID), telemetry.F("address", peers.Addr().String()))
 
 	select {
 	case <-ctx.Done():
 		r.handOver()
 	case <-r.loop.done:
 	}
-	r.stopping.Store(true)
+	close(r.stopping)
 	stopServer(server)
 	_ = web.Close()
 	close(r.loop.stop)
@@ -111,7 +115,28 @@
 	return errors.Join(r.loop.fatal, r.closeLogs())
 }
 
-// stopServer lets calls in flight finish; streams of gateways do not end by themselves, so the wait is bounded.
+// untilStopped runs the body of a stream and returns earlier when the replica stops; the body then ends with the stream.
+func (r *replica) untilStopped(body func() error) error {
+	ended := make(chan error, 1)
+	go func() { ended <- body() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-r.stopping:
+		return status.Error(codes.Unavailable, (&StoppedError{}).Error())
+	}
+}
+
+func (r *replica) isStopping() bool {
+	select {
+	case <-r.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// stopServer lets calls in flight finish, for a bounded time.
 func stopServer(server *grpc.Server) {
 	stopped := make(chan struct{})
 	go func() {
@@ -140,13 +165,9 @@
 }
 
 // open opens every group that the data folder holds.
-func (r *replica) open(ctx context.Context, id identity) error {
-	self := &raftpb.Member{
-		Id: id.ID, Name: r.settings.Name, Address: r.settings.Peer.Address,
-		Region: r.settings.Region, FailureDomain: r.settings.FailureDomain,
-	}
-	r.loop = newLoop(self, id.Cluster, r.log)
-	r.transport = newTransport(ctx, r.tls, id.Cluster, r.log)
+func (r *replica) open(ctx context.Context, id wal.Identity) error {
+	r.loop = newLoop(r.member(id.ID), id.ClusterID, r.log)
+	r.transport = newTransport(ctx, r.tls, id.ClusterID, r.log)
 	r.directory = newDirectory(id.ID)
 	r.loop.send = r.sendMessages
 	r.configuration = newConfigurationMachine()
@@ -161,12 +182,23 @@
 	return nil
 }
 
-// sendMessages hands the messages of a group to the transport.
+// sendMessages hands the messages of a group to the transport. Messages to replicas without a known address are dropped.
 func (r *replica) sendMessages(g *group, messages []*raftpb.Message) {
 	if len(messages) == 0 {
 		return
 	}
-	for address, list := range messagesFor(g.node.Status().Membership, messages) {
+	membership := g.node.Status().Membership
+	byAddress := map[string][]*raftpb.Message{}
+	for _, m := range messages {
+		address := memberOf(membership, m.To).GetAddress()
+		if address == "" {
+			address = r.loop.contacts[m.To]
+		}
+		if address != "" {
+			byAddress[address] = append(byAddress[address], m)
+		}
+	}
+	for address, list := range byAddress {
 		r.transport.send(address, &controlpb.PeerBatch{Messages: list})
 	}
 }
--- a/control/transport.go
+++ b/control/transport.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"heatherwall.example/api/controlpb"
-	"heatherwall.example/api/raftpb"
 	"heatherwall.example/telemetry"
 
 	"google.golang.org/grpc"
@@ -191,19 +190,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// messagesFor groups messages by the address of their receiver. Receivers that the membership does not list are
-// dropped: they left the group.
-func messagesFor(membership *raftpb.Membership, messages []*raftpb.Message) map[string][]*raftpb.Message {
-	byAddress := map[string][]*raftpb.Message{}
-	for _, m := range messages {
-		if a := addressOf(membership, m.To); a != "" {
-			byAddress[a] = append(byAddress[a], m)
-		}
-	}
-	return byAddress
-}
-
-func addressOf(membership *raftpb.Membership, id uint64) string {
-	return memberOf(membership, id).GetAddress()
-}
--- a/control/watch.go
+++ b/control/watch.go
@@ -24,7 +24,10 @@
 // Watch answers each renewal after a quorum has confirmed, later than the renewal arrived, that the applied
 // configuration is current. When no quorum confirms, the stream ends with Unavailable.
 func (s *configurationServer) Watch(stream grpc.BidiStreamingServer[controlpb.RenewRequest, controlpb.RenewAnswer]) error {
-	name := certificateName(stream.Context())
+	return s.r.untilStopped(func() error { return s.answer(stream, certificateName(stream.Context())) })
+}
+
+func (s *configurationServer) answer(stream grpc.BidiStreamingServer[controlpb.RenewRequest, controlpb.RenewAnswer], name string) error {
 	for {
 		request, err := stream.Recv()
 		if err != nil {
