--- /dev/null
+++ b/raft/wal/identity.go
@@ -0,0 +1,168 @@
+package wal
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// identityName is the file of a data folder that holds the identity; lockName is the file that is locked.
+const (
+	identityName = "identity"
+	lockName     = "lock"
+)
+
+// Fields of the protobuf message in the identity file.
+const (
+	fieldID      protowire.Number = 1
+	fieldCluster protowire.Number = 2
+	fieldName    protowire.Number = 3
+)
+
+// Identity tells replicas apart. It is made together with the data folder and is lost with it.
+type Identity struct {
+	// ID is random and not 0.
+	ID uint64
+	// ClusterID is 0 until the replica belongs to a cluster; then it never changes.
+	ClusterID uint64
+	// Name is the instance name.
+	Name string
+}
+
+// CreateIdentity makes the identity of a new data folder, which must be missing or empty. It fails with
+// *IdentityExistsError or *CorruptError (the folder holds something else).
+func CreateIdentity(dir, name string, clusterID uint64) (Identity, error) {
+	return CreateIdentityWith(OS{}, dir, name, clusterID)
+}
+
+// CreateIdentityWith is CreateIdentity on another file system.
+func CreateIdentityWith(fs FileSystem, dir, name string, clusterID uint64) (Identity, error) {
+	if err := fs.MkdirAll(dir); err != nil {
+		return Identity{}, &FailedError{Operation: "create folder", Cause: err}
+	}
+	names, err := folderContent(fs, dir)
+	if err != nil {
+		return Identity{}, err
+	}
+	if slices.Contains(names, identityName) {
+		return Identity{}, &IdentityExistsError{Dir: dir}
+	}
+	if len(names) > 0 {
+		return Identity{}, &CorruptError{File: dir, Detail: "the folder is not empty but holds no identity"}
+	}
+	identity := Identity{ID: randomID(), ClusterID: clusterID, Name: name}
+	return identity, writeDurably(fs, dir, identityName, identity.encode())
+}
+
+// folderContent returns the names in a data folder other than those of interrupted writes and of the lock.
+func folderContent(fs FileSystem, dir string) ([]string, error) {
+	names, err := fs.ReadDir(dir)
+	if err != nil {
+		return nil, &FailedError{Operation: "read folder", Cause: err}
+	}
+	return slices.DeleteFunc(names, func(name string) bool {
+		return name == identityName+temporarySuffix || name == lockName
+	}), nil
+}
+
+// randomID returns a random number other than 0.
+func randomID() uint64 {
+	var b [8]byte
+	for {
+		rand.Read(b[:]) // never fails
+		if id := binary.LittleEndian.Uint64(b[:]); id != 0 {
+			return id
+		}
+	}
+}
+
+// LoadIdentity reads the identity of a data folder. It fails with *NoIdentityError for a missing or empty folder, and
+// with *CorruptError if the identity is damaged or is missing from a folder that holds something.
+func LoadIdentity(dir string) (Identity, error) { return LoadIdentityWith(OS{}, dir) }
+
+// LoadIdentityWith is LoadIdentity on another file system.
+func LoadIdentityWith(fs FileSystem, dir string) (Identity, error) {
+	content, err := fs.ReadFile(filepath.Join(dir, identityName))
+	if err == nil {
+		return decodeIdentity(content)
+	}
+	if !os.IsNotExist(err) {
+		return Identity{}, &FailedError{Operation: "read identity", Cause: err}
+	}
+	names, err := folderContent(fs, dir)
+	if errors.Is(err, os.ErrNotExist) {
+		return Identity{}, &NoIdentityError{Dir: dir}
+	}
+	if err != nil {
+		return Identity{}, err
+	}
+	if len(names) > 0 {
+		return Identity{}, &CorruptError{File: dir, Detail: "the folder is not empty but holds no identity"}
+	}
+	return Identity{}, &NoIdentityError{Dir: dir}
+}
+
+// JoinCluster stores the cluster of a replica that had none. It fails with *OtherClusterError if there is another one.
+func JoinCluster(dir string, clusterID uint64) (Identity, error) {
+	identity, err := LoadIdentity(dir)
+	if err != nil || identity.ClusterID == clusterID {
+		return identity, err
+	}
+	if identity.ClusterID != 0 {
+		return identity, &OtherClusterError{Current: identity.ClusterID, Wanted: clusterID}
+	}
+	identity.ClusterID = clusterID
+	return identity, writeDurably(OS{}, dir, identityName, identity.encode())
+}
+
+func (i Identity) encode() []byte {
+	var out []byte
+	out = protowire.AppendTag(out, fieldID, protowire.Fixed64Type)
+	out = protowire.AppendFixed64(out, i.ID)
+	out = protowire.AppendTag(out, fieldCluster, protowire.Fixed64Type)
+	out = protowire.AppendFixed64(out, i.ClusterID)
+	out = protowire.AppendTag(out, fieldName, protowire.BytesType)
+	out = protowire.AppendString(out, i.Name)
+	return appendFrame(nil, 0, out)
+}
+
+func decodeIdentity(content []byte) (Identity, error) {
+	var i Identity
+	f, state := readFrame(content, 0)
+	if state != frameValid || f.size != len(content) {
+		return i, &CorruptError{File: identityName, Detail: "checksum or length is wrong"}
+	}
+	for payload := f.payload; len(payload) > 0; {
+		field, kind, n := protowire.ConsumeTag(payload)
+		if n < 0 {
+			return i, &CorruptError{File: identityName, Detail: "content cannot be decoded"}
+		}
+		payload = payload[n:]
+		n = protowire.ConsumeFieldValue(field, kind, payload)
+		if n < 0 {
+			return i, &CorruptError{File: identityName, Detail: "content cannot be decoded"}
+		}
+		i.decodeField(field, payload[:n])
+		payload = payload[n:]
+	}
+	if i.ID == 0 {
+		return i, &CorruptError{File: identityName, Detail: "there is no id"}
+	}
+	return i, nil
+}
+
+func (i *Identity) decodeField(field protowire.Number, value []byte) {
+	switch field {
+	case fieldID:
+		i.ID, _ = protowire.ConsumeFixed64(value)
+	case fieldCluster:
+		i.ClusterID, _ = protowire.ConsumeFixed64(value)
+	case fieldName:
+		i.Name, _ = protowire.ConsumeString(value)
+	}
+}
--- /dev/null
+++ b/raft/wal/lock.go
@@ -0,0 +1,31 @@
+package wal
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// FolderLock keeps other processes from using a data folder. It ends with the process at the latest.
+type FolderLock struct {
+	file *os.File
+}
+
+// LockFolder locks a data folder, which is created if it is missing. It fails with *FolderInUseError.
+func LockFolder(dir string) (*FolderLock, error) {
+	if err := (OS{}).MkdirAll(dir); err != nil {
+		return nil, &FailedError{Operation: "create folder", Cause: err}
+	}
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, &FailedError{Operation: "open lock", Cause: err}
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, &FolderInUseError{Dir: dir}
+	}
+	return &FolderLock{file: f}, nil
+}
+
+// Unlock releases the folder.
+func (l *FolderLock) Unlock() error { return l.file.Close() }
--- /dev/null
+++ b/raft/wal/log.go
@@ -0,0 +1,235 @@
+package wal
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+
+	"google.golang.org/protobuf/proto"
+
+	"heatherwall.example/api/raftpb"
+	"heatherwall.example/raft"
+)
+
+// defaultSegmentBytes is the size from which on a new segment is started.
+const defaultSegmentBytes = 4 << 20
+
+// segment is one log file.
+type segment struct {
+	first uint64 // sequence number of its first frame
+	// maxIndex is the highest index of an entry in it.
+	maxIndex uint64
+}
+
+// Log is the stored log of one group. It implements raft.Storage and raft.Saver and is not safe for concurrent use.
+type Log struct {
+	// memory holds what is on the disk.
+	memory *raft.MemoryStorage
+
+	fs       FileSystem
+	dir      string
+	segments []segment
+	// file is the last segment, size its length in bytes.
+	file File
+	size int64
+	// sequence is that of the last frame.
+	sequence uint64
+	hard     *raftpb.HardState
+	failed   *FailedError
+	// segmentBytes is defaultSegmentBytes unless a test changes it.
+	segmentBytes int64
+}
+
+// Open opens the log in a folder and creates the folder if it is missing. A torn tail is truncated; any other damage
+// gives *CorruptError; other failures give *FailedError.
+func Open(dir string) (*Log, error) { return OpenWith(OS{}, dir) }
+
+// OpenWith is Open on another file system.
+func OpenWith(fs FileSystem, dir string) (*Log, error) {
+	if err := fs.MkdirAll(dir); err != nil {
+		return nil, &FailedError{Operation: "create folder", Cause: err}
+	}
+	l := &Log{fs: fs, dir: dir, hard: &raftpb.HardState{}, segmentBytes: defaultSegmentBytes}
+	if err := l.load(); err != nil {
+		var corrupt *CorruptError
+		var failed *FailedError
+		if errors.As(err, &corrupt) || errors.As(err, &failed) {
+			return nil, err
+		}
+		return nil, &FailedError{Operation: "read log", Cause: err}
+	}
+	return l, nil
+}
+
+// Close closes the file. The log cannot be used afterwards.
+func (l *Log) Close() error {
+	if l.failed == nil {
+		l.failed = &FailedError{Operation: "use after Close", Cause: os.ErrClosed}
+	}
+	return l.file.Close()
+}
+
+// Save writes a hard state, if not nil, and entries, and syncs them. Entries replace stored ones from the first one's
+// index on. After *FailedError the log cannot be used any more.
+func (l *Log) Save(hs *raftpb.HardState, entries []*raftpb.Entry) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if hs == nil && len(entries) == 0 {
+		return nil
+	}
+	if err := l.memory.Save(hs, entries); err != nil {
+		return err
+	}
+	return l.write(record{hard: hs, entries: entries})
+}
+
+// SaveSnapshot stores a snapshot durably and removes segments and snapshots that it makes unnecessary. If the log does
+// not contain the snapshot's last entry, all entries are dropped.
+func (l *Log) SaveSnapshot(s *raftpb.Snapshot) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	old, _ := l.Snapshot()
+	if s.Index <= old.Index {
+		return nil
+	}
+	if err := l.writeSnapshot(s); err != nil {
+		return l.fail(err)
+	}
+	term, err := l.Term(s.Index)
+	replaced := err != nil || term != s.Term
+	if err := l.memory.SaveSnapshot(s); err != nil {
+		return err
+	}
+	if replaced {
+		if err := l.write(record{replaced: true}); err != nil {
+			return err
+		}
+	}
+	if l.size == 0 {
+		// The hard state must be in the last segment before the one that holds it is removed.
+		if err := l.write(record{}); err != nil {
+			return err
+		}
+	}
+	return l.removeOld(s.Index)
+}
+
+func (l *Log) writeSnapshot(s *raftpb.Snapshot) error {
+	payload, err := proto.Marshal(s)
+	if err != nil {
+		return err
+	}
+	if len(payload) > maxFrameBytes {
+		return &FrameTooLargeError{Size: len(payload), Max: maxFrameBytes}
+	}
+	return writeDurably(l.fs, l.dir, snapshotName(s.Index), appendFrame(nil, s.Index, payload))
+}
+
+// write appends one frame and syncs it.
+func (l *Log) write(r record) error {
+	if l.size >= l.segmentBytes {
+		if err := l.rotate(); err != nil {
+			return l.fail(err)
+		}
+	}
+	if r.hard != nil {
+		l.hard = r.hard
+	}
+	if l.size == 0 {
+		r.hard = l.hard
+	}
+	payload, err := r.encode()
+	if err != nil {
+		return l.fail(err)
+	}
+	framed := appendFrame(make([]byte, 0, headerBytes+len(payload)), l.sequence+1, payload)
+	if _, err := l.file.Write(framed); err != nil {
+		return l.fail(err)
+	}
+	if err := l.file.Sync(); err != nil {
+		return l.fail(err)
+	}
+	l.sequence++
+	l.size += int64(len(framed))
+	if n := len(r.entries); n > 0 {
+		current := &l.segments[len(l.segments)-1]
+		current.maxIndex = max(current.maxIndex, r.entries[n-1].Index)
+	}
+	return nil
+}
+
+func (l *Log) fail(err error) error {
+	var failed *FailedError
+	if !errors.As(err, &failed) {
+		failed = &FailedError{Operation: "write to " + filepath.Base(l.dir), Cause: err}
+	}
+	l.failed = failed
+	return failed
+}
+
+// rotate starts a new segment. The previous one has been synced.
+func (l *Log) rotate() error {
+	if l.file != nil {
+		if err := l.file.Close(); err != nil {
+			return err
+		}
+	}
+	next := segment{first: l.sequence + 1}
+	f, err := l.fs.Create(filepath.Join(l.dir, segmentName(next.first)))
+	if err != nil {
+		return err
+	}
+	l.file, l.size = f, 0
+	l.segments = append(l.segments, next)
+	return l.fs.SyncDir(l.dir)
+}
+
+// removeOld removes snapshots before the index and the first segments, as far as they hold no later entry.
+func (l *Log) removeOld(index uint64) error {
+	names, err := l.fs.ReadDir(l.dir)
+	if err != nil {
+		return l.fail(err)
+	}
+	for _, name := range names {
+		if at, ok := parseSnapshotName(name); ok && at < index {
+			if err := l.fs.Remove(filepath.Join(l.dir, name)); err != nil {
+				return l.fail(err)
+			}
+		}
+	}
+	for len(l.segments) > 1 && l.segments[0].maxIndex <= index {
+		if err := l.fs.Remove(filepath.Join(l.dir, segmentName(l.segments[0].first))); err != nil {
+			return l.fail(err)
+		}
+		l.segments = l.segments[1:]
+		// Synced one by one, so that a crash leaves no gap between segments.
+		if err := l.fs.SyncDir(l.dir); err != nil {
+			return l.fail(err)
+		}
+	}
+	return nil
+}
+
+// InitialState implements raft.Storage.
+func (l *Log) InitialState() (*raftpb.HardState, *raftpb.Membership, error) {
+	return l.memory.InitialState()
+}
+
+// Entries implements raft.Storage.
+func (l *Log) Entries(lo, hi, maxBytes uint64) ([]*raftpb.Entry, error) {
+	return l.memory.Entries(lo, hi, maxBytes)
+}
+
+// Term implements raft.Storage.
+func (l *Log) Term(index uint64) (uint64, error) { return l.memory.Term(index) }
+
+// FirstIndex implements raft.Storage.
+func (l *Log) FirstIndex() (uint64, error) { return l.memory.FirstIndex() }
+
+// LastIndex implements raft.Storage.
+func (l *Log) LastIndex() (uint64, error) { return l.memory.LastIndex() }
+
+// Snapshot implements raft.Storage.
+func (l *Log) Snapshot() (*raftpb.Snapshot, error) { return l.memory.Snapshot() }
