--- /dev/null
+++ b/balance/atomics.go
@@ -0,0 +1,41 @@
+package balance
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// atomicFloat is a float64 with atomic access.
+type atomicFloat struct{ bits atomic.Uint64 }
+
+func (f *atomicFloat) load() float64   { return math.Float64frombits(f.bits.Load()) }
+func (f *atomicFloat) store(v float64) { f.bits.Store(math.Float64bits(v)) }
+
+// blend moves the value towards a sample by a weight between 0 and 1.
+func (f *atomicFloat) blend(sample, weight float64) {
+	for {
+		old := f.bits.Load()
+		v := math.Float64frombits(old)
+		v += (sample - v) * weight
+		if f.bits.CompareAndSwap(old, math.Float64bits(v)) {
+			return
+		}
+	}
+}
+
+// atomicTime is a monotonic time with atomic access.
+type atomicTime struct{ ns atomic.Int64 }
+
+func (t *atomicTime) load() time.Duration   { return time.Duration(t.ns.Load()) }
+func (t *atomicTime) store(v time.Duration) { t.ns.Store(int64(v)) }
+
+// raise moves the time forward and never back.
+func (t *atomicTime) raise(v time.Duration) {
+	for {
+		old := t.ns.Load()
+		if int64(v) <= old || t.ns.CompareAndSwap(old, int64(v)) {
+			return
+		}
+	}
+}
--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -1,17 +1,132 @@
 package balance
 
+import "time"
+
+// Times after which a server to which no connection could be opened is tried again.
+const (
+	unreachableFirst = 100 * time.Millisecond
+	unreachableMost  = 2 * time.Second
+	unreachableSteps = 5
+)
+
 // Done ends the attempt: it releases its place and takes what the outcome teaches. It may be called by any goroutine.
 func (a Attempt) Done(o Outcome) {
-	if a.load == nil || !a.load.tickets.redeem(a.ticket) {
+	if a.candidate == nil || !a.candidate.load.tickets.redeem(a.ticket) {
+		return
+	}
+	a.candidate.load.closed(a.start)
+	a.snapshot.release(a.view, a.member)
+	now := a.start + o.Latency
+	if o.Kind == OutcomeNotConnected {
+		a.notConnected(now)
+		return
+	}
+	a.learnReachable(now)
+	a.learnState(o)
+	a.learnPause(now, o)
+	a.learnLatency(now, o)
+	a.learnLoad(now, o)
+}
+
+// notConnected passes the server over for a while that doubles with each failure in a row.
+func (a Attempt) notConnected(now time.Duration) {
+	l := a.candidate.load
+	n := min(l.unreachable.Add(1)-1, unreachableSteps)
+	l.unreachableUntil.raise(now + min(unreachableFirst<<n, unreachableMost))
+}
+
+// learnReachable starts a gradual return after failed connections.
+func (a Attempt) learnReachable(now time.Duration) {
+	l := a.candidate.load
+	if l.unreachable.Load() == 0 {
+		return
+	}
+	l.unreachable.Store(0)
+	l.returnStart.store(now)
+}
+
+// learnState takes the state header. It is evidence as of the time at which the request was sent.
+func (a Attempt) learnState(o Outcome) {
+	if !o.Reported {
+		return
+	}
+	l := a.candidate.load
+	before := State(l.reported.Swap(uint32(o.State)))
+	if o.State <= StateCold {
+		l.evidence.raise(a.start)
+	}
+	if o.State == StateCold && before != StateCold && a.candidate.server.State != StateCold {
+		l.cold.begin()
+		l.cold.told.Store(false)
+	}
+}
+
+func (a Attempt) learnPause(now time.Duration, o Outcome) {
+	if o.Pause > 0 {
+		a.candidate.load.pausedUntil.raise(now + o.Pause)
+	}
+}
+
+// learnLatency updates the estimates, the limit of a cold start, and the watch for a fallback.
+func (a Attempt) learnLatency(now time.Duration, o Outcome) {
+	c, sw := a.candidate, a.snapshot.config.Switches
+	work := max(float64(o.Latency-c.cost), float64(minWork))
+	typical := a.view.load.typical.load()
+	ok := o.Kind == OutcomeOK
+	if ok {
+		a.view.load.latencies.add(o.Latency)
+	}
+	if o.Kind == OutcomeCanceled {
+		c.load.latency.atLeast(now, work)
 		return
 	}
-	a.load.inFlight.Add(-1)
-	a.service.inFlight.Add(-1)
-	if a.member != nil {
-		a.member.inFlight.Add(-1)
+	if a.cold {
+		c.load.cold.answered(ok, work, c.slots)
 	}
-	if o.Reported {
-		a.load.reported.Store(uint32(o.State))
-		raise(&a.load.evidence, a.start)
+	total := a.snapshot.total(a.view, c, now, c.load.inFlight.Load())
+	seen := work / max(1, (total+1)/float64(c.slots))
+	a.watchFallback(now, o, seen, total)
+	if !ok && !sw.NoFailurePenalty {
+		seen = max(seen, failurePenalty*typical)
+	}
+	c.load.latency.add(now, seen)
+	c.load.strikes.answered(!counts(o, total, c.slots))
+}
+
+// counts tells which outcomes count for ejection. A busy server that sheds load is healthy.
+func counts(o Outcome, total float64, slots int64) bool {
+	if o.Kind == OutcomeNotRun {
+		return o.Pause == 0 && total < float64(slots)/2
+	}
+	return o.Kind != OutcomeOK
+}
+
+// watchFallback compares an answer with the server's own history.
+func (a Attempt) watchFallback(now time.Duration, o Outcome, seen, total float64) {
+	c := a.candidate
+	if a.cold || a.snapshot.config.Switches.NoFallbackDetection || c.load.latency.samples.Load() < oddCount {
+		return
+	}
+	slow := o.Kind == OutcomeOK && seen > oddFactor*max(c.load.latency.slow.load(), a.view.load.typical.load())
+	shed := o.Kind == OutcomeNotRun && total < float64(c.slots)/2
+	if c.load.cold.watch(now, slow || shed) {
+		c.load.cold.suspect(now)
+	}
+}
+
+// learnLoad takes the load header and judges it by the latency seen.
+func (a Attempt) learnLoad(now time.Duration, o Outcome) {
+	if o.Slots <= 0 {
+		return
+	}
+	c := a.candidate
+	own := c.load.inFlight.Load()
+	c.load.report.add(now, int64(o.InFlight), own)
+	typical := a.view.load.typical.load()
+	if typical == 0 || o.Kind != OutcomeOK {
+		return
 	}
+	predicted := typical * max(1, float64(o.InFlight+1)/float64(c.slots))
+	seen := max(float64(o.Latency-c.cost), float64(minWork))
+	c.load.report.judge(predicted, seen)
 }
--- /dev/null
+++ b/balance/cold.go
@@ -0,0 +1,88 @@
+package balance
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Constants of cold start and of the detection of a fallback.
+const (
+	// coldStep is the number of answers on time, per request of the limit, that raise the limit by one.
+	coldStep = 3
+	// lateFactor makes an answer of a cold server late, in times of its fastest answer since the start.
+	lateFactor = 2.5
+	// oddFactor makes an answer of a warm server odd, in times of its own history.
+	oddFactor = 4
+	// oddCount and oddTime are how many answers in a row, over how long, must be odd for a fallback. Noise of
+	// neighbours shifts faster.
+	oddCount = 4
+	oddTime  = 150 * time.Millisecond
+	// suspicionTime is how long a gateway that does not own the server stops sending after it noticed a fallback.
+	suspicionTime = 2 * time.Second
+)
+
+// coldStart limits the requests at a server in cold start; only its owner sends any.
+type coldStart struct {
+	// extra is the limit less 1.
+	extra  atomic.Int64
+	onTime atomic.Int64
+	// fastest is the shortest work time since the start, in ns; 0 for none.
+	fastest atomicFloat
+	// fallback is when a fallback was noticed by behaviour; 0 for none.
+	fallback atomicTime
+	// told tells that the owner goroutine has passed the fallback on.
+	told atomic.Bool
+
+	odd      atomic.Int32
+	oddSince atomicTime
+}
+
+func (c *coldStart) limit() int64 { return 1 + c.extra.Load() }
+
+// begin falls back to the limit at once.
+func (c *coldStart) begin() {
+	c.extra.Store(0)
+	c.onTime.Store(0)
+	c.fastest.store(0)
+}
+
+// answered raises the limit after enough answers on time, and halves it after a late answer or a failure.
+func (c *coldStart) answered(ok bool, work float64, most int64) {
+	fastest := c.fastest.load()
+	if ok && (fastest == 0 || work < fastest) {
+		c.fastest.store(work)
+		fastest = work
+	}
+	if !ok || work > fastest*lateFactor {
+		c.onTime.Store(0)
+		c.extra.Store(c.extra.Load() / 2)
+		return
+	}
+	limit := c.limit()
+	if limit >= most || c.onTime.Add(1) < coldStep*limit {
+		return
+	}
+	c.onTime.Store(0)
+	c.extra.CompareAndSwap(limit-1, limit)
+}
+
+// watch counts odd answers of a warm server and reports whether they amount to a fallback.
+func (c *coldStart) watch(now time.Duration, odd bool) bool {
+	if !odd {
+		c.odd.Store(0)
+		return false
+	}
+	n := c.odd.Add(1)
+	if n == 1 {
+		c.oddSince.store(now)
+	}
+	return n >= oddCount && now-c.oddSince.load() >= oddTime
+}
+
+// suspect notes a fallback noticed by behaviour.
+func (c *coldStart) suspect(now time.Duration) {
+	c.odd.Store(0)
+	c.begin()
+	c.told.Store(false)
+	c.fallback.store(now)
+}
--- /dev/null
+++ b/balance/eligible.go
@@ -0,0 +1,124 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// verdict tells whether a candidate may receive a request.
+type verdict uint8
+
+const (
+	verdictYes verdict = iota
+	// verdictBusy: permitted, but at a limit or paused.
+	verdictBusy
+	// verdictNo: not permitted, whatever the load.
+	verdictNo
+)
+
+// serverLimit is the number of requests at a server, in times of its slots, above which it counts as busy.
+const serverLimit = 2.0
+
+// judge checks a candidate against the rules that no load can override, then against those of its state and load.
+func (s *Snapshot) judge(v *serviceView, c *candidate, q *Query) verdict {
+	if !s.permitted(c, q) {
+		return verdictNo
+	}
+	if q.Now < c.load.unreachableUntil.load() {
+		return verdictNo
+	}
+	if q.Now < c.load.ejectedUntil.load() || !s.returned(c, q) {
+		return verdictBusy
+	}
+	if !s.config.Switches.NoPause && q.Now < c.load.pausedUntil.load() {
+		return verdictBusy
+	}
+	return s.judgeLoad(v, c, q)
+}
+
+// permitted holds the rules of safety: region, exclusion, evidence, state, and the right to send to a cold server.
+func (s *Snapshot) permitted(c *candidate, q *Query) bool {
+	if !q.AnyRegion && !slices.Contains(q.Regions, c.server.Region) {
+		return false
+	}
+	if slices.Contains(q.Excluded[:], c.server.Address) {
+		return false
+	}
+	if q.Now-c.load.evidence.load() >= s.config.EvidenceLifetime {
+		return false
+	}
+	reported := State(c.load.reported.Load())
+	if reported > StateCold {
+		return false
+	}
+	if c.server.State != StateCold && reported != StateCold {
+		return !s.suspected(c, q.Now) || s.mayWarm(c, q.Now)
+	}
+	return s.mayWarm(c, q.Now)
+}
+
+// mayWarm reports whether this gateway has the right to send to a cold server.
+func (s *Snapshot) mayWarm(c *candidate, now time.Duration) bool {
+	return c.server.Owned && now < c.load.sendUntil.load()
+}
+
+// suspected reports whether the server's behaviour showed a fallback. The owner ends the suspicion when its limit has
+// risen to the server's slots; other gateways try again after a while.
+func (s *Snapshot) suspected(c *candidate, now time.Duration) bool {
+	at := c.load.cold.fallback.load()
+	if at == 0 {
+		return false
+	}
+	return c.server.Owned || now-at < suspicionTime
+}
+
+// isCold reports whether the limit of cold start applies.
+func (s *Snapshot) isCold(c *candidate, now time.Duration) bool {
+	if s.config.Switches.NoColdLimit {
+		return false
+	}
+	return c.server.State == StateCold || State(c.load.reported.Load()) == StateCold || s.suspected(c, now)
+}
+
+// returned lets a growing share of requests consider a server that returns.
+func (s *Snapshot) returned(c *candidate, q *Query) bool {
+	start := c.load.returnStart.load()
+	if start == 0 || s.config.Switches.NoGradualReturn {
+		return true
+	}
+	passed := q.Now - start
+	if passed >= s.config.ReturnTime {
+		return true
+	}
+	share := minReturnShare + (1-minReturnShare)*float64(passed)/float64(s.config.ReturnTime)
+	return float64(mix(q.Random, uint64(c.slots))>>11)/(1<<53) < share
+}
+
+// minReturnShare is the share at which a return begins.
+const minReturnShare = 0.05
+
+func (s *Snapshot) judgeLoad(v *serviceView, c *candidate, q *Query) verdict {
+	own := c.load.inFlight.Load()
+	if s.isCold(c, q.Now) {
+		if own >= c.load.cold.limit() {
+			return verdictBusy
+		}
+		return verdictYes
+	}
+	if c.server.Connections > 0 && own >= int64(c.server.Connections) {
+		return verdictBusy
+	}
+	if s.config.Switches.NoServerLimit {
+		return verdictYes
+	}
+	if s.total(v, c, q.Now, own) >= serverLimit*float64(c.slots) {
+		return verdictBusy
+	}
+	return verdictYes
+}
+
+// total estimates the requests at a server, of this gateway and of others.
+func (s *Snapshot) total(v *serviceView, c *candidate, now time.Duration, own int64) float64 {
+	others := c.load.report.estimate(now, v.load.typicalOthers.load(), s.config.Switches)
+	return float64(own) + others
+}
--- a/balance/engine.go
+++ b/balance/engine.go
@@ -1,8 +1,6 @@
 package balance
 
 import (
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -18,11 +16,28 @@
 	out      map[string]bool
 	notices  []Notice
 	current  atomic.Pointer[Snapshot]
+
+	byService    map[string][]*record
+	serviceNames []string
+	uses         map[string]usage
+	lastFade     time.Duration
+	// works is scratch space.
+	works []float64
 }
 
+// record is what the owner goroutine knows of a server.
 type record struct {
-	server Server
-	load   *serverLoad
+	server   Server
+	load     *serverLoad
+	probed   bool
+	probedAt time.Duration
+}
+
+// usage tells when a service was last used.
+type usage struct {
+	first uint64
+	at    time.Duration
+	used  bool
 }
 
 // New returns an engine without servers.
@@ -33,6 +48,7 @@
 		services: map[string]*serviceLoad{},
 		members:  map[string]*memberLoad{},
 		out:      map[string]bool{},
+		uses:     map[string]usage{},
 	}
 	e.publish()
 	return e
@@ -73,11 +89,8 @@
 	e.publish()
 }
 
-// Tick advances the engine's clock; call it about every 20 ms.
-func (e *Engine) Tick(now time.Duration) {
-	e.now = now
-}
-
+// change keeps the load of a server unless its incarnation rises. What answers reported is valid until the server
+// announces something newer.
 func (e *Engine) change(s Server) {
 	old := e.servers[s.Address]
 	if old != nil && s.Incarnation < old.server.Incarnation {
@@ -86,23 +99,37 @@
 	r := &record{server: s}
 	if old != nil && old.server.Incarnation == s.Incarnation {
 		r.load = old.load
+		e.compareAnnouncements(r, old.server)
 	} else {
 		r.load = &serverLoad{}
 	}
-	raise(&r.load.evidence, s.Evidence)
-	r.load.sendUntil.Store(int64(s.SendUntil))
+	r.load.evidence.raise(s.Evidence)
+	r.load.sendUntil.store(s.SendUntil)
 	e.servers[s.Address] = r
 }
 
+func (e *Engine) compareAnnouncements(r *record, old Server) {
+	if r.server.Sequence > old.Sequence || r.server.State != StateReady {
+		r.load.reported.Store(uint32(StateReady))
+	}
+	if r.server.State == StateCold && old.State != StateCold {
+		r.load.cold.begin()
+	}
+	if r.server.State == StateReady && old.State == StateCold {
+		r.load.cold.fallback.store(0)
+		r.load.latency.reset()
+	}
+}
+
 func (e *Engine) seen(ev EvidenceSeen) {
 	if r := e.servers[ev.Address]; r != nil {
-		raise(&r.load.evidence, ev.At)
+		r.load.evidence.raise(ev.At)
 	}
 }
 
 func (e *Engine) renewed(ev SendRightRenewed) {
 	if r := e.servers[ev.Address]; r != nil {
-		raise(&r.load.sendUntil, ev.Until)
+		r.load.sendUntil.raise(ev.Until)
 	}
 }
 
@@ -112,16 +139,16 @@
 		return
 	}
 	r.load.reported.Store(uint32(ev.State))
+	if ev.Slots > 0 {
+		r.load.report.add(ev.At, int64(ev.InFlight), r.load.inFlight.Load())
+	}
 	if ev.State <= StateCold {
-		raise(&r.load.evidence, ev.At)
+		r.load.evidence.raise(ev.At)
 	}
 }
 
 func (e *Engine) configure(ev Configured) {
-	e.out = map[string]bool{}
-	for _, d := range ev.DomainsOut {
-		e.out[d] = true
-	}
+	e.setDomains(ev.DomainsOut)
 	for _, s := range e.services {
 		s.limit.Store(0)
 	}
@@ -139,6 +166,22 @@
 	}
 }
 
+// setDomains starts the gradual return of servers whose failure domain is no longer out.
+func (e *Engine) setDomains(out []string) {
+	before := e.out
+	e.out = map[string]bool{}
+	for _, d := range out {
+		e.out[d] = true
+	}
+	for _, r := range e.servers {
+		d := r.server.FailureDomain
+		if before[d] && !e.out[d] {
+			r.load.latency.reset()
+			r.load.returnStart.store(e.now)
+		}
+	}
+}
+
 func (e *Engine) service(name string) *serviceLoad {
 	if e.services[name] == nil {
 		e.services[name] = &serviceLoad{}
@@ -152,13 +195,11 @@
 	for name, m := range e.members {
 		s.members[name] = m
 	}
-	addresses := make([]string, 0, len(e.servers))
-	for a := range e.servers {
-		addresses = append(addresses, a)
-	}
-	slices.SortFunc(addresses, strings.Compare)
-	for _, a := range addresses {
-		e.add(s, e.servers[a])
+	e.index()
+	for _, name := range e.serviceNames {
+		for _, r := range e.byService[name] {
+			e.add(s, r)
+		}
 	}
 	e.current.Store(s)
 }
@@ -173,7 +214,22 @@
 		return
 	}
 	t := e.tier(r.server)
-	v.tiers[t] = append(v.tiers[t], candidate{server: r.server, load: r.load})
+	v.tiers[t] = append(v.tiers[t], candidate{
+		server: r.server, load: r.load, slots: slots(r.server), cost: e.cost(r.server),
+	})
+}
+
+func slots(s Server) int64 { return int64(max(s.Slots, 1)) }
+
+// cost is the round trip to a server, by its place.
+func (e *Engine) cost(s Server) time.Duration {
+	switch {
+	case s.Region != e.config.Region:
+		return e.config.SpillCost
+	case s.FailureDomain != e.config.FailureDomain:
+		return e.config.RegionCost
+	}
+	return 0
 }
 
 // mayReceive rules out servers that no query may pick, whatever their load.
--- /dev/null
+++ b/balance/histogram.go
@@ -0,0 +1,65 @@
+package balance
+
+import (
+	"math/bits"
+	"sync/atomic"
+	"time"
+)
+
+// A histogram has eight buckets for each doubling from 1 µs on.
+const (
+	bucketsPerDoubling = 8
+	histogramBuckets   = 24 * bucketsPerDoubling
+	// histogramMinimum is the number of latencies below which no quantile is given.
+	histogramMinimum = 50
+)
+
+// histogram counts latencies; the owner halves it now and then, so old latencies fade.
+type histogram struct {
+	counts [histogramBuckets]atomic.Uint32
+}
+
+func (h *histogram) add(d time.Duration) { h.counts[bucketOf(d)].Add(1) }
+
+func bucketOf(d time.Duration) int {
+	us := uint64(max(d.Microseconds(), 1))
+	doubling := bits.Len64(us) - 1
+	fraction := (us<<3)>>doubling - bucketsPerDoubling
+	return min(doubling*bucketsPerDoubling+int(fraction), histogramBuckets-1)
+}
+
+// bucketEnd is the upper end of a bucket.
+func bucketEnd(i int) time.Duration {
+	doubling := i / bucketsPerDoubling
+	steps := bucketsPerDoubling + i%bucketsPerDoubling + 1
+	return time.Duration(steps) * time.Microsecond << doubling / bucketsPerDoubling
+}
+
+// quantile returns the latency that a share of the counted ones does not exceed; false when too few are counted.
+func (h *histogram) quantile(share float64) (time.Duration, bool) {
+	var total uint64
+	for i := range h.counts {
+		total += uint64(h.counts[i].Load())
+	}
+	if total < histogramMinimum {
+		return 0, false
+	}
+	target := uint64(share * float64(total))
+	var sum uint64
+	for i := range h.counts {
+		sum += uint64(h.counts[i].Load())
+		if sum > target {
+			return bucketEnd(i), true
+		}
+	}
+	return bucketEnd(histogramBuckets - 1), true
+}
+
+// fade halves all counts. An addition at the same moment may be lost, which only affects statistics.
+func (h *histogram) fade() {
+	for i := range h.counts {
+		if n := h.counts[i].Load(); n > 0 {
+			h.counts[i].Store(n / 2)
+		}
+	}
+}
--- /dev/null
+++ b/balance/latency.go
@@ -0,0 +1,64 @@
+package balance
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Weights and time constants of the latency estimates.
+const (
+	fastWeight = 0.4
+	slowWeight = 0.06
+	// fastAge is the age at which half of the fast estimate has given way to the slow one.
+	fastAge = 40 * time.Millisecond
+	// slowAge is the age at which half of the slow estimate has given way to the typical work time.
+	slowAge = 4 * time.Second
+	// minWork keeps estimates above zero.
+	minWork = 20 * time.Microsecond
+	// failurePenalty is the work time of a failure, in typical work times.
+	failurePenalty = 6
+)
+
+// latency estimates the work time of one server in ns: without the network and without waiting for a slot.
+type latency struct {
+	samples atomic.Uint32
+	fast    atomicFloat
+	slow    atomicFloat
+	last    atomicTime
+}
+
+func (l *latency) add(now time.Duration, work float64) {
+	if l.samples.Add(1) == 1 {
+		l.fast.store(work)
+		l.slow.store(work)
+	} else {
+		l.fast.blend(work, fastWeight)
+		l.slow.blend(work, slowWeight)
+	}
+	l.last.raise(now)
+}
+
+// atLeast takes a lower bound, known from an attempt that was cancelled.
+func (l *latency) atLeast(now time.Duration, work float64) {
+	if work > l.fast.load() {
+		l.add(now, work)
+	}
+}
+
+// estimate ages the fast estimate towards the slow one, and that towards the typical work time.
+func (l *latency) estimate(now time.Duration, typical float64) float64 {
+	if l.samples.Load() == 0 {
+		return typical
+	}
+	age := max(now-l.last.load(), 0)
+	slow := l.slow.load()
+	if typical > 0 {
+		w := float64(slowAge) / float64(slowAge+age)
+		slow = slow*w + typical*(1-w)
+	}
+	w := float64(fastAge) / float64(fastAge+age)
+	return l.fast.load()*w + slow*(1-w)
+}
+
+// reset forgets what was learnt, so that the typical work time applies.
+func (l *latency) reset() { l.samples.Store(0) }
--- a/balance/load.go
+++ b/balance/load.go
@@ -11,17 +11,38 @@
 	inFlight atomic.Int64
 	// startSum is the sum of the start times in µs of the requests in flight; with inFlight it yields their mean age.
 	startSum atomic.Int64
-	// Monotonic times in ns.
-	evidence    atomic.Int64
-	sendUntil   atomic.Int64
-	pausedUntil atomic.Int64
+
+	evidence         atomicTime
+	sendUntil        atomicTime
+	pausedUntil      atomicTime
+	unreachableUntil atomicTime
+	ejectedUntil     atomicTime
+	// returnStart is when the server began to return to its full share; 0 for never.
+	returnStart atomicTime
+	// unreachable counts failed connections in a row.
+	unreachable atomic.Int32
 	// reported is the state of the newest answer, valid until the next announcement.
 	reported atomic.Uint32
+
+	latency latency
+	report  report
+	cold    coldStart
+	strikes strikes
 }
 
 type serviceLoad struct {
 	inFlight atomic.Int64
 	limit    atomic.Int64
+	// first counts first attempts; it tells whether the service is in use.
+	first   atomic.Uint64
+	retries tokens
+	hedges  tokens
+	// typical is the median work time of the service's servers in ns; 0 while unknown.
+	typical atomicFloat
+	// typicalOthers is the mean number of requests that other gateways have in flight at a server.
+	typicalOthers atomicFloat
+	latencies     histogram
+	hedgeAfter    atomicTime
 }
 
 type memberLoad struct {
@@ -29,12 +50,34 @@
 	limit    atomic.Int64
 }
 
-// raise moves a time forward and never back.
-func raise(to *atomic.Int64, t time.Duration) {
+// reserve adds a request in flight if fewer than limit are; a limit of 0 or less means none.
+func reserve(n *atomic.Int64, limit int64) bool {
 	for {
-		old := to.Load()
-		if int64(t) <= old || to.CompareAndSwap(old, int64(t)) {
-			return
+		old := n.Load()
+		if limit > 0 && old >= limit {
+			return false
+		}
+		if n.CompareAndSwap(old, old+1) {
+			return true
 		}
 	}
 }
+
+func (l *serverLoad) opened(now time.Duration) { l.startSum.Add(now.Microseconds()) }
+
+func (l *serverLoad) closed(start time.Duration) {
+	l.startSum.Add(-start.Microseconds())
+	l.inFlight.Add(-1)
+}
+
+// meanAge is the mean age of the requests in flight. Both counters are read without a lock, so the result is clamped.
+func (l *serverLoad) meanAge(now time.Duration, inFlight int64) time.Duration {
+	if inFlight <= 0 {
+		return 0
+	}
+	start := time.Duration(l.startSum.Load()/inFlight) * time.Microsecond
+	if start <= 0 || start > now {
+		return 0
+	}
+	return now - start
+}
--- a/balance/query.go
+++ b/balance/query.go
@@ -138,12 +138,11 @@
 	// Owned tells that this gateway owns the server.
 	Owned bool
 
-	load    *serverLoad
-	service *serviceLoad
-	member  *memberLoad
-	start   time.Duration
-	// kind of the attempt; hedges leave no first-attempt statistics.
-	kind AttemptKind
+	snapshot  *Snapshot
+	view      *serviceView
+	candidate *candidate
+	member    *memberLoad
+	start     time.Duration
 	// ticket is cleared in the server's table by the first Done.
 	ticket uint64
 	// cold tells that the attempt counts for the limit of a cold start.
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -1,76 +1,154 @@
 package balance
 
 import (
+	"container/heap"
 	"sync"
 	"time"
 )
 
-// Queue holds the few requests that wait for a server of one service, ordered by deadline. It is safe for concurrent
-// use.
-type Queue struct {
-	mu      sync.Mutex
-	config  QueueConfig
-	waiting []*Waiter
-}
-
-// QueueConfig limits a Queue.
+// QueueConfig limits a Queue. Zero fields take the default named in the comment.
 type QueueConfig struct {
-	// MaxLength is the number of requests that may wait.
+	// MaxLength is the number of requests that may wait; default 64.
 	MaxLength int
-	// MaxWait is the longest time that a request may wait.
+	// MaxWait is the longest time that a request may wait; default 50 ms.
 	MaxWait time.Duration
 }
 
+// Defaults of QueueConfig.
+const (
+	DefaultQueueLength = 64
+	DefaultQueueWait   = 50 * time.Millisecond
+)
+
+// turnWeight moves the estimate of the time between two turns.
+const turnWeight = 0.1
+
+// Queue holds the few requests of one service that wait for a server, ordered by deadline. It is safe for concurrent
+// use. A waiter gets a turn when an attempt of the service ends, and calls Pick again.
+type Queue struct {
+	mu      sync.Mutex
+	config  QueueConfig
+	waiting waiters
+	// turn is the mean time between two turns in ns; 0 while unknown.
+	turn     float64
+	lastTurn time.Duration
+}
+
 // Waiter is a request in a Queue.
 type Waiter struct {
 	// Woken is closed when the request may call Pick again.
 	Woken    chan struct{}
 	deadline time.Duration
+	index    int
 }
 
 // NewQueue returns an empty queue.
-func NewQueue(c QueueConfig) *Queue { return &Queue{config: c} }
+func NewQueue(c QueueConfig) *Queue {
+	if c.MaxLength == 0 {
+		c.MaxLength = DefaultQueueLength
+	}
+	if c.MaxWait == 0 {
+		c.MaxWait = DefaultQueueWait
+	}
+	return &Queue{config: c}
+}
 
-// Enter adds a request, or refuses early when its turn cannot come before its deadline. Times are monotonic.
+// Enter adds a request, or refuses early when the queue is full or its turn is not expected before its deadline or
+// within MaxWait. Times are monotonic.
 func (q *Queue) Enter(now, deadline time.Duration) (*Waiter, Refusal) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.waiting) >= q.config.MaxLength {
-		return nil, Refusal{Reason: ReasonOverloaded, RetryAfter: time.Second}
+	deadline = min(deadline, now+q.config.MaxWait)
+	if len(q.waiting) >= q.config.MaxLength || now+q.wait(deadline) >= deadline {
+		return nil, refusal(ReasonOverloaded)
 	}
 	w := &Waiter{Woken: make(chan struct{}), deadline: deadline}
-	q.waiting = append(q.waiting, w)
+	heap.Push(&q.waiting, w)
 	return w, Refusal{}
 }
 
-// Leave removes a request that waits no longer, whether it was woken or not.
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting)
+}
+
+// Leave removes a request that waits no longer. It has no effect on one that was woken.
 func (q *Queue) Leave(w *Waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for i, x := range q.waiting {
-		if x == w {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return
-		}
+	if w.index >= 0 {
+		heap.Remove(&q.waiting, w.index)
 	}
 }
 
-// Release wakes the request with the earliest deadline that can still be met; call it after each Attempt.Done. It
-// returns the request it woke, or nil.
+// Release gives a turn to the request with the earliest deadline that can still be met; call it after each
+// Attempt.Done. It returns the request that it woke, or nil.
 func (q *Queue) Release(now time.Duration) *Waiter {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	best := -1
-	for i, w := range q.waiting {
-		if w.deadline > now && (best < 0 || w.deadline < q.waiting[best].deadline) {
-			best = i
+	if len(q.waiting) == 0 {
+		q.lastTurn = 0
+		return nil
+	}
+	q.measure(now)
+	for len(q.waiting) > 0 {
+		w := heap.Pop(&q.waiting).(*Waiter)
+		if w.deadline > now {
+			close(w.Woken)
+			return w
 		}
 	}
-	if best < 0 {
-		return nil
+	return nil
+}
+
+// measure learns the time between two turns while requests wait.
+func (q *Queue) measure(now time.Duration) {
+	if q.lastTurn > 0 && now > q.lastTurn {
+		sample := float64(now - q.lastTurn)
+		if q.turn == 0 {
+			q.turn = sample
+		}
+		q.turn += (sample - q.turn) * turnWeight
 	}
-	w := q.waiting[best]
-	q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
-	close(w.Woken)
-	return w
+	q.lastTurn = now
+}
+
+// wait is the expected time until a request with this deadline gets its turn.
+func (q *Queue) wait(deadline time.Duration) time.Duration {
+	before := 0
+	for _, w := range q.waiting {
+		if w.deadline <= deadline {
+			before++
+		}
+	}
+	return time.Duration(q.turn * float64(before))
+}
+
+// waiters is a heap by deadline.
+type waiters []*Waiter
+
+func (w waiters) Len() int           { return len(w) }
+func (w waiters) Less(i, j int) bool { return w[i].deadline < w[j].deadline }
+func (w waiters) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].index, w[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (w *waiters) Push(x any) {
+	v := x.(*Waiter)
+	v.index = len(*w)
+	*w = append(*w, v)
+}
+
+// Pop implements heap.Interface.
+func (w *waiters) Pop() any {
+	last := len(*w) - 1
+	v := (*w)[last]
+	v.index = -1
+	(*w)[last] = nil
+	*w = (*w)[:last]
+	return v
 }
--- /dev/null
+++ b/balance/report.go
@@ -0,0 +1,55 @@
+package balance
+
+import "time"
+
+// Constants of the trust in reports.
+const (
+	// reportAge is the age at which half of a report has given way to the mean of the service.
+	reportAge = 60 * time.Millisecond
+	// trustLoss and trustGain move the trust at each answer.
+	trustLoss = 0.15
+	trustGain = 0.03
+	// disagreement is the factor between what a report predicts and what is seen that counts against the report.
+	disagreement = 2.5
+)
+
+// report is the load that a server reports, less the part of this gateway.
+type report struct {
+	// others is the number of requests that other gateways have in flight there.
+	others atomicFloat
+	at     atomicTime
+	// distrust lies between 0 (believed) and 1 (ignored).
+	distrust atomicFloat
+}
+
+func (r *report) add(now time.Duration, reported, own int64) {
+	r.others.store(float64(max(reported-own, 0)))
+	r.at.raise(now)
+}
+
+// judge compares the work time that the report predicts with the time seen; both are in ns and exclude the network.
+// A report that claims little load while answers are slow loses trust, and so does one that claims much while they are
+// fast.
+func (r *report) judge(predicted, seen float64) {
+	if seen > predicted*disagreement || seen*disagreement < predicted {
+		r.distrust.blend(1, trustLoss)
+		return
+	}
+	r.distrust.blend(0, trustGain)
+}
+
+// estimate is the number of requests of other gateways at the server.
+func (r *report) estimate(now time.Duration, typicalOthers float64, sw Switches) float64 {
+	if sw.NoReports {
+		return 0
+	}
+	at := r.at.load()
+	if at == 0 {
+		return typicalOthers
+	}
+	w := float64(reportAge) / float64(reportAge+max(now-at, 0))
+	if !sw.NoDistrust {
+		w *= 1 - r.distrust.load()
+	}
+	return r.others.load()*w + typicalOthers*(1-w)
+}
