--- /dev/null
+++ b/balance/pick_test.go
@@ -0,0 +1,210 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const second = time.Second
+
+func testServer(i int) Server {
+	return Server{
+		Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Service: "s", Region: "r", FailureDomain: fmt.Sprint("d", i%2),
+		Incarnation: 1, Slots: 4, Connections: 200,
+	}
+}
+
+func engineWith(n int, c Config) *Engine {
+	c.Region, c.FailureDomain = "r", "d0"
+	e := New(c)
+	for i := range n {
+		e.Apply(ServerChanged{testServer(i)})
+	}
+	return e
+}
+
+// Guards against a pick of a server that must not receive the request.
+func TestPickRules(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Server, *Query)
+		events []Event
+		want   Reason
+	}{
+		{name: "ready", change: func(*Server, *Query) {}},
+		{name: "draining", change: func(s *Server, _ *Query) { s.State = StateDraining }, want: ReasonNoServer},
+		{name: "left", change: func(s *Server, _ *Query) { s.State = StateLeft }, want: ReasonNoServer},
+		{name: "cold elsewhere", change: func(s *Server, _ *Query) { s.State = StateCold }, want: ReasonNoServer},
+		{name: "cold, right ended", change: func(s *Server, _ *Query) { s.State, s.Owned = StateCold, true }, want: ReasonNoServer},
+		{name: "cold, owner", change: func(s *Server, _ *Query) { s.State, s.Owned, s.SendUntil = StateCold, true, 2*second }},
+		{name: "evidence too old", change: func(_ *Server, q *Query) { q.Now = 2500 * time.Millisecond }, want: ReasonNoServer},
+		{name: "other region", change: func(_ *Server, q *Query) { q.AnyRegion, q.Regions = false, []string{"x"} }, want: ReasonNoServer},
+		{name: "no region allowed", change: func(_ *Server, q *Query) { q.AnyRegion = false }, want: ReasonNoServer},
+		{name: "excluded", change: func(s *Server, q *Query) { q.Excluded[1] = s.Address }, want: ReasonNoServer},
+		{name: "domain out", change: func(*Server, *Query) {}, events: []Event{Configured{DomainsOut: []string{"d0"}}}, want: ReasonNoServer},
+		{name: "removed", change: func(*Server, *Query) {}, events: []Event{ServerRemoved{testServer(0).Address}}, want: ReasonNoServer},
+		{name: "probe says draining", change: func(*Server, *Query) {}, events: []Event{StateReported{Address: testServer(0).Address, State: StateDraining}}, want: ReasonNoServer},
+		{name: "service limit", change: func(*Server, *Query) {}, events: []Event{Configured{Services: []ServiceLimit{{"s", 1}}}}, want: ReasonServiceLimit},
+		{name: "member limit", change: func(_ *Server, q *Query) { q.Member = "m" }, events: []Event{Configured{Members: []MemberLimit{{"m", 1}}}}, want: ReasonMemberLimit},
+		{name: "hedge of a request that may run once", change: func(_ *Server, q *Query) { q.Kind, q.Idempotent = AttemptHedge, false }, want: ReasonBudget},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, q := testServer(0), Query{Now: second, Service: "s", AnyRegion: true, Idempotent: true}
+			c.change(&s, &q)
+			e := New(Config{Region: "r", FailureDomain: "d0"})
+			e.Apply(ServerChanged{s})
+			for _, ev := range c.events {
+				e.Apply(ev)
+			}
+			if c.want == ReasonServiceLimit || c.want == ReasonMemberLimit {
+				if _, r := e.Current().Pick(q); r.Refused() {
+					t.Fatalf("first pick within the limit refused: %v", r)
+				}
+			}
+			if _, r := e.Current().Pick(q); r.Reason != c.want {
+				t.Fatalf("got %v, want %v", r.Reason, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a second Done that would release a place twice.
+func TestDoneTwice(t *testing.T) {
+	e := engineWith(1, Config{})
+	q := Query{Service: "s", AnyRegion: true}
+	first, _ := e.Current().Pick(q)
+	second, _ := e.Current().Pick(q)
+	first.Done(Outcome{Latency: time.Millisecond})
+	first.Done(Outcome{Latency: time.Millisecond})
+	if n := second.candidate.load.inFlight.Load(); n != 1 {
+		t.Fatalf("in flight %d, want 1", n)
+	}
+}
+
+// stuckRequests sends 4 requests per ms to two servers that answer after 5 ms, of which one stops answering, and counts
+// the requests that this one still receives.
+func stuckRequests(t *testing.T, sw Switches) int {
+	e := New(Config{Region: "r", FailureDomain: "d0", Switches: sw})
+	for i := range 2 {
+		s := testServer(i)
+		s.Slots, s.FailureDomain = 100, "d0"
+		e.Apply(ServerChanged{s})
+	}
+	const interval, work, stopsAt = 250 * time.Microsecond, 5 * time.Millisecond, 200
+	stuck, received := testServer(0).Address, 0
+	var open []Attempt
+	for i := range 2 * stopsAt {
+		now := time.Duration(i) * interval
+		e.Tick(now)
+		for len(open) > 0 && open[0].start+work <= now {
+			if i < stopsAt || open[0].Address != stuck {
+				open[0].Done(Outcome{Latency: work, Reported: true, Slots: 100})
+			}
+			open = open[1:]
+		}
+		a, r := e.Current().Pick(Query{Now: now, Service: "s", AnyRegion: true, Random: mix(7, uint64(i))})
+		if r.Refused() {
+			t.Fatalf("refused: %v", r)
+		}
+		if i >= stopsAt && a.Address == stuck {
+			received++
+		}
+		open = append(open, a)
+	}
+	return received
+}
+
+// Guards against a stuck server that keeps receiving requests because none of its answers has come.
+func TestOutstandingAgeCounts(t *testing.T) {
+	with, without := stuckRequests(t, Switches{}), stuckRequests(t, Switches{NoInFlightAge: true, NoEjection: true})
+	t.Logf("requests to a stuck server: %d, without the age of outstanding requests: %d", with, without)
+	if with*2 > without {
+		t.Fatalf("stuck server received %d requests, %d without the age of outstanding requests", with, without)
+	}
+}
+
+// Guards against a limit of cold start that is exceeded, rises too early, or outlasts a late answer.
+func TestColdLimit(t *testing.T) {
+	e := New(Config{Region: "r", FailureDomain: "d0"})
+	s := testServer(0)
+	s.State, s.Owned, s.SendUntil, s.Evidence = StateCold, true, time.Hour, time.Hour
+	e.Apply(ServerChanged{s})
+	now := second
+	round := func(latency time.Duration) int {
+		var open []Attempt
+		for {
+			a, r := e.Current().Pick(Query{Now: now, Service: "s", AnyRegion: true})
+			if r.Refused() {
+				break
+			}
+			open = append(open, a)
+		}
+		now += latency
+		for _, a := range open {
+			a.Done(Outcome{Latency: latency})
+		}
+		return len(open)
+	}
+	latencies := []int{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 9, 1, 1, 1, 1}
+	want := []int{1, 1, 1, 2, 2, 2, 3, 3, 3, 4, 4, 4, 4, 1, 1, 1, 2}
+	for i, ms := range latencies {
+		if got := round(time.Duration(ms) * time.Millisecond); got != want[i] {
+			t.Fatalf("round %d: %d in flight, want %d", i, got, want[i])
+		}
+	}
+}
+
+// Guards against ejecting more than a third of a service.
+func TestEjectionCap(t *testing.T) {
+	e := engineWith(9, Config{})
+	now := second
+	for range 200 {
+		now += 5 * time.Millisecond
+		e.Tick(now)
+		a, r := e.Current().Pick(Query{Now: now, Service: "s", AnyRegion: true, Random: uint64(now)})
+		if r.Refused() {
+			t.Fatalf("refused: %v", r)
+		}
+		a.Done(Outcome{Kind: OutcomeFailed, Latency: time.Millisecond})
+	}
+	ejected := 0
+	for _, n := range e.Notices() {
+		if n.Kind == NoticeEjected {
+			ejected++
+		}
+	}
+	if ejected != 3 {
+		t.Fatalf("%d of 9 failing servers ejected, want 3", ejected)
+	}
+}
+
+func TestPickAllocatesNothing(t *testing.T) {
+	s := engineWith(870, Config{}).Current()
+	q := Query{Service: "s", Regions: []string{"r"}, Idempotent: true, Remaining: second}
+	n := testing.AllocsPerRun(1000, func() {
+		q.Random = mix(q.Random, 3)
+		a, _ := s.Pick(q)
+		a.Done(Outcome{Latency: time.Millisecond, Reported: true, Slots: 4})
+	})
+	if n != 0 {
+		t.Fatalf("%v allocations", n)
+	}
+}
+
+// BenchmarkPick measures a decision together with its end.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 100, 870} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := engineWith(n, Config{}).Current()
+			q := Query{Service: "s", Regions: []string{"r"}, Idempotent: true, Remaining: second}
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Random = mix(q.Random, 3)
+				a, _ := s.Pick(q)
+				a.Done(Outcome{Latency: time.Millisecond, Reported: true, Slots: 4})
+			}
+		})
+	}
+}
