--- a/gateway/run.go
+++ b/gateway/run.go
@@ -100,7 +100,7 @@
 func (d *daemon) status(incarnation uint64) *controlpb.GatewayStatus {
 	s := &controlpb.GatewayStatus{
 		Name: d.settings.Name, Incarnation: incarnation, Region: d.settings.Region, FailureDomain: d.settings.FailureDomain,
-		PeerAddress: d.settings.Peer.Address, Draining: d.path.draining.Load(), InFlight: map[string]uint32{},
+		PeerAddress: d.settings.Peer.Advertised(), Draining: d.path.draining.Load(), InFlight: map[string]uint32{},
 	}
 	for domain := range d.lease.Current().domainsOut {
 		s.InFlight[domain] = uint32(d.path.byDomain.get(domain))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,7 +50,18 @@
 type Listener struct {
 	// Address is an IP number with a port; host names are refused because a process must not depend on name service.
 	Address string `yaml:"address"`
-	TLS     *TLS   `yaml:"tls"`
+	// Advertise is the address under which others reach the listener; the default is Address. Only the peer listener of
+	// gateways uses it; control replicas are reached at their address in peers.
+	Advertise string `yaml:"advertise"`
+	TLS       *TLS   `yaml:"tls"`
+}
+
+// Advertised is the address under which others reach the listener.
+func (l Listener) Advertised() string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return l.Address
 }
 
 // Peer is one control replica.
@@ -203,6 +214,9 @@
 
 func (c *checker) listener(path string, l Listener, tlsRequired bool) {
 	c.address(path+".address", l.Address)
+	if l.Advertise != "" {
+		c.address(path+".advertise", l.Advertise)
+	}
 	if l.TLS == nil {
 		if tlsRequired {
 			c.add(path+".tls", "expected certificate, key and authority")
--- a/testbed/cmd/standin/relay.go
+++ b/testbed/cmd/standin/relay.go
@@ -37,7 +37,7 @@
 	var relays []*relay.Relay
 	for _, route := range splitList(routes) {
 		listen, target, _ := strings.Cut(route, "=")
-		r, err := relay.Start(listen, target)
+		r, err := relay.Start(listen, target, nil)
 		if err != nil {
 			return relays, err
 		}
--- /dev/null
+++ b/testbed/harness/cluster.go
@@ -0,0 +1,199 @@
+package harness
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"heatherwall.example/testbed/localsetup"
+	"heatherwall.example/testbed/relay"
+)
+
+// Limits of waiting. They are generous, because the machine may be busy.
+const (
+	StartLimit = 30 * time.Second
+	CallLimit  = 40 * time.Second
+	StopLimit  = 60 * time.Second
+)
+
+// relayOffset lies above the ports of the largest setup, 3 control replicas and 18 gateways.
+const relayOffset = 100
+
+// Options describe a cluster.
+type Options struct {
+	Controls      int
+	Gateways      int
+	ControlPlaces []localsetup.Place
+	GatewayPlaces []localsetup.Place
+	// Relayed puts a relay in front of every peer listener.
+	Relayed bool
+	// Started leaves the start of gateways to the test if false.
+	WithoutGateways bool
+	LogLevel        string
+}
+
+// DefaultOptions has three control replicas and two gateways in the near region and one gateway in the far one.
+func DefaultOptions() Options {
+	return Options{
+		Controls: 3, Gateways: 3,
+		ControlPlaces: []localsetup.Place{{Region: Near, FailureDomain: NearFirst}, {Region: Near, FailureDomain: NearSecond}},
+		GatewayPlaces: []localsetup.Place{
+			{Region: Near, FailureDomain: NearFirst},
+			{Region: Near, FailureDomain: NearSecond},
+			{Region: Far, FailureDomain: FarFirst},
+		},
+	}
+}
+
+// Cluster is a running setup.
+type Cluster struct {
+	Binaries Binaries
+	Folder   string
+	Setup    *localsetup.Setup
+	// Processes holds the newest process of each instance, by instance name.
+	Processes map[string]*Process
+	key       string
+	relays    map[string]*relay.Relay
+	starts    int
+}
+
+// NewCluster writes the settings, starts every process and waits until the control group has a leader.
+func NewCluster(t testing.TB, b Binaries, o Options) *Cluster {
+	t.Helper()
+	c := &Cluster{Binaries: b, Folder: t.TempDir(), Processes: map[string]*Process{}, relays: map[string]*relay.Relay{}}
+	setup := localsetup.Options{
+		Folder: c.Folder, FirstPort: Ports(t, portsPerBlock),
+		Controls: o.Controls, Gateways: o.Gateways, ControlPlaces: o.ControlPlaces, GatewayPlaces: o.GatewayPlaces,
+		LogLevel: o.LogLevel,
+	}
+	if o.Relayed {
+		setup.AdvertiseOffset = relayOffset
+	}
+	var err error
+	if c.Setup, err = localsetup.Write(setup); err != nil {
+		t.Fatal(err)
+	}
+	c.key = writeKey(t, c.Folder)
+	if o.Relayed {
+		c.startRelays(t)
+	}
+	c.startControls(t)
+	if !o.WithoutGateways {
+		for _, g := range c.Setup.Gateways {
+			c.StartGateway(t, g)
+		}
+	}
+	return c
+}
+
+func (c *Cluster) startRelays(t testing.TB) {
+	t.Helper()
+	identify := relay.OwnerAmong(c.processIDs())
+	for _, i := range append(append([]localsetup.Instance{}, c.Setup.Controls...), c.Setup.Gateways...) {
+		r, err := relay.Start(i.Advertised, i.Peer, identify)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.relays[i.Name] = r
+		t.Cleanup(func() { r.Close() })
+	}
+}
+
+// startControls bootstraps the group at the first replica once all of them listen.
+func (c *Cluster) startControls(t testing.TB) {
+	t.Helper()
+	for i, control := range c.Setup.Controls {
+		c.StartControl(t, control, i == 0)
+	}
+	Eventually(t, StartLimit, "a full control group", func() bool { return c.Voters() == len(c.Setup.Controls) })
+}
+
+// StartControl starts a control replica.
+func (c *Cluster) StartControl(t testing.TB, i localsetup.Instance, bootstrap bool) *Process {
+	t.Helper()
+	arguments := []string{"control", "-settings", i.SettingsFile}
+	if bootstrap {
+		arguments = append(arguments, "-bootstrap")
+	}
+	return c.start(t, i, arguments)
+}
+
+// StartGateway starts a gateway.
+func (c *Cluster) StartGateway(t testing.TB, i localsetup.Instance) *Process {
+	t.Helper()
+	return c.start(t, i, []string{"gateway", "-settings", i.SettingsFile})
+}
+
+func (c *Cluster) start(t testing.TB, i localsetup.Instance, arguments []string) *Process {
+	t.Helper()
+	p := Start(t, c.Folder, i.Name, c.Binaries.Heatherwall, arguments...)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Processes[i.Name] = p
+	return p
+}
+
+// WipeData removes the data folder of a replica that does not run.
+func (c *Cluster) WipeData(t testing.TB, i localsetup.Instance) {
+	t.Helper()
+	if err := os.RemoveAll(i.DataFolder); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Ready waits until every gateway reports that it serves.
+func (c *Cluster) Ready(t testing.TB) {
+	t.Helper()
+	for _, g := range c.Setup.Gateways {
+		Eventually(t, StartLimit, g.Name+" ready", func() bool { return IsReady(g) })
+	}
+}
+
+// IsReady asks a gateway whether it serves.
+func IsReady(g localsetup.Instance) bool { return Status("http://"+g.Admin+"/readyz") == http.StatusOK }
+
+// Status is the status of a GET, or 0 without an answer.
+func Status(url string) int {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get(url)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// Client runs the operators' client with a command, its flags and the client file.
+func (c *Cluster) Client(t testing.TB, command string, arguments ...string) Result {
+	t.Helper()
+	all := append(strings.Fields(command), "-client", c.Setup.ClientFile)
+	return Run(t, CallLimit, c.Binaries.Heatherwall, append(all, arguments...)...)
+}
+
+// Apply applies a document and fails the test if it is not accepted.
+func (c *Cluster) Apply(t testing.TB, text string, flags ...string) Result {
+	t.Helper()
+	r := c.TryApply(t, text, flags...)
+	if r.Code != 0 {
+		t.Fatalf("apply: %s", r)
+	}
+	return r
+}
+
+// TryApply applies a document.
+func (c *Cluster) TryApply(t testing.TB, text string, flags ...string) Result {
+	t.Helper()
+	c.starts++
+	file := WriteFile(t, filepath.Join(c.Folder, fmt.Sprintf("document-%d.yaml", c.starts)), text)
+	return c.Client(t, "apply", append(append([]string{"-key", c.key}, flags...), file)...)
+}
+
+// Domain takes a failure domain out or in; verb is "out" or "in".
+func (c *Cluster) Domain(t testing.TB, verb, domain string, flags ...string) Result {
+	t.Helper()
+	return c.Client(t, "domain "+verb, append(append([]string{"-key", c.key}, flags...), domain)...)
+}
--- /dev/null
+++ b/testbed/harness/process.go
@@ -0,0 +1,155 @@
+package harness
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Process is a started program. All methods may be called again after it has ended.
+type Process struct {
+	Name string
+	// Log holds standard output and standard error.
+	Log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+
+	mu   sync.Mutex
+	code int
+}
+
+// Start starts a program. Its output goes to folder/NAME.log. It is killed at the end of the test.
+func Start(t testing.TB, folder, name, program string, arguments ...string) *Process {
+	t.Helper()
+	p := &Process{Name: name, Log: filepath.Join(folder, name+".log"), done: make(chan struct{})}
+	const mode = 0o644
+	output, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, mode)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer output.Close()
+	p.cmd = exec.Command(program, arguments...)
+	p.cmd.Stdout, p.cmd.Stderr = output, output
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go p.wait()
+	t.Cleanup(func() {
+		p.Kill()
+		if t.Failed() {
+			t.Logf("end of %s:\n%s", p.Log, tail(p.Log))
+		}
+	})
+	return p
+}
+
+func (p *Process) wait() {
+	p.cmd.Wait()
+	p.mu.Lock()
+	p.code = p.cmd.ProcessState.ExitCode()
+	p.mu.Unlock()
+	close(p.done)
+}
+
+// ID is the process id.
+func (p *Process) ID() int { return p.cmd.Process.Pid }
+
+// Signal sends a signal. A process that has ended gets none.
+func (p *Process) Signal(s syscall.Signal) {
+	p.cmd.Process.Signal(s)
+}
+
+// Kill ends the process at once, like kill -9, and waits for its end.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Freeze stops the process without its notice.
+func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() { p.Signal(syscall.SIGCONT) }
+
+// Alive reports whether the process has not ended.
+func (p *Process) Alive() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Wait waits for the end of the process and returns its exit code; the test fails after limit.
+func (p *Process) Wait(t testing.TB, limit time.Duration) int {
+	t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(limit):
+		t.Fatalf("%s did not end within %s", p.Name, limit)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.code
+}
+
+// Terminate sends SIGTERM and waits for the end of the process.
+func (p *Process) Terminate(t testing.TB, limit time.Duration) int {
+	t.Helper()
+	p.Signal(syscall.SIGTERM)
+	return p.Wait(t, limit)
+}
+
+const tailBytes = 4000
+
+func tail(file string) []byte {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return []byte(err.Error())
+	}
+	return bytes.TrimSpace(text[max(0, len(text)-tailBytes):])
+}
+
+// Result is the outcome of a program that ran to its end.
+type Result struct {
+	Code   int
+	Output string
+}
+
+func (r Result) String() string { return fmt.Sprintf("exit %d: %s", r.Code, r.Output) }
+
+// Run runs a program to its end, at most for limit; after that it is killed.
+func Run(t testing.TB, limit time.Duration, program string, arguments ...string) Result {
+	t.Helper()
+	var output bytes.Buffer
+	c := exec.Command(program, arguments...)
+	c.Stdout, c.Stderr = &output, &output
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	timer := time.AfterFunc(limit, func() { c.Process.Kill() })
+	defer timer.Stop()
+	c.Wait()
+	return Result{Code: c.ProcessState.ExitCode(), Output: output.String()}
+}
+
+// Eventually polls until done reports true; the test fails after limit.
+func Eventually(t testing.TB, limit time.Duration, what string, done func() bool) {
+	t.Helper()
+	const pause = 20 * time.Millisecond
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(pause) {
+		if done() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", limit, what)
+}
--- a/testbed/localsetup/localsetup.go
+++ b/testbed/localsetup/localsetup.go
@@ -43,6 +43,9 @@
 	LogLevel string
 	// DrainSeconds of the gateways; 0 for the default.
 	DrainSeconds int
+	// AdvertiseOffset is added to the port of every peer listener to give the advertised address, where a relay
+	// listens; 0 for none.
+	AdvertiseOffset int
 }
 
 // Instance is one process of the setup.
@@ -51,9 +54,11 @@
 	SettingsFile string `json:"settings_file"`
 	Place        `json:"place"`
 	// Addresses are empty where the role has no such listener.
-	Callers    string `json:"callers,omitempty"`
-	Announce   string `json:"announce,omitempty"`
-	Peer       string `json:"peer"`
+	Callers  string `json:"callers,omitempty"`
+	Announce string `json:"announce,omitempty"`
+	Peer     string `json:"peer"`
+	// Advertised is where others reach the peer listener.
+	Advertised string `json:"advertised"`
 	Admin      string `json:"admin"`
 	DataFolder string `json:"data_folder,omitempty"`
 }
@@ -129,6 +134,7 @@
 			SettingsFile: filepath.Join(o.Folder, name+".yaml"),
 			DataFolder:   filepath.Join(o.Folder, name+".data"),
 			Peer:         address(port), Admin: address(port + 1),
+			Advertised: address(port + o.AdvertiseOffset),
 		})
 	}
 	for i := range o.Gateways {
@@ -139,6 +145,7 @@
 			SettingsFile: filepath.Join(o.Folder, name+".yaml"),
 			Callers:      address(port), Announce: address(port + 1),
 			Peer: address(port + 2), Admin: address(port + 3),
+			Advertised: address(port + 2 + o.AdvertiseOffset),
 		})
 	}
 	return s
@@ -199,7 +206,7 @@
 		Instance:     o.instance(i),
 		Callers:      settings.Listener{Address: i.Callers},
 		Announce:     settings.Listener{Address: i.Announce},
-		Peer:         settings.Listener{Address: i.Peer, TLS: o.tls(i.Name)},
+		Peer:         settings.Listener{Address: i.Peer, Advertise: i.Advertised, TLS: o.tls(i.Name)},
 		Admin:        settings.Listener{Address: i.Admin},
 		Control:      append(near, far...),
 		DrainSeconds: o.DrainSeconds,
@@ -223,7 +230,7 @@
 func (s *Setup) Peers() []settings.Peer {
 	peers := make([]settings.Peer, len(s.Controls))
 	for i, c := range s.Controls {
-		peers[i] = settings.Peer{Name: c.Name, Address: c.Peer, Region: c.Region, FailureDomain: c.FailureDomain}
+		peers[i] = settings.Peer{Name: c.Name, Address: c.Advertised, Region: c.Region, FailureDomain: c.FailureDomain}
 	}
 	return peers
 }
--- /dev/null
+++ b/testbed/relay/owner.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// OwnerAmong returns an Identify that finds which of the given processes holds the other end of a loopback connection.
+// The function returns names with process ids; it is called for every connection.
+func OwnerAmong(processes func() map[string]int) Identify {
+	return func(c net.Conn) string {
+		remote, ok := c.RemoteAddr().(*net.TCPAddr)
+		if !ok {
+			return ""
+		}
+		link := socketLink(remote.Port)
+		if link == "" {
+			return ""
+		}
+		for name, id := range processes() {
+			if holds(id, link) {
+				return name
+			}
+		}
+		return ""
+	}
+}
+
+// Columns of /proc/net/tcp.
+const (
+	localColumn = 1
+	inodeColumn = 9
+)
+
+// socketLink returns the link target under /proc/ID/fd of the socket with the local port.
+func socketLink(port int) string {
+	table, err := os.Open("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	defer table.Close()
+	suffix := fmt.Sprintf(":%04X", port)
+	for lines := bufio.NewScanner(table); lines.Scan(); {
+		fields := strings.Fields(lines.Text())
+		if len(fields) > inodeColumn && strings.HasSuffix(fields[localColumn], suffix) && fields[inodeColumn] != "0" {
+			return "socket:[" + fields[inodeColumn] + "]"
+		}
+	}
+	return ""
+}
+
+func holds(id int, link string) bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", id))
+	if err != nil {
+		return false
+	}
+	for _, file := range files {
+		if target, err := os.Readlink(file); err == nil && target == link {
+			return true
+		}
+	}
+	return false
+}
--- a/testbed/relay/relay.go
+++ b/testbed/relay/relay.go
@@ -45,21 +45,45 @@
 type Relay struct {
 	listener net.Listener
 	target   string
+	identify Identify
+	all      path
+	bytes    atomic.Int64
+
+	mu sync.Mutex
+	// connections holds the open connections with the name of the process that made them.
+	connections map[net.Conn]string
+	paths       map[string]*path
+}
+
+// Identify names the process at the other end of an accepted connection; an empty name is unknown.
+type Identify func(net.Conn) string
+
+// path is the state of the traffic from one process.
+type path struct {
 	forward  atomic.Bool
 	backward atomic.Bool
-	bytes    atomic.Int64
+}
 
-	mu          sync.Mutex
-	connections map[net.Conn]bool
+func (p *path) cut(d Direction) {
+	p.forward.Store(d == Forward || d == Both)
+	p.backward.Store(d == Backward || d == Both)
 }
 
-// Start listens on address and forwards to target until Close.
-func Start(address, target string) (*Relay, error) {
+func (p *path) isCut() bool { return p.forward.Load() || p.backward.Load() }
+
+// Start listens on address and forwards to target until Close. Without identify, CutFrom has no effect.
+func Start(address, target string, identify Identify) (*Relay, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, &ListenError{Address: address, Cause: err}
 	}
-	r := &Relay{listener: listener, target: target, connections: map[net.Conn]bool{}}
+	r := &Relay{
+		listener:    listener,
+		target:      target,
+		identify:    identify,
+		connections: map[net.Conn]string{},
+		paths:       map[string]*path{},
+	}
 	go r.accept()
 	return r, nil
 }
@@ -73,33 +97,62 @@
 // Cut starts to drop the bytes of a direction, on open and new connections; None ends the cut. A connection that lost
 // bytes must not carry later ones, so ending a cut closes the connections that were open.
 func (r *Relay) Cut(d Direction) error {
+	if err := d.check(); err != nil {
+		return err
+	}
+	if d == None && r.all.isCut() {
+		r.closeConnections(func(string) bool { return true })
+	}
+	r.all.cut(d)
+	return nil
+}
+
+// CutFrom is Cut for the connections that one process makes.
+func (r *Relay) CutFrom(source string, d Direction) error {
+	if err := d.check(); err != nil {
+		return err
+	}
+	p := r.path(source)
+	if d == None && p.isCut() {
+		r.closeConnections(func(from string) bool { return from == source })
+	}
+	p.cut(d)
+	return nil
+}
+
+func (d Direction) check() error {
 	switch d {
 	case None, Forward, Backward, Both:
-	default:
-		return &DirectionError{Text: string(d)}
+		return nil
 	}
-	if d == None && (r.forward.Load() || r.backward.Load()) {
-		r.closeConnections()
+	return &DirectionError{Text: string(d)}
+}
+
+func (r *Relay) path(source string) *path {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.paths[source] == nil {
+		r.paths[source] = &path{}
 	}
-	r.forward.Store(d == Forward || d == Both)
-	r.backward.Store(d == Backward || d == Both)
-	return nil
+	return r.paths[source]
 }
 
 // Close ends the relay and all its connections.
 func (r *Relay) Close() error {
 	err := r.listener.Close()
-	r.closeConnections()
+	r.closeConnections(func(string) bool { return true })
 	return err
 }
 
-func (r *Relay) closeConnections() {
+func (r *Relay) closeConnections(chosen func(source string) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for c := range r.connections {
-		c.Close()
+	for c, source := range r.connections {
+		if chosen(source) {
+			c.Close()
+			delete(r.connections, c)
+		}
 	}
-	clear(r.connections)
 }
 
 func (r *Relay) accept() {
@@ -118,21 +171,26 @@
 		from.Close()
 		return
 	}
+	source := ""
+	if r.identify != nil {
+		source = r.identify(from)
+	}
+	p := r.path(source)
 	r.mu.Lock()
-	r.connections[from] = true
-	r.connections[to] = true
+	r.connections[from] = source
+	r.connections[to] = source
 	r.mu.Unlock()
-	go r.copy(to, from, &r.forward)
-	r.copy(from, to, &r.backward)
+	go r.copy(to, from, func() bool { return r.all.forward.Load() || p.forward.Load() })
+	r.copy(from, to, func() bool { return r.all.backward.Load() || p.backward.Load() })
 }
 
 // copy passes bytes on while the direction is not cut. The end of a stream is passed on as well, but not during a cut.
-func (r *Relay) copy(to, from net.Conn, cut *atomic.Bool) {
+func (r *Relay) copy(to, from net.Conn, cut func() bool) {
 	const bufferBytes = 32 << 10
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		if cut.Load() {
+		if cut() {
 			n = 0
 		}
 		if n > 0 {
@@ -145,7 +203,7 @@
 			break
 		}
 	}
-	if !cut.Load() {
+	if !cut() {
 		r.end(to, from)
 	}
 }
--- a/testbed/relay/relay_test.go
+++ b/testbed/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"os"
 	"testing"
 	"time"
 )
@@ -11,7 +12,7 @@
 func TestCutDropsSilently(t *testing.T) {
 	lines := make(chan string, 4)
 	target := echoServer(t, lines)
-	r, err := Start("127.0.0.1:0", target)
+	r, err := Start("127.0.0.1:0", target, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -97,3 +98,27 @@
 	e, ok := err.(net.Error)
 	return ok && e.Timeout()
 }
+
+// Guards against a cut of one process that also silences others, or that misses the process.
+func TestCutFromOneProcess(t *testing.T) {
+	lines := make(chan string, 4)
+	own := func() map[string]int { return map[string]int{"self": os.Getpid()} }
+	r, err := Start("127.0.0.1:0", echoServer(t, lines), OwnerAmong(own))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.Close() })
+	if err := r.CutFrom("other", Both); err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, r.Address())
+	exchange(t, c, lines)
+	if err := r.CutFrom("self", Both); err != nil {
+		t.Fatal(err)
+	}
+	send(t, c)
+	c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	if n, err := c.Read(make([]byte, 1)); n != 0 || !isTimeout(err) {
+		t.Errorf("expected silence, got %d bytes and %v", n, err)
+	}
+}
