--- a/control/identity.go
+++ b/control/identity.go
@@ -111,7 +111,7 @@
 		return identity{}, err
 	}
 	self := &raftpb.Member{
-		Id: id.ID, Name: r.settings.Name, Address: r.settings.Peer.Address,
+		Id: id.ID, Name: r.settings.Name, Address: r.settings.Peer.Advertised(),
 		Region: r.settings.Region, FailureDomain: r.settings.FailureDomain,
 	}
 	if err := log.SaveSnapshot(raft.BootstrapSnapshot([]*raftpb.Member{self}, nil)); err != nil {
--- a/control/replica.go
+++ b/control/replica.go
@@ -142,7 +142,7 @@
 // open opens every group that the data folder holds.
 func (r *replica) open(ctx context.Context, id identity) error {
 	self := &raftpb.Member{
-		Id: id.ID, Name: r.settings.Name, Address: r.settings.Peer.Address,
+		Id: id.ID, Name: r.settings.Name, Address: r.settings.Peer.Advertised(),
 		Region: r.settings.Region, FailureDomain: r.settings.FailureDomain,
 	}
 	r.loop = newLoop(self, id.Cluster, r.log)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,8 +50,7 @@
 type Listener struct {
 	// Address is an IP number with a port; host names are refused because a process must not depend on name service.
 	Address string `yaml:"address"`
-	// Advertise is the address under which others reach the listener; the default is Address. Only the peer listener of
-	// gateways uses it; control replicas are reached at their address in peers.
+	// Advertise is the address under which others reach the listener; the default is Address. Only peer listeners use it.
 	Advertise string `yaml:"advertise"`
 	TLS       *TLS   `yaml:"tls"`
 }
--- a/testbed/check/check.go
+++ b/testbed/check/check.go
@@ -112,7 +112,7 @@
 	switch {
 	case call.Told == journal.OK && call.Mismatch == "":
 		c.result.Whole++
-	case call.Told == journal.Refused && call.Ran == journal.RanNo:
+	case saysNotRun(call):
 		c.result.RefusedNot++
 	case call.Told != journal.OK:
 		c.result.Unknown++
@@ -166,7 +166,7 @@
 }
 
 func (c *comparison) compareCall(request string, call journal.Call, starts []start) {
-	if server, ran := c.sendings[call.Sending]; ran && call.Told == journal.Refused && call.Ran == journal.RanNo {
+	if server, ran := c.sendings[call.Sending]; ran && saysNotRun(call) {
 		c.result.FalseNotRun++
 		c.violation(FalseNotRun, request, fmt.Sprintf("sending %s refused as %s, ran at %s", call.Sending, call.Reason, server))
 	}
@@ -180,6 +180,10 @@
 	}
 }
 
+func saysNotRun(call journal.Call) bool {
+	return call.Told == journal.Unreached || call.Told == journal.Refused && call.Ran == journal.RanNo
+}
+
 func (c *comparison) violation(k Kind, request, detail string) {
 	c.result.Violations = append(c.result.Violations, Violation{Kind: k, Request: request, Detail: detail})
 }
--- a/testbed/cmd/standin/load.go
+++ b/testbed/cmd/standin/load.go
@@ -26,6 +26,7 @@
 	set.IntVar(&o.Resends, "resends", 0, "resends of a request, through other gateways, after a lost answer")
 	set.Float64Var(&o.TwinShare, "twins", 0, "share of requests sent through two gateways at the same time")
 	set.BoolVar(&o.RetryRefused, "retry-refused", false, "also resend after a refusal that says not run")
+	set.BoolVar(&o.FollowReadiness, "follow-readiness", false, "use only gateways whose /readyz succeeds")
 	set.DurationVar(&o.Timeout, "timeout", 10*time.Second, "limit of one sending")
 	set.Uint64Var(&o.Seed, "seed", 1, "seed of everything random")
 	set.StringVar(&journalFile, "journal", "", "journal file; empty for none")
--- a/testbed/harness/cluster.go
+++ b/testbed/harness/cluster.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 	GatewayPlaces []localsetup.Place
 	// Relayed puts a relay in front of every peer listener.
 	Relayed bool
-	// Started leaves the start of gateways to the test if false.
+	// WithoutGateways leaves the start of the gateways to the test.
 	WithoutGateways bool
 	LogLevel        string
 }
@@ -54,17 +55,21 @@
 	Binaries Binaries
 	Folder   string
 	Setup    *localsetup.Setup
-	// Processes holds the newest process of each instance, by instance name.
-	Processes map[string]*Process
-	key       string
-	relays    map[string]*relay.Relay
-	starts    int
+	key      string
+	relays   map[string]*relay.Relay
+	operator *Operator
+
+	mu sync.Mutex
+	// processes holds the newest process of each instance, by instance name.
+	processes map[string]*Process
+	documents int
+	journals  []string
 }
 
 // NewCluster writes the settings, starts every process and waits until the control group has a leader.
 func NewCluster(t testing.TB, b Binaries, o Options) *Cluster {
 	t.Helper()
-	c := &Cluster{Binaries: b, Folder: t.TempDir(), Processes: map[string]*Process{}, relays: map[string]*relay.Relay{}}
+	c := &Cluster{Binaries: b, Folder: t.TempDir(), processes: map[string]*Process{}, relays: map[string]*relay.Relay{}}
 	setup := localsetup.Options{
 		Folder: c.Folder, FirstPort: Ports(t, portsPerBlock),
 		Controls: o.Controls, Gateways: o.Gateways, ControlPlaces: o.ControlPlaces, GatewayPlaces: o.GatewayPlaces,
@@ -92,7 +97,7 @@
 
 func (c *Cluster) startRelays(t testing.TB) {
 	t.Helper()
-	identify := relay.OwnerAmong(c.processIDs())
+	identify := relay.OwnerAmong(c.processIDs)
 	for _, i := range append(append([]localsetup.Instance{}, c.Setup.Controls...), c.Setup.Gateways...) {
 		r, err := relay.Start(i.Advertised, i.Peer, identify)
 		if err != nil {
@@ -109,7 +114,7 @@
 	for i, control := range c.Setup.Controls {
 		c.StartControl(t, control, i == 0)
 	}
-	Eventually(t, StartLimit, "a full control group", func() bool { return c.Voters() == len(c.Setup.Controls) })
+	Eventually(t, StartLimit, "a full control group", func() bool { return c.Voters(t) == len(c.Setup.Controls) })
 }
 
 // StartControl starts a control replica.
@@ -133,7 +138,7 @@
 	p := Start(t, c.Folder, i.Name, c.Binaries.Heatherwall, arguments...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.Processes[i.Name] = p
+	c.processes[i.Name] = p
 	return p
 }
 
@@ -187,8 +192,11 @@
 // TryApply applies a document.
 func (c *Cluster) TryApply(t testing.TB, text string, flags ...string) Result {
 	t.Helper()
-	c.starts++
-	file := WriteFile(t, filepath.Join(c.Folder, fmt.Sprintf("document-%d.yaml", c.starts)), text)
+	c.mu.Lock()
+	c.documents++
+	file := filepath.Join(c.Folder, fmt.Sprintf("document-%d.yaml", c.documents))
+	c.mu.Unlock()
+	WriteFile(t, file, text)
 	return c.Client(t, "apply", append(append([]string{"-key", c.key}, flags...), file)...)
 }
 
--- /dev/null
+++ b/testbed/harness/operator.go
@@ -0,0 +1,147 @@
+package harness
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/document"
+	"heatherwall.example/testbed/devcerts"
+	"heatherwall.example/testbed/localsetup"
+)
+
+const (
+	askTimeout   = 2 * time.Second
+	applyTimeout = 6 * time.Second
+	applyPause   = 50 * time.Millisecond
+)
+
+// Operator speaks to control replicas directly, for tests that need answers as messages or many changes.
+type Operator struct {
+	connections map[string]*grpc.ClientConn
+	controls    []localsetup.Instance
+	key         *document.PrivateKey
+}
+
+// Operator returns a client of the cluster's control replicas. It bypasses relays.
+func (c *Cluster) Operator(t testing.TB) *Operator {
+	t.Helper()
+	if c.operator != nil {
+		return c.operator
+	}
+	config := clientTLS(t, filepath.Join(c.Folder, "certificates"))
+	o := &Operator{
+		connections: map[string]*grpc.ClientConn{},
+		controls:    c.Setup.Controls,
+		key:         &document.PrivateKey{Signer: Member, ID: KeyID, Seed: seed()},
+	}
+	for _, i := range c.Setup.Controls {
+		connection, err := grpc.NewClient("passthrough:///"+i.Peer,
+			grpc.WithTransportCredentials(credentials.NewTLS(config)), grpc.WithNoProxy())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { connection.Close() })
+		o.connections[i.Name] = connection
+	}
+	c.operator = o
+	return o
+}
+
+func clientTLS(t testing.TB, folder string) *tls.Config {
+	t.Helper()
+	base := filepath.Join(folder, localsetup.OperatorName)
+	pair, err := tls.LoadX509KeyPair(base+".pem", base+".key")
+	if err != nil {
+		t.Fatal(err)
+	}
+	authority, err := os.ReadFile(filepath.Join(folder, devcerts.AuthorityName+".pem"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(authority)
+	return &tls.Config{Certificates: []tls.Certificate{pair}, RootCAs: pool, MinVersion: tls.VersionTLS13}
+}
+
+// Status asks one replica. It returns nil without an answer.
+func (o *Operator) Status(name string) *controlpb.StatusAnswer {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	answer, err := controlpb.NewOperatorsClient(o.connections[name]).Status(ctx, &controlpb.StatusRequest{})
+	if err != nil {
+		return nil
+	}
+	return answer
+}
+
+// Sections asks the replicas in turn for the newest document. It returns nil without an answer.
+func (o *Operator) Sections() *controlpb.GetAnswer {
+	for _, i := range o.controls {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		answer, err := controlpb.NewOperatorsClient(o.connections[i.Name]).Get(ctx, &controlpb.GetRequest{})
+		cancel()
+		if err == nil {
+			return answer
+		}
+	}
+	return nil
+}
+
+// History returns the decided changes from a revision on; nil without an answer.
+func (o *Operator) History(from uint64) []*controlpb.HistoryEntry {
+	for _, i := range o.controls {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		answer, err := controlpb.NewOperatorsClient(o.connections[i.Name]).History(ctx, &controlpb.HistoryRequest{FromRevision: from})
+		cancel()
+		if err == nil {
+			return answer.Entries
+		}
+	}
+	return nil
+}
+
+// NewChange returns a signed change of one section with a random ID.
+func (o *Operator) NewChange(t testing.TB, section string, base uint64, text string) *controlpb.SignedChange {
+	t.Helper()
+	change := &controlpb.Change{
+		Id:       uuid.NewString(),
+		Sections: []*controlpb.SectionChange{{Name: section, BaseRevision: base, Text: text}},
+	}
+	signed, err := document.Sign(change, o.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return signed
+}
+
+// Apply sends the same change to the replicas in turn until one decides it. It returns nil if none did within limit.
+func (o *Operator) Apply(signed *controlpb.SignedChange, limit time.Duration) *controlpb.ChangeOutcome {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(applyPause) {
+		for _, i := range o.controls {
+			if outcome := o.applyAt(i.Name, signed); outcome != nil {
+				return outcome
+			}
+		}
+	}
+	return nil
+}
+
+func (o *Operator) applyAt(name string, signed *controlpb.SignedChange) *controlpb.ChangeOutcome {
+	ctx, cancel := context.WithTimeout(context.Background(), applyTimeout)
+	defer cancel()
+	answer, err := controlpb.NewOperatorsClient(o.connections[name]).Apply(ctx, &controlpb.ApplyRequest{Change: signed})
+	if err != nil {
+		return nil
+	}
+	return answer.Outcome
+}
--- /dev/null
+++ b/testbed/harness/roles.go
@@ -0,0 +1,116 @@
+package harness
+
+import (
+	"testing"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/testbed/localsetup"
+	"heatherwall.example/testbed/relay"
+)
+
+// configurationGroup is the number of the raft group of the configuration.
+const configurationGroup = 1
+
+func (o *Operator) configuration(name string) *controlpb.GroupStatus {
+	for _, g := range o.Status(name).GetGroups() {
+		if g.Group == configurationGroup {
+			return g
+		}
+	}
+	return nil
+}
+
+// Leader returns the control replica that leads the configuration group with a quorum behind it.
+func (c *Cluster) Leader(t testing.TB) localsetup.Instance {
+	t.Helper()
+	var leader localsetup.Instance
+	Eventually(t, StartLimit, "a leader", func() bool {
+		for _, i := range c.Setup.Controls {
+			if g := c.Operator(t).configuration(i.Name); g != nil && g.Current && g.Leader == g.Id {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// Others returns the control replicas apart from one.
+func (c *Cluster) Others(i localsetup.Instance) []localsetup.Instance {
+	var others []localsetup.Instance
+	for _, other := range c.Setup.Controls {
+		if other.Name != i.Name {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+// Voters is the number of voters of the configuration group, as the current leader knows it; 0 without one.
+func (c *Cluster) Voters(t testing.TB) int {
+	t.Helper()
+	for _, i := range c.Setup.Controls {
+		g := c.Operator(t).configuration(i.Name)
+		if g == nil || !g.Current || g.Leader != g.Id {
+			continue
+		}
+		voters := 0
+		for _, m := range g.Membership.GetMembers() {
+			if !m.Learner {
+				voters++
+			}
+		}
+		return voters
+	}
+	return 0
+}
+
+// Cut silently drops the traffic between two processes in the directions seen from the first; relay.None heals.
+// Connections that the second makes to the first are cut in the opposite direction.
+func (c *Cluster) Cut(t testing.TB, first, second string, d relay.Direction) {
+	t.Helper()
+	if err := c.relays[second].CutFrom(first, d); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.relays[first].CutFrom(second, opposite(d)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func opposite(d relay.Direction) relay.Direction {
+	switch d {
+	case relay.Forward:
+		return relay.Backward
+	case relay.Backward:
+		return relay.Forward
+	}
+	return d
+}
+
+// Isolate cuts a process from every other one of the system in the given directions; relay.None heals.
+func (c *Cluster) Isolate(t testing.TB, name string, d relay.Direction) {
+	t.Helper()
+	for other := range c.relays {
+		if other != name {
+			c.Cut(t, name, other, d)
+		}
+	}
+}
+
+// Process returns the newest process of an instance.
+func (c *Cluster) Process(name string) *Process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.processes[name]
+}
+
+func (c *Cluster) processIDs() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ids := map[string]int{}
+	for name, p := range c.processes {
+		ids[name] = p.ID()
+	}
+	return ids
+}
--- /dev/null
+++ b/testbed/harness/servers.go
@@ -0,0 +1,150 @@
+package harness
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"heatherwall.example/testbed/backend"
+	"heatherwall.example/testbed/check"
+	"heatherwall.example/testbed/journal"
+	"heatherwall.example/testbed/load"
+	"heatherwall.example/testbed/localsetup"
+)
+
+// ServerGroup is a process with stand-in backend servers of one service in one failure domain.
+type ServerGroup struct {
+	*Process
+	Service string
+	Place   localsetup.Place
+	// Addresses of its servers.
+	Addresses []string
+	Journal   string
+	arguments []string
+}
+
+// StartServers starts a process with count servers that announce themselves to every gateway.
+func (c *Cluster) StartServers(t testing.TB, service string, place localsetup.Place, count int, flags ...string) *ServerGroup {
+	t.Helper()
+	port := Ports(t, count)
+	name := fmt.Sprintf("%s-%d", service, port)
+	g := &ServerGroup{Service: service, Place: place, Journal: filepath.Join(c.Folder, name+".journal")}
+	for i := range count {
+		g.Addresses = append(g.Addresses, Address(port+i))
+	}
+	g.arguments = append([]string{
+		"serve", "-service", service, "-region", place.Region, "-failure-domain", place.FailureDomain,
+		"-address", Address(port), "-count", strconv.Itoa(count), "-credential", Credential,
+		"-announce", strings.Join(c.announceAddresses(), ","), "-journal", g.Journal,
+	}, flags...)
+	g.Process = Start(t, c.Folder, name, c.Binaries.Standin, g.arguments...)
+	c.mu.Lock()
+	c.journals = append(c.journals, g.Journal)
+	c.mu.Unlock()
+	return g
+}
+
+// Restart starts the servers again, after their process has ended.
+func (g *ServerGroup) Restart(t testing.TB, c *Cluster) {
+	t.Helper()
+	g.Process = Start(t, c.Folder, g.Name, c.Binaries.Standin, g.arguments...)
+}
+
+func (c *Cluster) announceAddresses() []string {
+	var addresses []string
+	for _, g := range c.Setup.Gateways {
+		addresses = append(addresses, g.Announce)
+	}
+	return addresses
+}
+
+// Counts asks the servers of the group for their counts. A server without an answer has zero counts.
+func (g *ServerGroup) Counts() []backend.Counts {
+	counts := make([]backend.Counts, len(g.Addresses))
+	client := http.Client{Timeout: time.Second}
+	for i, address := range g.Addresses {
+		response, err := client.Get("http://" + address + "/.standin/counts")
+		if err != nil {
+			continue
+		}
+		json.NewDecoder(response.Body).Decode(&counts[i])
+		response.Body.Close()
+	}
+	return counts
+}
+
+// Started is the number of runs that the servers of the group have started.
+func (g *ServerGroup) Started() int64 {
+	var sum int64
+	for _, c := range g.Counts() {
+		sum += c.Started
+	}
+	return sum
+}
+
+// Registered reports whether every server of the group has an owner.
+func (g *ServerGroup) Registered() bool {
+	for _, c := range g.Counts() {
+		if c.Owner == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// Callers returns the gateways as the load generator needs them.
+func (c *Cluster) Callers() []load.Gateway {
+	var gateways []load.Gateway
+	for _, g := range c.Setup.Gateways {
+		gateways = append(gateways, load.Gateway{Address: g.Callers, Region: g.Region})
+	}
+	return gateways
+}
+
+// Targets are the requests of the test document: idempotent ones anywhere, ones that run at most once, and ones with
+// home regions.
+func Targets() []load.Target {
+	return []load.Target{
+		{Method: http.MethodGet, Path: CataloguePath, Token: Token, Weight: 2},
+		{Method: http.MethodPost, Path: LedgerPath, Token: Token, Weight: 2, Once: true, BodyBytes: 200},
+		{Method: http.MethodGet, Path: VaultPath, Token: Token, Weight: 1, Home: []string{Near}},
+	}
+}
+
+// NewLoad returns options of a load on every gateway with a journal of its own.
+func (c *Cluster) NewLoad(t testing.TB, name string, rate float64, requests int, seed uint64) (load.Options, string) {
+	t.Helper()
+	file := filepath.Join(c.Folder, name+".calls")
+	writer, err := journal.Create(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { writer.Close() })
+	return load.Options{
+		Gateways: c.Callers(), Targets: Targets(), Rate: rate, Requests: requests,
+		Timeout: 10 * time.Second, Seed: seed, Journal: writer,
+	}, file
+}
+
+// CheckSafety compares the journals of all servers with those of callers. Any violation fails the test.
+func (c *Cluster) CheckSafety(t testing.TB, callers ...string) check.Report {
+	t.Helper()
+	report, err := check.Files(c.journals, callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, v := range report.Violations {
+		const printed = 20
+		if i == printed {
+			break
+		}
+		t.Errorf("%s: request %s: %s", v.Kind, v.Request, v.Detail)
+	}
+	t.Log(report.Line())
+	return report
+}
--- a/testbed/journal/records.go
+++ b/testbed/journal/records.go
@@ -59,6 +59,8 @@
 	Refused Told = "refused"
 	// Cut is a connection that broke, or a deadline that passed, before a complete answer.
 	Cut Told = "cut"
+	// Unreached is a connection that could not be opened; nothing was sent.
+	Unreached Told = "unreached"
 )
 
 // Values of Call.Ran, as in problem bodies.
--- a/testbed/load/generator.go
+++ b/testbed/load/generator.go
@@ -17,6 +17,7 @@
 	options Options
 	client  *http.Client
 	tally   *tally
+	ready   *readiness
 }
 
 // Run sends the load and returns the summary once every request has been told its outcome. If the context ends, no
@@ -26,6 +27,10 @@
 		return Summary{}, &TargetError{Text: "", Expected: "at least one gateway, one target and a positive rate"}
 	}
 	l := &generator{options: o, client: newClient(), tally: newTally(o.Seed)}
+	if o.FollowReadiness {
+		l.ready = followReadiness(o.Gateways)
+		defer l.ready.stop()
+	}
 	start := time.Now()
 	var requests sync.WaitGroup
 	p := newPlan(o)
@@ -91,7 +96,7 @@
 		}
 		index := first + attempt*step
 		sending := fmt.Sprintf("%s/%d", r.id, index)
-		last = l.send(context.Background(), r, k, sending, r.route[index%len(r.route)])
+		last = l.send(context.Background(), r, k, sending, l.ready.choose(r.route, index))
 		if !l.wantsResend(last) {
 			return last
 		}
@@ -101,7 +106,7 @@
 
 func (l *generator) wantsResend(c journal.Call) bool {
 	switch {
-	case c.Told == journal.Cut:
+	case c.Told == journal.Cut, c.Told == journal.Unreached:
 		return true
 	case c.Told == journal.OK:
 		return false
--- a/testbed/load/options.go
+++ b/testbed/load/options.go
@@ -49,6 +49,8 @@
 	TwinShare float64
 	// RetryRefused also resends after a refusal that says "not run".
 	RetryRefused bool
+	// FollowReadiness uses only gateways whose /readyz succeeds, as the platform's balancer does.
+	FollowReadiness bool
 	// Timeout limits one sending.
 	Timeout time.Duration
 	Seed    uint64
--- a/testbed/load/send.go
+++ b/testbed/load/send.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -48,7 +50,7 @@
 	setHeaders(request, r.target, c)
 	response, err := l.client.Do(request)
 	if err != nil {
-		c.Told, c.Failure = journal.Cut, err.Error()
+		c.Told, c.Failure = toldByFailure(err), err.Error()
 		return
 	}
 	defer response.Body.Close()
@@ -60,6 +62,15 @@
 	classify(c, response, text, answer.Digest(r.body))
 }
 
+// toldByFailure tells a connection that could not be opened, so that nothing was sent, from one that broke.
+func toldByFailure(err error) journal.Told {
+	var failed *net.OpError
+	if errors.As(err, &failed) && failed.Op == "dial" {
+		return journal.Unreached
+	}
+	return journal.Cut
+}
+
 // bodyOf hides the reader's type, so that net/http has no GetBody and never sends a request twice by itself.
 func bodyOf(r *request) io.Reader {
 	if len(r.body) == 0 {
--- a/testbed/load/summary.go
+++ b/testbed/load/summary.go
@@ -30,6 +30,7 @@
 	Unknown       int            `json:"unknown"`
 	Mismatched    int            `json:"mismatched"`
 	Cut           int            `json:"cut"`
+	Unreached     int            `json:"unreached"`
 	Reasons       map[string]int `json:"reasons"`
 	P50           float64        `json:"p50_us"`
 	P99           float64        `json:"p99_us"`
@@ -50,8 +51,8 @@
 	for _, name := range names {
 		fmt.Fprintf(&reasons, " %s=%d", name, s.Reasons[name])
 	}
-	return fmt.Sprintf("load: requests=%d sendings=%d ok=%d refused_not_run=%d unknown=%d mismatched=%d cut=%d p50=%.0fus p99=%.0fus max=%.0fus seconds=%.1f%s",
-		s.Requests, s.Sendings, s.OK, s.RefusedNotRun, s.Unknown, s.Mismatched, s.Cut, s.P50, s.P99, s.Max, s.Seconds, reasons.String())
+	return fmt.Sprintf("load: requests=%d sendings=%d ok=%d refused_not_run=%d unknown=%d mismatched=%d cut=%d unreached=%d p50=%.0fus p99=%.0fus max=%.0fus seconds=%.1f%s",
+		s.Requests, s.Sendings, s.OK, s.RefusedNotRun, s.Unknown, s.Mismatched, s.Cut, s.Unreached, s.P50, s.P99, s.Max, s.Seconds, reasons.String())
 }
 
 // JSON is the summary as one JSON object.
@@ -86,6 +87,8 @@
 		t.summary.Reasons[c.Reason]++
 	case journal.Cut:
 		t.summary.Cut++
+	case journal.Unreached:
+		t.summary.Unreached++
 	}
 	if c.Mismatch != "" {
 		t.summary.Mismatched++
@@ -100,7 +103,7 @@
 	case last.Told == journal.OK:
 		t.summary.OK++
 		t.latency.RecordValue(min(max(int64(latency), minLatency), maxLatency))
-	case last.Told == journal.Refused && last.Ran == journal.RanNo:
+	case last.Told == journal.Unreached, last.Told == journal.Refused && last.Ran == journal.RanNo:
 		t.summary.RefusedNotRun++
 	default:
 		t.summary.Unknown++
