--- a/control/identity.go
+++ b/control/identity.go
@@ -120,7 +120,7 @@
 // member describes this replica to its groups.
 func (r *replica) member(id uint64) *raftpb.Member {
 	return &raftpb.Member{
-		Id: id, Name: r.settings.Name, Address: r.settings.Peer.Address,
+		Id: id, Name: r.settings.Name, Address: r.settings.Peer.Advertised(),
 		Region: r.settings.Region, FailureDomain: r.settings.FailureDomain,
 	}
 }
