--- /dev/null
+++ b/control/directory_test.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"heatherwall.example/api"
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/raftpb"
+)
+
+func gatewayStatus(name string, incarnation, revision uint64) *controlpb.GatewayStatus {
+	return &controlpb.GatewayStatus{Name: name, Incarnation: incarnation, Revision: revision}
+}
+
+// Guards against an early "in force" while a gateway may still serve an older revision: one that reports it, one whose
+// replica has not reported since it applied the revision, or one that moved between replicas.
+func TestInForceNeedsEveryReplicaAndGateway(t *testing.T) {
+	start := time.Now()
+	replicas := []uint64{1, 2}
+	report := func(id, revision uint64, gateways ...*controlpb.GatewayStatus) *controlpb.ReplicaReport {
+		return &controlpb.ReplicaReport{Id: id, Revision: revision, Gateways: gateways}
+	}
+	tests := []struct {
+		name    string
+		own     *controlpb.GatewayStatus
+		other   *controlpb.ReplicaReport
+		after   time.Duration
+		inForce bool
+		waiting []string
+	}{
+		{"all have it", gatewayStatus("a", 1, 5), report(2, 5, gatewayStatus("b", 1, 5)), 0, true, nil},
+		{"other replica silent", gatewayStatus("a", 1, 5), nil, 0, false, nil},
+		{"other replica reported before it applied", gatewayStatus("a", 1, 5), report(2, 4), 0, false, nil},
+		{"gateway of the other replica behind", gatewayStatus("a", 1, 5), report(2, 5, gatewayStatus("b", 1, 4)), 0, false, []string{"b"}},
+		{"own gateway behind", gatewayStatus("a", 1, 4), report(2, 5), 0, false, []string{"a"}},
+		{"lease of the gateway ran out", gatewayStatus("a", 1, 4), report(2, 5), api.ConfigurationLease + api.LeaseMargin, true, nil},
+		{"moved here with the revision", gatewayStatus("b", 1, 5), report(2, 5, gatewayStatus("b", 1, 4)), 0, true, nil},
+		{"restarted without a configuration", gatewayStatus("b", 2, 0), report(2, 5, gatewayStatus("b", 1, 5)), 0, false, []string{"b"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDirectory(1)
+			d.renewed(tt.own, start)
+			if tt.other != nil {
+				d.takeReport(tt.other)
+			}
+			now := start.Add(tt.after)
+			d.report(5, nil, now)
+			inForce, waiting := d.inForce(5, replicas, now)
+			if inForce != tt.inForce || !slices.Equal(waiting, tt.waiting) {
+				t.Fatalf("in force %v, waiting for %v; want %v, %v", inForce, waiting, tt.inForce, tt.waiting)
+			}
+		})
+	}
+}
+
+// Guards against gateways that lose their peers' addresses during a short cut, and against lists that never shrink.
+func TestDirectoryKeepsSilentGatewaysForAWhile(t *testing.T) {
+	start := time.Now()
+	d := newDirectory(1)
+	d.renewed(gatewayStatus("a", 1, 5), start)
+	for _, tt := range []struct {
+		after  time.Duration
+		listed int
+	}{{api.ConfigurationLease * 2, 1}, {listedFor + time.Second, 0}} {
+		now := start.Add(tt.after)
+		d.report(5, nil, now)
+		if got := len(d.gateways(now)); got != tt.listed {
+			t.Fatalf("%d gateways listed after %v, want %d", got, tt.after, tt.listed)
+		}
+	}
+}
+
+// Guards against a replica that returns without its disk and is added while its old identity still counts for quorums.
+func TestJoinRemovesOldIdentityFirst(t *testing.T) {
+	membership := &raftpb.Membership{Members: []*raftpb.Member{{Id: 1, Name: "c1"}, {Id: 2, Name: "c2"}}}
+	joining := &raftpb.Member{Id: 9, Name: "c2"}
+	change := nextJoinStep(membership, joining)
+	if change.Type != raftpb.MembershipChangeType_MEMBERSHIP_REMOVE || change.Member.Id != 2 {
+		t.Fatalf("first step: %v", change)
+	}
+	membership.Members = membership.Members[:1]
+	change = nextJoinStep(membership, joining)
+	if change.Type != raftpb.MembershipChangeType_MEMBERSHIP_ADD_LEARNER || change.Member.Id != 9 {
+		t.Fatalf("second step: %v", change)
+	}
+	membership.Members = append(membership.Members, joining)
+	if change := nextJoinStep(membership, joining); change != nil {
+		t.Fatalf("step for a member: %v", change)
+	}
+}
