--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -9,21 +9,32 @@
 const (
 	smallHeaderBytes = 16 << 10
 	adminTimeout     = 10 * time.Second
+	readyPath        = "/readyz"
 )
 
 // callerServer serves callers, and /readyz for the platform's balancer.
 func (d *daemon) callerServer() *http.Server {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /readyz", d.serveReady)
-	mux.Handle("/", d.path)
 	return &http.Server{
-		Handler:           mux,
+		Handler:           d.callerHandler(),
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 	}
 }
 
+// callerHandler keeps requests of callers away from the mux, which would redirect paths that are not clean.
+func (d *daemon) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+readyPath, d.serveReady)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == readyPath {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		d.path.ServeHTTP(w, r)
+	})
+}
+
 func (d *daemon) announceServer() *http.Server {
 	s := &announceServer{configuration: d.lease, registrar: d.state, log: d.log, counters: d.counters}
 	return smallServer(s.handler(), announceTimeout)
@@ -32,7 +43,7 @@
 func (d *daemon) adminServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeStatus(w, http.StatusOK, "ok") })
-	mux.HandleFunc("GET /readyz", d.serveReady)
+	mux.HandleFunc("GET "+readyPath, d.serveReady)
 	mux.Handle("GET /metrics", d.counters)
 	return smallServer(mux, adminTimeout)
 }
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"heatherwall.example/document"
 	"heatherwall.example/telemetry"
 )
 
@@ -150,10 +151,11 @@
 	if err := decodeStrict(body, &a); err != nil {
 		return a, &AnnounceError{http.StatusBadRequest, announceInvalid, err.Error()}
 	}
-	if !credentialMatches(l.view.services[a.Service], r.Header.Get("Authorization")) {
+	service, _ := l.config.Service(a.Service)
+	if !credentialMatches(service, r.Header.Get("Authorization")) {
 		return a, &AnnounceError{http.StatusUnauthorized, announceUnauthenticated, "expected the credential of the service"}
 	}
-	return a, a.check()
+	return a, a.check(l.config)
 }
 
 // decodeStrict refuses unknown fields and anything after the first value.
@@ -175,26 +177,27 @@
 func (e *TrailingDataError) Error() string { return "expected nothing after the JSON value" }
 
 // credentialMatches compares in constant time. An unknown service takes as long as a wrong credential.
-func credentialMatches(s *service, authorization string) bool {
+func credentialMatches(s *document.Service, authorization string) bool {
 	token, isBearer := strings.CutPrefix(authorization, "Bearer ")
 	sum := sha256.Sum256([]byte(token))
 	var want [sha256.Size]byte
 	if s != nil {
-		want = s.credential
+		want = s.Credential
 	}
 	equal := subtle.ConstantTimeCompare(sum[:], want[:]) == 1
 	return equal && isBearer && s != nil
 }
 
-func (a *announcement) check() error {
+func (a *announcement) check(c *document.Config) error {
 	address, err := netip.ParseAddrPort(a.Address)
+	region, known := c.RegionOf(a.FailureDomain)
 	switch {
 	case err != nil || address.Port() == 0 || !address.Addr().IsValid() || address.Addr().IsUnspecified():
 		return invalidField("address", "an IP number with a port")
-	case a.FailureDomain == "" || len(a.FailureDomain) > maxNameBytes:
-		return invalidField("failure_domain", "a name of at most 128 bytes")
-	case a.Region == "" || len(a.Region) > maxNameBytes:
-		return invalidField("region", "a name of at most 128 bytes")
+	case !known:
+		return invalidField("failure_domain", "a failure domain of the topology")
+	case a.Region != region:
+		return invalidField("region", "the region of the failure domain")
 	case a.State != stateReady && a.State != stateCold && a.State != stateDraining:
 		return invalidField("state", "ready, cold or draining")
 	case a.Incarnation == 0:
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"heatherwall.example/telemetry"
 )
 
 // attempt is one try to have a backend server run a request.
@@ -56,7 +58,7 @@
 	if !ok {
 		return &SendForbiddenError{Reason: sendStale}
 	}
-	if l.domainsOut[t.domain] {
+	if l.config.DomainOut(t.domain) {
 		return &SendForbiddenError{Reason: sendDomainOut}
 	}
 	return nil
@@ -72,24 +74,39 @@
 func (p *requestPath) send(c *call, a *attempt, retriesLeft int) {
 	started := time.Now()
 	response, err := p.transport.RoundTrip(newBackendRequest(c, a, retriesLeft))
-	wrote := a.gate.wrote.Load()
-	if err != nil {
-		// After the stop no byte can be written any more, so "nothing was written" stays true.
-		wrote = a.gate.stop()
-	}
-	if err == nil && !belongsToAttempt(response, c.requestID, wrote) {
+	if err == nil && !belongsToAttempt(response, c.requestID, a.gate.wrote.Load()) {
 		_ = response.Body.Close()
-		response, err = nil, &ForeignAnswerError{Address: a.target.address}
-		wrote = a.gate.stop()
+		err = &ForeignAnswerError{Address: a.target.address}
 	}
-	a.answer, a.err = response, err
 	if err != nil {
-		a.result.kind = classifyError(c.ctx, a.ctx, err, wrote)
+		a.fail(c, err)
 	} else {
+		a.answer = response
 		a.result = answerReport(response.Header)
 		a.result.kind = classifyAnswer(response)
 	}
 	a.result.latency = time.Since(started)
+	if a.result.kind == resultBroken {
+		p.suspect(c)
+	}
+}
+
+// fail records a round trip without an answer. After the stop no byte can be written any more, so "nothing was written"
+// stays true.
+func (a *attempt) fail(c *call, err error) {
+	wrote, denied := a.gate.stop()
+	if denied != nil {
+		err = denied
+	}
+	a.err = err
+	a.result.kind = classifyError(c.ctx, a.ctx, err, wrote)
+}
+
+// suspect counts a crash mark for a request that was in flight on a connection that broke.
+func (p *requestPath) suspect(c *call) {
+	if p.poison.Suspect(p.clock.now(), c.fingerprint, c.placement.Home.Names) {
+		p.log.Log(eventPoisonMarked, telemetry.F("service", c.rule.Service.Name))
+	}
 }
 
 // ForeignAnswerError reports an answer that does not belong to the request: it came before the request was written, or
@@ -153,7 +170,7 @@
 		ProtoMinor:    1,
 		ContentLength: int64(len(c.body)),
 	}
-	if len(c.body) > 0 || !c.rule.idempotent {
+	if len(c.body) > 0 || !c.rule.Idempotent {
 		request.Body = io.NopCloser(bytes.NewReader(c.body))
 	}
 	if len(c.r.Trailer) > 0 {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,15 +13,13 @@
 	"github.com/google/uuid"
 
 	"heatherwall.example/api/controlpb"
+	"heatherwall.example/document"
 )
 
 // Limits of a call tree and of one request.
 const (
-	maxDepth       = 8
-	maxRetries     = 2
-	defaultMaxBody = 1 << 20
-	// defaultDeadline applies to rules without one.
-	defaultDeadline = 10 * time.Second
+	maxDepth   = 8
+	maxRetries = 2
 	// minDeadline is the shortest remaining time in which a request is still worth sending.
 	minDeadline = 2 * time.Millisecond
 	// fingerprintBytes is the length of a shortened SHA-256 sum.
@@ -38,12 +35,10 @@
 	ctx     context.Context
 	arrived time.Duration
 
-	lease   *lease
-	caller  caller
-	rule    *rule
-	regions []string // permitted regions; allRegions set means no restriction
-	// allRegions tells that neither rule nor tenant restricts the regions.
-	allRegions bool
+	lease     *lease
+	caller    *document.Caller
+	rule      *document.Rule
+	placement document.Placement
 
 	deadline    time.Time
 	depth       int
@@ -77,7 +72,7 @@
 		return refuse(Draining, "this gateway is stopping").after(time.Second)
 	}
 	l, ok := p.configuration.Valid()
-	if l.view == nil {
+	if l.config == nil {
 		return refuse(NotReady, "no configuration has been confirmed yet").after(time.Second)
 	}
 	if !ok {
@@ -93,7 +88,7 @@
 		return refuse(Unauthenticated, "expected a bearer token")
 	}
 	// The table is keyed by the hash of the token, so the time of the look-up tells nothing about other tokens.
-	c.caller, ok = c.lease.view.callers[sha256.Sum256([]byte(token))]
+	c.caller, ok = c.lease.config.CallerByTokenHash(sha256.Sum256([]byte(token)))
 	if !ok {
 		return refuse(Unauthenticated, "the token belongs to no caller")
 	}
@@ -101,11 +96,11 @@
 }
 
 func (p *requestPath) matchRule(c *call) *Refusal {
-	c.rule = c.lease.view.match(c.r.Header.Get(headerService), c.r.Method, c.r.URL.Path)
-	if c.rule == nil {
+	var ok bool
+	if c.rule, ok = c.lease.config.Route(c.r.Method, c.r.URL.Path); !ok {
 		return refuse(NoRule, "no rule covers this method and path")
 	}
-	if !c.rule.admits(c.caller) {
+	if c.placement, ok = c.rule.Placement(c.caller.Tenant); !ok {
 		return refuse(NotAllowed, "the rule does not admit this caller")
 	}
 	return nil
@@ -113,24 +108,23 @@
 
 // checkHome refuses before the body is read, so that nothing of a foreign request is stored here.
 func (p *requestPath) checkHome(c *call) *Refusal {
-	c.regions, c.allRegions = c.rule.allowedRegions(c.caller)
-	if c.allRegions || slices.Contains(c.regions, p.region) {
+	if c.placement.Home.Contains(p.region) {
 		return nil
 	}
 	r := refuse(HomeRegion, "this gateway lies outside the home regions of the request")
-	r.Regions = c.regions
+	r.Regions = c.placement.Home.Names
 	r.closeConnection = true
 	return r
 }
 
 // checkKey refuses a request without a usable key before its body is read.
 func (p *requestPath) checkKey(c *call) *Refusal {
-	if c.rule.idempotent {
+	if c.rule.Idempotent {
 		return nil
 	}
 	keys := c.r.Header.Values(headerKey)
 	if len(keys) == 0 {
-		if c.rule.keyOptional {
+		if c.rule.Key == document.KeyOptional {
 			return nil
 		}
 		return refuse(KeyRequired, "expected the header Idempotency-Key with a UUID version 7")
@@ -156,11 +150,11 @@
 	if !ok {
 		return refuse(BadRequest, headerRetriesLeft+": expected a number")
 	}
-	remaining, ok := headerNumber(c.r.Header, headerDeadline, int(c.rule.deadline.Milliseconds()))
+	remaining, ok := headerNumber(c.r.Header, headerDeadline, int(c.rule.Deadline.Milliseconds()))
 	if !ok {
 		return refuse(BadRequest, headerDeadline+": expected a number of milliseconds")
 	}
-	limit := min(c.rule.deadline, time.Duration(remaining)*time.Millisecond)
+	limit := min(c.rule.Deadline, time.Duration(remaining)*time.Millisecond)
 	if limit < minDeadline {
 		return refuse(DeadlineTooShort, "the remaining time is too short for any backend server")
 	}
@@ -183,7 +177,7 @@
 
 // readBody buffers the body up to the limit of the rule, within the deadline.
 func (p *requestPath) readBody(c *call) *Refusal {
-	if c.r.ContentLength > c.rule.maxBody {
+	if c.r.ContentLength > c.rule.MaxBody {
 		r := refuse(RequestTooLarge, "the body is larger than the rule permits")
 		r.closeConnection = true
 		return r
@@ -191,7 +185,7 @@
 	// The deadline of the read must be lifted again: the server keeps reading to notice that the caller goes away.
 	controller := http.NewResponseController(c.w)
 	_ = controller.SetReadDeadline(c.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.rule.maxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.rule.MaxBody))
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -208,7 +202,7 @@
 
 // checkPoison computes the fingerprint and refuses requests that crashed backend servers.
 func (p *requestPath) checkPoison(c *call) *Refusal {
-	c.fingerprint = requestFingerprint(c.caller.member, c.r.Method, c.r.URL.EscapedPath(), c.r.URL.RawQuery, c.body)
+	c.fingerprint = requestFingerprint(c.caller.Tenant.Member.Name, c.r.Method, c.r.URL.EscapedPath(), c.r.URL.RawQuery, c.body)
 	if wait := p.poison.Remaining(p.clock.now(), c.fingerprint); wait > 0 {
 		return refuse(Poison, "backend servers crashed twice while they ran this request").after(wait)
 	}
@@ -229,7 +223,7 @@
 	_, _ = io.WriteString(w, strconv.Itoa(len(field))+":"+field)
 }
 
-// keptAnswer returns the answer that a repeat of a claimed request gets.
+// writeKept sends the answer that a repeat of a claimed request gets.
 func writeKept(w http.ResponseWriter, kept *controlpb.KeptAnswer) {
 	h := w.Header()
 	for _, header := range kept.GetHeaders() {
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,12 +54,12 @@
 // newClaim derives the key of the claim group: keys of different members, tenants and services never meet.
 func newClaim(c *call, key uuid.UUID) *heldClaim {
 	h := sha256.New()
-	for _, field := range []string{c.caller.member, c.caller.tenant, c.rule.service.name} {
+	for _, field := range []string{c.caller.Tenant.Member.Name, c.caller.Tenant.Name, c.rule.Service.Name} {
 		writeField(h, field)
 	}
 	h.Write(key[:])
 	return &heldClaim{
-		region: c.rule.service.claimRegion,
+		region: c.rule.Service.ClaimRegion,
 		key:    h.Sum(nil)[:fingerprintBytes],
 		timeMs: binary.BigEndian.Uint64(key[:8]) >> 16,
 	}
@@ -82,7 +81,7 @@
 	}
 	held := c.claim
 	held.holder = p.holders.next()
-	if !c.allRegions && !slices.Contains(c.regions, held.region) {
+	if !c.placement.Home.Contains(held.region) {
 		return refuse(ClaimsUnavailable, "the claim region lies outside the home regions of the request")
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, min(claimTotalTimeout, time.Until(c.deadline)))
@@ -126,6 +125,8 @@
 		return refuse(KeyExpired, "the key is older than the claims that are kept")
 	case controlpb.ClaimResult_CLAIM_KEY_INVALID:
 		return refuse(KeyInvalid, "the time in the key lies too far in the future")
+	case controlpb.ClaimResult_CLAIM_FULL:
+		return refuse(ClaimsUnavailable, "the claim group is full; the key was not taken").after(time.Second)
 	case controlpb.ClaimResult_CLAIM_OUTCOME_UNKNOWN:
 		return refuse(OutcomeUnknown, "a request with this key was sent; whether it ran is not known")
 	}
@@ -196,26 +197,16 @@
 
 // claimClient talks to the leaders of claim groups. It keeps one connection for each replica.
 type claimClient struct {
-	replicas []settings.Peer
-	leaders  func() map[string]string // leader addresses by region, from the lease
-	dial     dialFunc
+	replicas    []settings.Peer
+	leaders     func() map[string]string // leader addresses by region, from the lease
+	connections *connections
 
 	mu      sync.Mutex
-	conns   map[string]*grpc.ClientConn
 	learned map[string]string // newer than leaders: taken from answers
 }
 
-func newClaimClient(replicas []settings.Peer, leaders func() map[string]string, dial dialFunc) *claimClient {
-	return &claimClient{replicas: replicas, leaders: leaders, dial: dial, conns: map[string]*grpc.ClientConn{}, learned: map[string]string{}}
-}
-
-// Close closes every connection.
-func (c *claimClient) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.conns {
-		_ = conn.Close()
-	}
+func newClaimClient(replicas []settings.Peer, leaders func() map[string]string, connections *connections) *claimClient {
+	return &claimClient{replicas: replicas, leaders: leaders, connections: connections, learned: map[string]string{}}
 }
 
 // Claim implements claimer. It retries with the same holder, so a claim granted to a lost answer is granted again.
@@ -344,21 +335,11 @@
 }
 
 func (c *claimClient) connection(address string) (*grpc.ClientConn, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if conn := c.conns[address]; conn != nil {
-		return conn, nil
-	}
 	name := ""
 	for _, r := range c.replicas {
 		if r.Address == address {
 			name = r.Name
 		}
 	}
-	conn, err := c.dial(name, address)
-	if err != nil {
-		return nil, err
-	}
-	c.conns[address] = conn
-	return conn, nil
+	return c.connections.get(name, address)
 }
--- /dev/null
+++ b/gateway/configuration.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/balance"
+	"heatherwall.example/document"
+)
+
+// compileSections turns the confirmed sections into a configuration; mistakes give document.Problems.
+func compileSections(sections []*controlpb.Section) (*document.Config, error) {
+	list := make([]document.Section, 0, len(sections))
+	for _, s := range sections {
+		list = append(list, document.Section{Name: s.GetName(), Text: s.GetText(), Revision: s.GetRevision()})
+	}
+	c, problems := document.Compile(list)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return c, nil
+}
+
+// engineConfiguration returns what the balance engine needs of a configuration.
+func engineConfiguration(c *document.Config) balance.Configured {
+	e := balance.Configured{DomainsOut: c.DomainsOut}
+	for _, m := range c.Members {
+		if m.Limit > 0 {
+			e.Members = append(e.Members, balance.MemberLimit{Member: m.Name, MaxInFlight: m.Limit})
+		}
+	}
+	return e
+}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -36,6 +36,7 @@
 	check   func() error // nil error permits the first byte
 	conn    *backendConn
 	stopped bool
+	denied  error // why the check forbade the first byte
 	wrote   atomic.Bool
 }
 
@@ -53,21 +54,22 @@
 	if g.stopped {
 		return &SendForbiddenError{Reason: "the attempt has ended"}
 	}
-	if err := g.check(); err != nil {
+	if g.denied = g.check(); g.denied != nil {
 		g.stopped = true
-		return err
+		return g.denied
 	}
 	g.conn = c
 	g.wrote.Store(true)
 	return nil
 }
 
-// stop forbids a first byte from now on and reports whether one was written before.
-func (g *sendGate) stop() (wrote bool) {
+// stop forbids a first byte from now on. It reports whether one was written before, and the error of the check if that
+// was the reason.
+func (g *sendGate) stop() (wrote bool, denied error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopped = true
-	return g.wrote.Load()
+	return g.wrote.Load(), g.denied
 }
 
 // backendConn is a connection to a backend server whose writes pass the gate of the attempt that uses it.
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -38,7 +38,9 @@
 		_ = s.Close()
 	}
 	d.peers.Stop()
-	d.claims.Close()
+	d.toControl.close()
+	d.toGateways.close()
+	d.prober.client.CloseIdleConnections()
 	if t, ok := d.path.transport.(*http.Transport); ok {
 		t.CloseIdleConnections()
 	}
--- /dev/null
+++ b/gateway/gossip.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"heatherwall.example/api/gossippb"
+	"heatherwall.example/balance/budget"
+	"heatherwall.example/membership"
+	"heatherwall.example/telemetry"
+)
+
+// exchangeTimeout bounds one exchange; evidence older than that is of little use.
+const exchangeTimeout = time.Second
+
+// frameOverheadBytes is charged for each message beside its content: HTTP/2 frames, headers, TLS records and TCP.
+const frameOverheadBytes = 200
+
+// exchanger carries one exchange to another gateway.
+type exchanger interface {
+	Exchange(ctx context.Context, p membership.Peer, request *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error)
+}
+
+// grpcExchanger uses gRPC with mutual TLS.
+type grpcExchanger struct {
+	connections *connections
+}
+
+// Exchange implements exchanger.
+func (g *grpcExchanger) Exchange(ctx context.Context, p membership.Peer, request *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error) {
+	conn, err := g.connections.get(p.ID, p.Address)
+	if err != nil {
+		return nil, err
+	}
+	return gossippb.NewGossipClient(conn).Exchange(ctx, request)
+}
+
+// exchange sends the digest to one random peer, one time in four in another region.
+func (s *state) exchange(ctx context.Context, now time.Duration) {
+	p, ok := s.registry.Target(s.region, rand.Uint64())
+	if !ok {
+		return
+	}
+	request := &gossippb.ExchangeRequest{From: s.name, Digest: s.registry.Digest(now), Marks: s.poison.Own(now, p.Region)}
+	s.send(ctx, now, p, request)
+}
+
+// push sends changes of servers owned here, and new crash marks, to every peer.
+func (s *state) push(ctx context.Context, now time.Duration) {
+	marks := s.poison.takeNews()
+	if !s.registry.HasPushes() && len(marks) == 0 {
+		return
+	}
+	request := s.registry.Request(now)
+	for _, p := range s.registry.Peers() {
+		own := proto.CloneOf(request)
+		own.Marks = marksFor(p.Region, marks)
+		if len(own.Servers) > 0 || len(own.Marks) > 0 {
+			s.send(ctx, now, p, own)
+		}
+	}
+}
+
+// send starts an exchange if the budget of measuring permits it.
+func (s *state) send(ctx context.Context, now time.Duration, p membership.Peer, request *gossippb.ExchangeRequest) {
+	if !s.limiter.Take(now, s.scope(p.Region), proto.Size(request)+frameOverheadBytes) {
+		s.counters.Counter("measuring_denied", "kind", "gossip").Inc(1)
+		return
+	}
+	s.outgoing.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		defer cancel()
+		answer, err := s.peers.Exchange(ctx, p, request)
+		if err != nil {
+			s.counters.Total("gossip_failed").Inc(1)
+			s.log.Log(eventGossipFailed, telemetry.F("peer", p.ID), telemetry.F("error", err))
+			return
+		}
+		s.poison.Merge(s.clock.now(), p.ID, s.region, answer.GetMarks())
+		s.do(func(at time.Duration) { s.registry.Merge(at, now, answer) })
+	})
+}
+
+func (s *state) scope(region string) budget.Scope {
+	if region == s.region {
+		return budget.WithinRegion
+	}
+	return budget.AcrossRegions
+}
+
+// gossipService answers exchanges of other gateways.
+type gossipService struct {
+	gossippb.UnimplementedGossipServer
+	state *state
+}
+
+// Exchange implements gossippb.GossipServer. When the budget is spent, the answer carries the digest only; it is the
+// evidence that lets other gateways use the servers registered here.
+func (g *gossipService) Exchange(ctx context.Context, request *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error) {
+	if name := peerName(ctx); name != request.GetFrom() {
+		return nil, status.Error(codes.PermissionDenied, fmt.Sprintf("certificate of %q, request of %q", name, request.GetFrom()))
+	}
+	s := g.state
+	s.poison.Merge(s.clock.now(), request.GetFrom(), s.region, request.GetMarks())
+	var answer *gossippb.ExchangeAnswer
+	region := ""
+	ok := s.do(func(now time.Duration) {
+		region = s.peerRegion(request.GetFrom())
+		answer = s.registry.Handle(now, request)
+		answer.Marks = s.poison.Own(now, region)
+	})
+	if !ok {
+		return nil, status.Error(codes.Unavailable, "the gateway is stopping")
+	}
+	if !s.limiter.Take(s.clock.now(), s.scope(region), proto.Size(answer)+frameOverheadBytes) {
+		s.counters.Counter("measuring_denied", "kind", "gossip_answer").Inc(1)
+		answer.Servers, answer.Marks = nil, nil
+	}
+	return answer, nil
+}
+
+// peerRegion returns "" for a gateway that is not listed; its traffic is charged to the budget between regions.
+func (s *state) peerRegion(name string) string {
+	for _, p := range s.registry.Peers() {
+		if p.ID == name {
+			return p.Region
+		}
+	}
+	return ""
+}
+
+// peerName returns the instance name in the client certificate.
+func peerName(ctx context.Context) string {
+	p, ok := peer.FromContext(ctx)
+	if !ok {
+		return ""
+	}
+	info, ok := p.AuthInfo.(credentials.TLSInfo)
+	if !ok || len(info.State.PeerCertificates) == 0 {
+		return ""
+	}
+	return info.State.PeerCertificates[0].Subject.CommonName
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -34,6 +34,7 @@
 
 const (
 	testToken      = "token-1"
+	southToken     = "token-2"
 	testCredential = "credential-1"
 	// testPatience bounds polling for liveness.
 	testPatience = 20 * time.Second
@@ -114,12 +115,6 @@
 	holder map[string]*controlpb.ClaimRequest
 }
 
-func (s *controlStub) set(change func(a *controlpb.RenewAnswer)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	change(s.answer)
-}
-
 func (s *controlStub) Watch(stream grpc.BidiStreamingServer[controlpb.RenewRequest, controlpb.RenewAnswer]) error {
 	for {
 		request, err := stream.Recv()
@@ -216,7 +211,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &testGateway{stop: cancel, ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
 	ready := make(chan Addresses, 1)
-	go func() { g.ended <- Run(ctx, s, telemetry.NewLogger(io.Discard, telemetry.Info), func(a Addresses) { ready <- a }) }()
+	go func() {
+		g.ended <- Run(ctx, s, telemetry.NewLogger(io.Discard, telemetry.Info), func(a Addresses) { ready <- a })
+	}()
 	select {
 	case g.Addresses = <-ready:
 	case err := <-g.ended:
@@ -270,4 +267,3 @@
 	must(t, err)
 	return answer, string(text)
 }
-
--- a/gateway/header.go
+++ b/gateway/header.go
@@ -17,7 +17,6 @@
 	headerState       = "Heatherwall-State"
 	headerLoad        = "Heatherwall-Load"
 	headerNotRun      = "Heatherwall-Not-Run"
-	headerService     = "Heatherwall-Service"
 	headerKept        = "Heatherwall-Kept-Answer"
 	headerKey         = "Idempotency-Key"
 	headerPrefix      = "Heatherwall-"
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"heatherwall.example/api/controlpb"
+	"heatherwall.example/document"
 	"heatherwall.example/settings"
 	"heatherwall.example/telemetry"
 )
@@ -26,16 +28,16 @@
 type sectionSet map[string]*controlpb.Section
 
 // compileFunc turns sections into what the request path uses.
-type compileFunc func(sections []*controlpb.Section) (*view, error)
+type compileFunc func(sections []*controlpb.Section) (*document.Config, error)
 
 // lease is one confirmed state of the configuration. It is immutable.
 type lease struct {
 	// expires is the end of the right to serve.
-	expires      time.Duration
-	revision     uint64
-	view         *view // nil until a revision has been compiled
+	expires  time.Duration
+	revision uint64
+	// config is nil until a revision has been compiled; it includes the failure domains that are out.
+	config       *document.Config
 	sections     sectionSet
-	domainsOut   map[string]bool
 	claimLeaders map[string]string
 	gateways     []*controlpb.GatewayStatus
 	gatewayHash  uint64
@@ -67,7 +69,7 @@
 	nonce   uint64
 }
 
-// Current returns the newest confirmed state; its view is nil before the first confirmation.
+// Current returns the newest confirmed state; its config is nil before the first confirmation.
 func (c *leaseClient) Current() *lease {
 	if l := c.current.Load(); l != nil {
 		return l
@@ -78,7 +80,7 @@
 // Valid returns the configuration if the right to serve has not run out.
 func (c *leaseClient) Valid() (*lease, bool) {
 	l := c.Current()
-	return l, l.view != nil && c.clock.now() < l.expires
+	return l, l.config != nil && c.clock.now() < l.expires
 }
 
 // Run renews the lease until ctx ends, at the nearest replica that answers.
@@ -238,6 +240,9 @@
 		c.log.Log(eventRevisionRefused, telemetry.F("revision", a.GetRevision()), telemetry.F("seen", old.revision))
 		return false
 	}
+	if a.GetRevision() == 0 {
+		return true // the setup has no document yet: nothing to serve, and the replica is not to blame
+	}
 	next := *old
 	next.clusterID = a.GetClusterId()
 	next.expires = max(old.expires, expires)
@@ -252,7 +257,7 @@
 	if next.revision != old.revision {
 		c.log.Log(eventRevisionInUse, telemetry.F("revision", next.revision))
 	}
-	if changed || next.revision != old.revision || old.view == nil {
+	if changed || next.revision != old.revision || old.config == nil {
 		c.onChange(&next)
 	}
 	return true
@@ -261,7 +266,7 @@
 // mergeSections applies the difference and compiles the result if anything changed.
 func (c *leaseClient) mergeSections(next *lease, a *controlpb.RenewAnswer) error {
 	unchanged := len(a.GetSections()) == 0 && len(a.GetRemoved()) == 0 && !a.GetFull()
-	if next.view != nil && (unchanged || a.GetRevision() == next.revision) {
+	if next.config != nil && (unchanged || a.GetRevision() == next.revision) {
 		next.revision = a.GetRevision()
 		return nil
 	}
@@ -276,37 +281,31 @@
 		merged[s.GetName()] = s
 	}
 	sorted := slices.SortedFunc(maps.Values(merged), func(x, y *controlpb.Section) int {
-		return compareStrings(x.GetName(), y.GetName())
+		return strings.Compare(x.GetName(), y.GetName())
 	})
 	compiled, err := c.compile(sorted)
 	if err != nil {
 		return err
 	}
-	next.sections, next.view, next.revision = merged, compiled, a.GetRevision()
+	next.sections, next.config, next.revision = merged, compiled.WithDomainsOut(domainsOf(next.config)), a.GetRevision()
 	return nil
 }
 
-func compareStrings(a, b string) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
-
 // mergeLists takes over the failure domains out and the gateway list; it reports whether one of them changed.
 func mergeLists(next *lease, a *controlpb.RenewAnswer) bool {
-	out := map[string]bool{}
-	for _, d := range a.GetDomainsOut() {
-		out[d] = true
-	}
-	changed := !maps.Equal(out, next.domainsOut)
-	next.domainsOut = out
+	config := next.config.WithDomainsOut(a.GetDomainsOut())
+	changed := !slices.Equal(config.DomainsOut, next.config.DomainsOut)
+	next.config = config
 	if a.GetGatewaysDigest() != next.gatewayHash || len(a.GetGateways()) > 0 {
 		next.gateways, next.gatewayHash = a.GetGateways(), a.GetGatewaysDigest()
 		changed = true
 	}
 	return changed
 }
+
+func domainsOf(c *document.Config) []string {
+	if c == nil {
+		return nil
+	}
+	return c.DomainsOut
+}
--- /dev/null
+++ b/gateway/marks.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"heatherwall.example/api/gossippb"
+)
+
+// Own returns the counts of this gateway that a gateway in a region may hold.
+func (m *poisonMarks) Own(now time.Duration, region string) []*gossippb.CrashMark {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var own []*gossippb.CrashMark
+	for f, mark := range m.marks {
+		if mark.counts[m.self] > 0 && mark.expires > now && permits(mark.regions, region) {
+			own = append(own, m.message(now, f, mark))
+		}
+	}
+	return own
+}
+
+func (m *poisonMarks) message(now time.Duration, f fingerprint, mark *crashMark) *gossippb.CrashMark {
+	return &gossippb.CrashMark{
+		Fingerprint: f[:], Count: uint32(mark.counts[m.self]),
+		RemainingMs: uint32((mark.expires - now).Milliseconds()), Regions: mark.regions,
+	}
+}
+
+func permits(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
+}
+
+func marksFor(region string, marks []*gossippb.CrashMark) []*gossippb.CrashMark {
+	var list []*gossippb.CrashMark
+	for _, m := range marks {
+		if permits(m.GetRegions(), region) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// takeNews returns the marks that changed since the last call. A mark with a count of 0 withdraws all others, because
+// the request has succeeded.
+func (m *poisonMarks) takeNews() []*gossippb.CrashMark {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	news := m.news
+	m.news = nil
+	return news
+}
+
+// Merge takes over the counts of another gateway. Marks that must not be held in the own region are dropped.
+func (m *poisonMarks) Merge(now time.Duration, from, region string, marks []*gossippb.CrashMark) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, in := range marks {
+		if len(in.GetFingerprint()) != fingerprintBytes || !permits(in.GetRegions(), region) || from == m.self {
+			continue
+		}
+		f := fingerprint(in.GetFingerprint())
+		if in.GetCount() == 0 {
+			delete(m.marks, f)
+			continue
+		}
+		mark := m.findOrAdd(now, f, in.GetRegions())
+		mark.counts[from] = max(mark.counts[from], int(in.GetCount()))
+		life := min(time.Duration(in.GetRemainingMs())*time.Millisecond, markLifetime)
+		mark.expires = max(mark.expires, now+life)
+	}
+}
--- /dev/null
+++ b/gateway/path_test.go
@@ -0,0 +1,489 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/telemetry"
+)
+
+// listSelector hands out servers in order.
+type listSelector struct {
+	addresses []string
+	hedge     time.Duration
+	onPick    func()
+
+	mu      sync.Mutex
+	results []result
+	open    int
+}
+
+func (s *listSelector) Pick(_ context.Context, q *query) (selection, *Refusal) {
+	if s.onPick != nil {
+		s.onPick()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.addresses {
+		if !slices.Contains(q.tried, a) {
+			s.open++
+			return &listSelection{selector: s, address: a}, nil
+		}
+	}
+	return nil, refuse(NoServer, "no more servers")
+}
+
+func (s *listSelector) HedgeAfter(string) (time.Duration, bool) { return s.hedge, s.hedge > 0 }
+
+type listSelection struct {
+	selector *listSelector
+	address  string
+}
+
+func (s *listSelection) Server() target {
+	return target{service: "labels", address: s.address, region: "north", domain: "north-a"}
+}
+
+func (s *listSelection) Done(r result) {
+	s.selector.mu.Lock()
+	defer s.selector.mu.Unlock()
+	s.selector.open--
+	s.selector.results = append(s.selector.results, r)
+}
+
+// fixedConfiguration is valid until expired is set.
+type fixedConfiguration struct {
+	lease   *lease
+	expired atomic.Bool
+}
+
+func (f *fixedConfiguration) Valid() (*lease, bool) { return f.lease, !f.expired.Load() }
+
+// stubClaims is a claimer on the stub of a control replica.
+type stubClaims struct {
+	controlStub
+	failure error
+	lost    bool
+}
+
+func (s *stubClaims) Claim(ctx context.Context, r *controlpb.ClaimRequest) (*controlpb.ClaimAnswer, bool, error) {
+	if s.failure != nil {
+		return nil, s.lost, s.failure
+	}
+	a, err := s.controlStub.Claim(ctx, r)
+	return a, false, err
+}
+
+func (s *stubClaims) Complete(ctx context.Context, r *controlpb.CompleteRequest) error {
+	_, err := s.controlStub.Complete(ctx, r)
+	return err
+}
+
+// pathFixture is a request path in front of stand-in backend servers.
+type pathFixture struct {
+	*requestPath
+	url           string
+	servers       *listSelector
+	claims        *stubClaims
+	configuration *fixedConfiguration
+}
+
+func newPathFixture(t testing.TB, addresses ...string) *pathFixture {
+	t.Helper()
+	config, err := compileSections(testSections(t))
+	must(t, err)
+	f := &pathFixture{servers: &listSelector{addresses: addresses}, configuration: &fixedConfiguration{lease: &lease{config: config}}}
+	f.claims = &stubClaims{controlStub: controlStub{claims: map[string]*controlpb.CompleteRequest{}, holder: map[string]*controlpb.ClaimRequest{}}}
+	transport := newTransport()
+	f.requestPath = &requestPath{
+		region: "north", maxRequests: 100, clock: newClock(), configuration: f.configuration, selector: f.servers, claims: f.claims,
+		holders: newHolderNames("gw-1", 1), poison: newPoisonMarks("gw-1"), transport: transport,
+		log: telemetry.NewLogger(io.Discard, telemetry.Info), counters: telemetry.NewCounters(),
+	}
+	server := httptest.NewServer(f.requestPath)
+	f.url = server.URL
+	t.Cleanup(func() {
+		server.Close()
+		f.background.Wait()
+		transport.CloseIdleConnections()
+		f.servers.mu.Lock()
+		defer f.servers.mu.Unlock()
+		if f.servers.open != 0 {
+			t.Errorf("%d attempts were never reported as done", f.servers.open)
+		}
+	})
+	return f
+}
+
+func (f *pathFixture) request(t testing.TB, method, path, body string, header ...string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	must(t, err)
+	r.Header.Set("Authorization", "Bearer "+testToken)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+// do sends a request and returns status and body; a broken answer gives the error in place of the body.
+func (f *pathFixture) do(t testing.TB, r *http.Request) (int, string, http.Header) {
+	t.Helper()
+	answer, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return answer.StatusCode, "broken: " + err.Error(), answer.Header
+	}
+	return answer.StatusCode, string(text), answer.Header
+}
+
+func newKey(t testing.TB) string {
+	t.Helper()
+	key, err := uuid.NewV7()
+	must(t, err)
+	return key.String()
+}
+
+func (f *pathFixture) expect(t testing.TB, r *http.Request, status int, parts ...string) {
+	t.Helper()
+	got, body, _ := f.do(t, r)
+	for _, part := range parts {
+		if !strings.Contains(body, part) {
+			t.Errorf("%s %s: body %q lacks %q", r.Method, r.URL.Path, body, part)
+		}
+	}
+	if got != status {
+		t.Errorf("%s %s: status %d, want %d: %s", r.Method, r.URL.Path, got, status, body)
+	}
+}
+
+// rawServer serves each connection with f and counts the requests it read.
+func rawServer(t testing.TB, f func(c net.Conn, r *http.Request)) (string, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	requests := &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for reader := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					requests.Add(1)
+					f(c, r)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+func write(c net.Conn, text string) { _, _ = io.WriteString(c, text) }
+
+func okServer(t testing.TB, f func(w http.ResponseWriter, r *http.Request)) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(f))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// Guards against a refusal with a wrong status, a wrong statement of whether the request ran, or none at all.
+func TestRefusalsBeforeAnyAttempt(t *testing.T) {
+	f := newPathFixture(t)
+	old, _ := uuid.NewRandom()
+	tests := []struct {
+		method, path, body string
+		header             []string
+		status             int
+		reason             Reason
+	}{
+		{"GET", "/read", "", []string{"Authorization", "Basic x"}, 401, Unauthenticated},
+		{"GET", "/read", "", []string{"Authorization", "Bearer wrong"}, 401, Unauthenticated},
+		{"GET", "/other", "", nil, 404, NoRule},
+		{"GET", "/read/%2e%2e/issue", "", nil, 404, NoRule},
+		{"POST", "/issue", "", []string{"Authorization", "Bearer " + southToken}, 403, NotAllowed},
+		{"GET", "/read", "", []string{"Authorization", "Bearer " + southToken}, 421, HomeRegion},
+		{"PUT", "/read", strings.Repeat("x", 65<<10), nil, 413, RequestTooLarge},
+		{"GET", "/read", "", []string{headerDepth, "8"}, 400, TooDeep},
+		{"GET", "/read", "", []string{headerDepth, "-1"}, 400, BadRequest},
+		{"GET", "/read", "", []string{headerDeadline, "0"}, 503, DeadlineTooShort},
+		{"POST", "/issue", "", nil, 400, KeyRequired},
+		{"POST", "/issue", "", []string{headerKey, old.String()}, 400, KeyInvalid},
+		{"GET", "/read", "", nil, 503, NoServer},
+	}
+	for _, tt := range tests {
+		f.expect(t, f.request(t, tt.method, tt.path, tt.body, tt.header...), tt.status, `"reason":"`+string(tt.reason)+`"`, `"ran":"no"`)
+		if f.counters.Counter("refusals", "reason", string(tt.reason)).Count() == 0 {
+			t.Errorf("%s: not counted", tt.reason)
+		}
+	}
+	f.configuration.expired.Store(true)
+	f.expect(t, f.request(t, "GET", "/read", ""), 503, string(ConfigurationStale))
+}
+
+// Guards against a refusal outside the home regions that first takes in the body.
+func TestForeignRequestIsRefusedBeforeItsBody(t *testing.T) {
+	f := newPathFixture(t)
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	must(t, err)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(testPatience))
+	write(c, "PUT /read HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+southToken+"\r\nContent-Length: 10\r\n\r\n")
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must(t, err)
+	body, _ := io.ReadAll(answer.Body)
+	if answer.StatusCode != 421 || !strings.Contains(string(body), `"regions":["south"]`) || !answer.Close {
+		t.Fatalf("answer: %v %s", answer, body)
+	}
+}
+
+// Guards against net/http or the gateway sending a request twice that is not idempotent and whose connection broke
+// after it was read, on a new and on a kept-alive connection.
+func TestNotIdempotentRequestArrivesOnce(t *testing.T) {
+	var fail atomic.Bool
+	address, count := rawServer(t, func(c net.Conn, r *http.Request) {
+		if fail.Load() {
+			reset(c)
+			return
+		}
+		write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	spare, spareCount := rawServer(t, func(c net.Conn, r *http.Request) { write(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") })
+	for _, body := range []string{"", "label"} {
+		f := newPathFixture(t, address, spare)
+		fail.Store(false)
+		f.expect(t, f.request(t, "POST", "/issue", body+"1", headerKey, newKey(t)), 200, "ok")
+		fail.Store(true)
+		before := count.Load()
+		f.expect(t, f.request(t, "POST", "/issue", body, headerKey, newKey(t)), 502, `"reason":"backend_failed"`, `"ran":"unknown"`)
+		if got := count.Load() - before; got != 1 || spareCount.Load() != 0 {
+			t.Errorf("body %q: arrived %d times, and %d times at the spare server", body, got, spareCount.Load())
+		}
+		fail.Store(false)
+		f.expect(t, f.request(t, "GET", "/read", ""), 200, "ok")
+		fail.Store(true)
+		before = count.Load()
+		f.expect(t, f.request(t, "GET", "/read", "", headerRetriesLeft, "0"), 502)
+		if got := count.Load() - before; got != 1 {
+			t.Errorf("GET without retries left arrived %d times", got)
+		}
+	}
+}
+
+// Guards against idempotent requests that are not retried, or retried by net/http itself beside the retry budget.
+func TestIdempotentRequestIsRetriedElsewhere(t *testing.T) {
+	broken, count := rawServer(t, func(c net.Conn, r *http.Request) { reset(c) })
+	f := newPathFixture(t, broken, okServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.Header.Get(headerRetriesLeft)+" "+r.Header.Get(headerDepth))
+	}))
+	f.expect(t, f.request(t, "GET", "/read", "", headerDepth, "3"), 200, "1 4")
+	if count.Load() != 1 || f.counters.Counter("retries", "reason", "broken").Count() != 1 {
+		t.Errorf("arrived %d times", count.Load())
+	}
+	f.expect(t, f.request(t, "GET", "/read", "", headerRetriesLeft, "0"), 502, `"ran":"unknown"`)
+}
+
+// Guards against a request that is lost, or sent twice, when a server sheds it or cannot be reached.
+func TestNotRunIsRetriedEvenIfNotIdempotent(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	_ = closed.Close()
+	shed := okServer(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerNotRun, "true")
+		w.WriteHeader(503)
+	})
+	var ran atomic.Int64
+	f := newPathFixture(t, closed.Addr().String(), shed, okServer(t, func(w http.ResponseWriter, r *http.Request) { ran.Add(1) }))
+	f.expect(t, f.request(t, "POST", "/issue", "x", headerKey, newKey(t)), 200)
+	if ran.Load() != 1 {
+		t.Errorf("ran %d times", ran.Load())
+	}
+	f.servers.addresses = []string{closed.Addr().String(), shed}
+	key := newKey(t)
+	f.expect(t, f.request(t, "POST", "/issue", "x", headerKey, key), 503, `"ran":"no"`)
+	eventually(t, "claim is given back", func() bool { f.background.Wait(); return f.claims.completed() == 2 })
+	f.servers.addresses = []string{okServer(t, func(w http.ResponseWriter, r *http.Request) {})}
+	f.expect(t, f.request(t, "POST", "/issue", "x", headerKey, key), 200)
+}
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// Guards against a part of an answer that the caller takes for the whole, and against answers of other requests.
+func TestIncompleteAndForeignAnswers(t *testing.T) {
+	tests := map[string]string{
+		"cut body":            "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart",
+		"cut chunk":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"foreign answer":      "HTTP/1.1 200 OK\r\nHeatherwall-Request-Id: other\r\nContent-Length: 4\r\n\r\npart",
+		"switching protocols": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, _ := rawServer(t, func(c net.Conn, r *http.Request) { write(c, text); _ = c.Close() })
+			f := newPathFixture(t, address)
+			status, body, _ := f.do(t, f.request(t, "POST", "/issue", "x", headerKey, newKey(t)))
+			if status == 200 && !strings.HasPrefix(body, "broken: ") {
+				t.Errorf("the caller got %d %q as a complete answer", status, body)
+			}
+		})
+	}
+	unwritten := newPathFixture(t, "127.0.0.1:1")
+	unwritten.transport = roundTrip(func(*http.Request) (*http.Response, error) {
+		return &http.Response{StatusCode: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("foreign"))}, nil
+	})
+	unwritten.expect(t, unwritten.request(t, "GET", "/read", ""), 503, `"ran":"no"`)
+	early, _ := rawServer(t, func(c net.Conn, r *http.Request) {
+		write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"+r.URL.Path[6:]+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n!!")
+	})
+	f := newPathFixture(t, early)
+	for i := range 200 {
+		path := []string{"/read/aa", "/read/bb"}[i%2]
+		if status, body, _ := f.do(t, f.request(t, "GET", path, "")); status == 200 && body != path[6:] {
+			t.Fatalf("request %d for %s got the answer %q", i, path, body)
+		}
+	}
+}
+
+// Guards against interim answers, trailers, hop-by-hop headers and Host that get lost or leak.
+func TestForwardingKeepsTheMessage(t *testing.T) {
+	f := newPathFixture(t, okServer(t, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusEarlyHints)
+		w.Header().Set("Trailer", "Sum")
+		w.Header().Set(headerState, stateReady)
+		w.Header().Set("X-Seen", r.Host+"|"+r.Header.Get("X-Hop")+r.Header.Get("Authorization")+"|"+r.Header.Get("X-End"))
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+		w.Header().Set("Sum", "42")
+	}))
+	r := f.request(t, "PUT", "/read", "hello", "Connection", "X-Hop", "X-Hop", "1", "X-End", "2", "Expect", "100-continue")
+	r.Host = "labels.example"
+	answer, err := http.DefaultTransport.RoundTrip(r)
+	must(t, err)
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	must(t, err)
+	if string(body) != "hello" || answer.Trailer.Get("Sum") != "42" || answer.Header.Get("X-Seen") != "labels.example||2" || answer.Header.Get(headerState) != "" {
+		t.Errorf("got %q, header %v, trailer %v", body, answer.Header, answer.Trailer)
+	}
+}
+
+// Guards against a late answer of a hedged attempt that reaches the caller, or an attempt that is not cancelled.
+func TestHedgeCancelsTheLoser(t *testing.T) {
+	canceled := make(chan struct{})
+	slow := okServer(t, func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done(); close(canceled) })
+	f := newPathFixture(t, slow, okServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "fast")
+		_ = http.NewResponseController(w).Flush()
+		<-canceled // the winner ends only after the loser was cancelled
+	}))
+	f.servers.hedge = time.Millisecond
+	f.expect(t, f.request(t, "GET", "/hedged", ""), 200, "fast")
+}
+
+// Guards against a caller's cancel or deadline that does not reach the backend server.
+func TestCancelAndDeadlineReachTheBackend(t *testing.T) {
+	started, ended := make(chan string, 2), make(chan struct{}, 2)
+	f := newPathFixture(t, okServer(t, func(w http.ResponseWriter, r *http.Request) {
+		started <- r.Header.Get(headerDeadline)
+		<-r.Context().Done()
+		ended <- struct{}{}
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-started; cancel() }()
+	if _, err := http.DefaultTransport.RoundTrip(f.request(t, "GET", "/read", "").WithContext(ctx)); !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+	<-ended
+	f.expect(t, f.request(t, "GET", "/read", "", headerDeadline, "80"), 504, `"reason":"deadline_exceeded"`, `"ran":"unknown"`)
+	if ms := <-started; len(ms) > 2 || ms > "80" {
+		t.Errorf("deadline at the backend server: %s ms", ms)
+	}
+	<-ended
+}
+
+// Guards against a first byte after the lease has run out between the check of the request and the sending.
+func TestLeaseIsCheckedAgainBeforeTheFirstByte(t *testing.T) {
+	address, count := rawServer(t, func(c net.Conn, r *http.Request) { write(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") })
+	f := newPathFixture(t, address)
+	f.expect(t, f.request(t, "GET", "/read", ""), 200)
+	f.servers.onPick = func() { f.configuration.expired.Store(true) }
+	f.expect(t, f.request(t, "GET", "/read", ""), 503, `"reason":"configuration_stale"`, `"ran":"no"`)
+	if count.Load() != 1 {
+		t.Errorf("the server got %d requests", count.Load())
+	}
+}
+
+// Guards against a key that runs twice, a kept answer that is not replayed, and a reused key that is accepted.
+func TestClaimsDecideWhetherARequestRuns(t *testing.T) {
+	var ran atomic.Int64
+	f := newPathFixture(t, okServer(t, func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		w.Header().Set("Location", "/labels/1")
+		w.WriteHeader(201)
+		_, _ = io.WriteString(w, strings.Repeat("x", len(r.URL.RawQuery)*1000))
+	}))
+	key, long := newKey(t), newKey(t)
+	f.expect(t, f.request(t, "POST", "/issue?a", "x", headerKey, key), 201)
+	f.expect(t, f.request(t, "POST", "/issue?aaaaa", "x", headerKey, long), 201)
+	eventually(t, "claims are completed", func() bool { return f.claims.completed() == 2 })
+	status, body, header := f.do(t, f.request(t, "POST", "/issue?a", "x", headerKey, key))
+	if status != 201 || len(body) != 1000 || header.Get(headerKept) != "true" || header.Get("Location") != "/labels/1" {
+		t.Errorf("kept answer: %d, %d bytes, %v", status, len(body), header)
+	}
+	f.expect(t, f.request(t, "POST", "/issue?aaaaa", "x", headerKey, long), 409, `"reason":"already_run"`, `"ran":"yes"`)
+	f.expect(t, f.request(t, "POST", "/issue?a", "y", headerKey, key), 422, `"reason":"key_reused"`, `"ran":"no"`)
+	f.claims.failure = &ClaimGroupError{Region: "north"}
+	f.expect(t, f.request(t, "POST", "/issue", "z", headerKey, newKey(t)), 503, string(ClaimsUnavailable), `"ran":"no"`)
+	f.claims.lost = true
+	f.expect(t, f.request(t, "POST", "/issue", "z", headerKey, newKey(t)), 503, string(ClaimsUnavailable), `"ran":"unknown"`)
+	if ran.Load() != 2 {
+		t.Errorf("ran %d times", ran.Load())
+	}
+}
+
+// Guards against a request that crashes one server after the other.
+func TestPoisonAfterTwoCrashes(t *testing.T) {
+	address, count := rawServer(t, func(c net.Conn, r *http.Request) { reset(c) })
+	f := newPathFixture(t, address)
+	for range 2 {
+		f.expect(t, f.request(t, "POST", "/free", "crash"), 502, `"ran":"unknown"`)
+	}
+	f.expect(t, f.request(t, "POST", "/free", "crash"), 503, `"reason":"poison"`, `"ran":"no"`)
+	f.expect(t, f.request(t, "POST", "/free", "other"), 502)
+	if count.Load() != 3 {
+		t.Errorf("arrived %d times", count.Load())
+	}
+}
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"heatherwall.example/api/gossippb"
 )
 
 // Limits of crash marks, see section 5.8 of docs/design.md.
@@ -11,6 +13,8 @@
 	markLifetime    = time.Minute
 	// maxMarks bounds the memory of marks; the oldest go first.
 	maxMarks = 10_000
+	// maxNews bounds the marks that wait to be pushed; exchanges of digests carry the rest.
+	maxNews = 256
 )
 
 // crashMark counts broken connections on which one request was in flight. Each gateway sends only its own counts, so
@@ -35,6 +39,7 @@
 
 	mu    sync.Mutex
 	marks map[fingerprint]*crashMark
+	news  []*gossippb.CrashMark
 }
 
 func newPoisonMarks(self string) *poisonMarks {
@@ -54,16 +59,31 @@
 
 // Suspect counts a broken connection with the request in flight and reports whether it is poison now.
 func (m *poisonMarks) Suspect(now time.Duration, f fingerprint, regions []string) bool {
-	return m.add(now, f, m.self, 1, regions, markLifetime)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mark := m.findOrAdd(now, f, regions)
+	mark.counts[m.self]++
+	mark.expires = now + markLifetime
+	m.addNews(m.message(now, f, mark))
+	return mark.total() >= poisonThreshold
 }
 
-// Clear forgets the marks of a request that succeeded and reports whether there were any.
-func (m *poisonMarks) Clear(now time.Duration, f fingerprint) bool {
+// Clear forgets the marks of a request that succeeded.
+func (m *poisonMarks) Clear(now time.Duration, f fingerprint) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	had := m.live(now, f) != nil
+	mark := m.live(now, f)
+	if mark == nil {
+		return
+	}
 	delete(m.marks, f)
-	return had
+	m.addNews(&gossippb.CrashMark{Fingerprint: f[:], RemainingMs: uint32(markLifetime.Milliseconds()), Regions: mark.regions})
+}
+
+func (m *poisonMarks) addNews(mark *gossippb.CrashMark) {
+	if len(m.news) < maxNews {
+		m.news = append(m.news, mark)
+	}
 }
 
 func (m *poisonMarks) live(now time.Duration, f fingerprint) *crashMark {
@@ -75,18 +95,14 @@
 	return mark
 }
 
-func (m *poisonMarks) add(now time.Duration, f fingerprint, gateway string, n int, regions []string, life time.Duration) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+func (m *poisonMarks) findOrAdd(now time.Duration, f fingerprint, regions []string) *crashMark {
 	mark := m.live(now, f)
 	if mark == nil {
 		m.makeRoom(now)
 		mark = &crashMark{counts: map[string]int{}, regions: regions}
 		m.marks[f] = mark
 	}
-	mark.counts[gateway] += n
-	mark.expires = max(mark.expires, now+life)
-	return mark.total() >= poisonThreshold
+	return mark
 }
 
 // makeRoom deletes expired marks, then the oldest one, when the table is full.
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -33,6 +33,8 @@
 type selector interface {
 	// Pick returns a selection, or a refusal whose Ran is RanNo.
 	Pick(ctx context.Context, q *query) (selection, *Refusal)
+	// HedgeAfter returns how long to wait before a request is hedged; false when hedging is of no use.
+	HedgeAfter(service string) (time.Duration, bool)
 }
 
 // selection is a backend server with a slot taken. Done is called exactly once and releases the slot.
--- /dev/null
+++ b/gateway/probe.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"heatherwall.example/balance"
+	"heatherwall.example/membership"
+)
+
+// Cost and duration of one probe.
+const (
+	probeTimeout = time.Second
+	// probeBytes is charged for a probe and its answer, packet headers included.
+	probeBytes        = 700
+	maxProbeBodyBytes = 1 << 10
+	probePath         = "/.heatherwall/state"
+)
+
+// probeReport is what a backend server answers to a probe.
+type probeReport struct {
+	state    balance.State
+	inflight int
+	slots    int
+}
+
+// prober asks a backend server for its state.
+type prober interface {
+	Probe(ctx context.Context, address string) (probeReport, error)
+}
+
+// ProbeError reports a probe answer without a usable state.
+type ProbeError struct {
+	Address string
+	Status  int
+}
+
+func (e *ProbeError) Error() string {
+	return "probe of " + e.Address + ": no state in the answer, status " + http.StatusText(e.Status)
+}
+
+// httpProber sends probes over its own connections, so that they do not wait behind requests.
+type httpProber struct {
+	client *http.Client
+}
+
+func newHTTPProber() *httpProber {
+	transport := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnectionTimeout, DisableCompression: true}
+	return &httpProber{client: &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+}
+
+// Probe implements prober.
+func (p *httpProber) Probe(ctx context.Context, address string) (probeReport, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+probePath, nil)
+	if err != nil {
+		return probeReport{}, err
+	}
+	answer, err := p.client.Do(request)
+	if err != nil {
+		return probeReport{}, err
+	}
+	defer answer.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxProbeBodyBytes))
+	report := answerReport(answer.Header)
+	state, ok := reportedState(report.state)
+	if !ok {
+		return probeReport{}, &ProbeError{Address: address, Status: answer.StatusCode}
+	}
+	return probeReport{state: state, inflight: report.inflight, slots: report.slots}, nil
+}
+
+// probe asks a server for evidence if the budget of measuring permits it; at most one probe for a server is under way.
+func (s *state) probe(ctx context.Context, now time.Duration, n balance.Notice) {
+	server, known := s.registry.Server(n.Address)
+	if !known || s.probing[n.Address] {
+		return
+	}
+	if !s.limiter.Take(now, s.scope(server.Record.GetRegion()), probeBytes) {
+		s.counters.Counter("measuring_denied", "kind", "probe").Inc(1)
+		return
+	}
+	s.probing[n.Address] = true
+	s.counters.Total("probes").Inc(1)
+	s.outgoing.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		report, err := s.prober.Probe(ctx, n.Address)
+		s.do(func(time.Duration) {
+			delete(s.probing, n.Address)
+			if err == nil {
+				s.probed(now, server, report)
+			}
+		})
+	})
+}
+
+// probed takes the answer to a probe sent at a given time. A server that drains is no evidence.
+func (s *state) probed(sent time.Duration, server membership.Server, r probeReport) {
+	address := server.Record.GetAddress()
+	if r.state != balance.StateDraining {
+		s.registry.Evidence(address, sent)
+	}
+	s.engine.Apply(balance.StateReported{Address: address, At: sent, State: r.state, InFlight: r.inflight, Slots: r.slots})
+}
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -106,7 +106,9 @@
 		a.done()
 		return
 	}
-	a.result.kind = interruptedKind(c)
+	if a.result.kind = interruptedKind(c); a.result.kind == resultBroken {
+		p.suspect(c)
+	}
 	p.complete(c, outcomeUnknown, nil)
 	a.done()
 	p.abortAnswer(a)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -13,6 +13,10 @@
 	"google.golang.org/grpc/credentials"
 
 	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/gossippb"
+	"heatherwall.example/balance"
+	"heatherwall.example/balance/budget"
+	"heatherwall.example/membership"
 	"heatherwall.example/settings"
 	"heatherwall.example/telemetry"
 )
@@ -57,17 +61,19 @@
 
 // daemon is one running gateway.
 type daemon struct {
-	settings *settings.Gateway
-	log      *telemetry.Logger
-	counters *telemetry.Counters
-	clock    clock
-	identity *identity
-	dial     dialFunc
+	settings   *settings.Gateway
+	log        *telemetry.Logger
+	counters   *telemetry.Counters
+	clock      clock
+	identity   *identity
+	toControl  *connections
+	toGateways *connections
 
 	lease  *leaseClient
 	claims *claimClient
-	state  *trivialState
+	state  *state
 	path   *requestPath
+	prober *httpProber
 
 	listeners map[string]net.Listener
 	servers   map[string]*http.Server
@@ -81,28 +87,47 @@
 		return nil, err
 	}
 	incarnation := uint64(time.Now().UnixMilli())
-	d := &daemon{settings: s, log: log, counters: telemetry.NewCounters(), clock: newClock(), identity: id, dial: dialPeers(id)}
+	dial := dialPeers(id)
+	d := &daemon{
+		settings: s, log: log, counters: telemetry.NewCounters(), clock: newClock(), identity: id,
+		toControl: newConnections(dial), toGateways: newConnections(dial), prober: newHTTPProber(),
+	}
+	poison := newPoisonMarks(s.Name)
+	d.state = &state{
+		name: s.Name, region: s.Region, clock: d.clock, registry: membership.New(s.Name, incarnation),
+		engine:  balance.New(balance.Config{Region: s.Region, FailureDomain: s.FailureDomain}),
+		limiter: budget.New(budget.Rates{}), poison: poison, peers: &grpcExchanger{d.toGateways}, prober: d.prober, log: log, counters: d.counters,
+		commands: make(chan func(time.Duration)), stopped: make(chan struct{}), probing: map[string]bool{},
+	}
 	d.lease = &leaseClient{
-		replicas: s.Control, dial: d.dial, compile: trivialCompile, clock: d.clock, log: log, counters: d.counters,
-		status: func() *controlpb.GatewayStatus { return d.status(incarnation) },
+		replicas: s.Control, dial: dial, compile: compileSections, clock: d.clock, log: log, counters: d.counters,
+		status: func() *controlpb.GatewayStatus { return d.status(incarnation) }, onChange: d.configure,
 	}
-	d.lease.onChange = func(*lease) {}
-	d.claims = newClaimClient(s.Control, func() map[string]string { return d.lease.Current().claimLeaders }, d.dial)
-	d.state = &trivialState{}
+	d.claims = newClaimClient(s.Control, func() map[string]string { return d.lease.Current().claimLeaders }, d.toControl)
 	d.path = &requestPath{
-		region: s.Region, maxRequests: int64(s.MaxRequests), clock: d.clock, configuration: d.lease, selector: d.state,
-		claims: d.claims, holders: newHolderNames(s.Name, incarnation), poison: newPoisonMarks(s.Name),
+		region: s.Region, maxRequests: int64(s.MaxRequests), clock: d.clock, configuration: d.lease, selector: &engineSelector{state: d.state},
+		claims: d.claims, holders: newHolderNames(s.Name, incarnation), poison: poison,
 		transport: newTransport(), log: log, counters: d.counters,
 	}
 	return d, nil
 }
 
+// configure passes a confirmed configuration on to the state goroutine.
+func (d *daemon) configure(l *lease) {
+	used := map[string]bool{}
+	for _, g := range l.gateways {
+		used[g.GetPeerAddress()] = true
+	}
+	d.toGateways.keepOnly(used)
+	d.state.configure(l)
+}
+
 func (d *daemon) status(incarnation uint64) *controlpb.GatewayStatus {
 	s := &controlpb.GatewayStatus{
 		Name: d.settings.Name, Incarnation: incarnation, Region: d.settings.Region, FailureDomain: d.settings.FailureDomain,
-		PeerAddress: d.settings.Peer.Address, Draining: d.path.draining.Load(), InFlight: map[string]uint32{},
+		PeerAddress: d.listeners["peer"].Addr().String(), Draining: d.path.stopping.Load(), InFlight: map[string]uint32{},
 	}
-	for domain := range d.lease.Current().domainsOut {
+	for _, domain := range domainsOf(d.lease.Current().config) {
 		s.InFlight[domain] = uint32(d.path.byDomain.get(domain))
 	}
 	return s
@@ -130,6 +155,7 @@
 		}
 	}
 	d.peers = grpc.NewServer(grpc.Creds(credentials.NewTLS(d.identity.serverConfig())), grpc.MaxRecvMsgSize(maxPeerMessageBytes))
+	gossippb.RegisterGossipServer(d.peers, &gossipService{state: d.state})
 	return nil
 }
 
@@ -167,6 +193,7 @@
 func (d *daemon) run(ctx context.Context, ready func(Addresses)) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	d.work.Go(func() { d.state.run(background) })
 	d.work.Go(func() { d.lease.Run(background) })
 	for name, server := range d.servers {
 		d.work.Go(func() { serveHTTP(server, d.listeners[name]) })
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -42,8 +42,8 @@
 // pick selects a server that was not tried before; q carries the flags hedge and retry.
 func (r *runner) pick(q *query) (selection, *Refusal) {
 	c := r.c
-	q.service, q.member, q.idempotent = c.rule.service.name, c.caller.member, c.rule.idempotent
-	q.regions, q.allRegions = c.regions, c.allRegions
+	q.service, q.member, q.idempotent = c.rule.Service.Name, c.caller.Tenant.Member.Name, c.rule.Idempotent
+	q.regions, q.allRegions = c.placement.RunIn.Names, c.placement.RunIn.Any
 	q.tried, q.deadline = r.tried, r.p.clock.now()+time.Until(c.deadline)
 	s, refusal := r.p.selector.Pick(c.ctx, q)
 	if refusal != nil {
@@ -57,19 +57,21 @@
 // attempt sends the request to a server, with a second one in parallel where the rule permits hedging.
 func (r *runner) attempt(s selection) *attempt {
 	a := r.p.startAttempt(r.c, s)
-	if !r.c.rule.idempotent || r.c.rule.hedge <= 0 {
-		r.p.send(r.c, a, r.retriesLeft)
-		return a
+	if r.c.rule.Idempotent && r.c.rule.Hedge {
+		if delay, ok := r.p.selector.HedgeAfter(r.c.rule.Service.Name); ok {
+			return r.hedged(a, delay)
+		}
 	}
-	return r.hedged(a)
+	r.p.send(r.c, a, r.retriesLeft)
+	return a
 }
 
-// hedged sends a second request when the first is slower than the rule's delay, and returns the first good answer. The
+// hedged sends a second request when the first takes longer than the delay, and returns the first good answer. The
 // other attempt is cancelled, and its answer is closed unread.
-func (r *runner) hedged(first *attempt) *attempt {
+func (r *runner) hedged(first *attempt, after time.Duration) *attempt {
 	finished := make(chan *attempt, 2)
 	r.sendAsync(first, finished)
-	delay := time.NewTimer(r.c.rule.hedge)
+	delay := time.NewTimer(after)
 	defer delay.Stop()
 	select {
 	case a := <-finished:
@@ -134,7 +136,7 @@
 
 // retryReason is empty when the request must not be sent again: it may have run and is not idempotent.
 func (r *runner) retryReason(a *attempt) string {
-	if a.mayHaveRun() && !r.c.rule.idempotent {
+	if a.mayHaveRun() && !r.c.rule.Idempotent {
 		return ""
 	}
 	switch a.result.kind {
--- /dev/null
+++ b/gateway/state.go
@@ -0,0 +1,391 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"heatherwall.example/api/gossippb"
+	"heatherwall.example/balance"
+	"heatherwall.example/balance/budget"
+	"heatherwall.example/membership"
+	"heatherwall.example/telemetry"
+)
+
+// Timing of the state goroutine.
+const (
+	engineTick   = 20 * time.Millisecond
+	registryTick = 100 * time.Millisecond
+)
+
+// state owns the membership registry and the balance engine. Only its goroutine touches them; others send it commands.
+type state struct {
+	name     string
+	region   string
+	clock    clock
+	registry *membership.Registry
+	engine   *balance.Engine
+	limiter  *budget.Limiter
+	poison   *poisonMarks
+	peers    exchanger
+	prober   prober
+	log      *telemetry.Logger
+	counters *telemetry.Counters
+
+	commands     chan func(now time.Duration)
+	stopped      chan struct{}
+	outgoing     sync.WaitGroup // exchanges and probes under way
+	probing      map[string]bool
+	lastRegistry time.Duration
+	nextExchange time.Duration
+	evidence     evidenceLog
+}
+
+// evidenceLog collects answers of servers for the registry without holding up the request path.
+type evidenceLog struct {
+	mu   sync.Mutex
+	seen map[string]time.Duration // time of sending by address
+}
+
+func (l *evidenceLog) add(address string, at time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seen == nil {
+		l.seen = map[string]time.Duration{}
+	}
+	l.seen[address] = max(l.seen[address], at)
+}
+
+func (l *evidenceLog) take() map[string]time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen := l.seen
+	l.seen = nil
+	return seen
+}
+
+// run is the owner goroutine; it ends with ctx, after the exchanges and probes under way.
+func (s *state) run(ctx context.Context) {
+	defer s.outgoing.Wait()
+	defer close(s.stopped)
+	ticker := time.NewTicker(engineTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-s.commands:
+			f(s.clock.now())
+			s.applyRegistry(s.clock.now())
+		case <-ticker.C:
+			s.tick(ctx, s.clock.now())
+		}
+	}
+}
+
+// do runs f in the owner goroutine and waits for it; it reports false when the daemon has stopped.
+func (s *state) do(f func(now time.Duration)) bool {
+	done := make(chan struct{})
+	command := func(now time.Duration) {
+		defer close(done)
+		f(now)
+	}
+	select {
+	case s.commands <- command:
+		<-done
+		return true
+	case <-s.stopped:
+		return false
+	}
+}
+
+func (s *state) tick(ctx context.Context, now time.Duration) {
+	s.engine.Tick(now)
+	if now-s.lastRegistry >= registryTick {
+		s.lastRegistry = now
+		for address, at := range s.evidence.take() {
+			s.registry.Evidence(address, at)
+		}
+		s.applyRegistry(now)
+		s.push(ctx, now)
+	}
+	if now >= s.nextExchange {
+		s.nextExchange = now + membership.ExchangeInterval
+		s.exchange(ctx, now)
+	}
+	for _, n := range s.engine.Notices() {
+		s.notice(ctx, now, n)
+	}
+}
+
+// applyRegistry passes the changes of the registry on to the engine.
+func (s *state) applyRegistry(now time.Duration) {
+	for _, e := range s.registry.Tick(now) {
+		address := e.Server.Record.GetAddress()
+		switch e.Kind {
+		case membership.ServerChanged:
+			s.engine.Apply(balance.ServerChanged{Server: engineServer(e.Server)})
+		case membership.ServerGone:
+			s.engine.Apply(balance.ServerRemoved{Address: address})
+		case membership.EvidenceSeen:
+			s.engine.Apply(balance.EvidenceSeen{Address: address, At: e.Server.Evidence})
+		case membership.SendRightChanged:
+			s.engine.Apply(balance.SendRightRenewed{Address: address, Until: e.Server.SendUntil})
+		}
+	}
+}
+
+func engineServer(s membership.Server) balance.Server {
+	r := s.Record
+	return balance.Server{
+		Address: r.GetAddress(), Service: r.GetService(), Region: r.GetRegion(), FailureDomain: r.GetFailureDomain(),
+		Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(), State: balance.State(r.GetState()),
+		Slots: int(r.GetSlots()), Connections: int(r.GetConnections()),
+		Owned: s.Owned, SendUntil: s.SendUntil, Evidence: s.Evidence,
+	}
+}
+
+// configure takes over a confirmed configuration.
+func (s *state) configure(l *lease) {
+	peers := make([]membership.Peer, 0, len(l.gateways))
+	for _, g := range l.gateways {
+		peers = append(peers, membership.Peer{ID: g.GetName(), Region: g.GetRegion(), Address: g.GetPeerAddress()})
+	}
+	s.limiter.SetRates(budget.Rates{WithinRegion: l.config.MeasuringWithin, AcrossRegions: l.config.MeasuringAcross})
+	s.do(func(time.Duration) {
+		s.registry.SetPeers(peers)
+		s.engine.Apply(engineConfiguration(l.config))
+	})
+}
+
+// Register implements registrar.
+func (s *state) Register(kind announceKind, a announcement) (uint64, error) {
+	var answer membership.Answer
+	err := error(&AnnounceError{http.StatusServiceUnavailable, announceNotReady, "the gateway is stopping"})
+	s.do(func(now time.Duration) {
+		in := membership.Announcement{Server: a.record(), Grant: a.Grant}
+		switch kind {
+		case kindAnnounce:
+			answer, err = s.registry.Announce(now, in)
+		case kindRenew:
+			answer, err = s.registry.Renew(now, in)
+		case kindLeave:
+			err = s.registry.Leave(now, in.Server)
+		}
+	})
+	return answer.Grant, registrationError(err)
+}
+
+func (a *announcement) record() *gossippb.Server {
+	states := map[string]gossippb.ServerState{
+		stateReady: gossippb.ServerState_SERVER_READY, stateCold: gossippb.ServerState_SERVER_COLD, stateDraining: gossippb.ServerState_SERVER_DRAINING,
+	}
+	return &gossippb.Server{
+		Service: a.Service, Address: a.Address, Region: a.Region, FailureDomain: a.FailureDomain,
+		Incarnation: a.Incarnation, Sequence: a.Sequence, State: states[a.State],
+		Slots: uint32(a.Slots), Connections: uint32(a.Connections),
+	}
+}
+
+// registrationError maps errors of the registry to answers of the announce endpoint.
+func registrationError(err error) error {
+	var unknown *membership.UnknownServerError
+	var outdated *membership.OutdatedError
+	var left *membership.LeftError
+	var invalid *membership.InvalidError
+	switch {
+	case errors.As(err, &unknown):
+		return &AnnounceError{http.StatusNotFound, announceUnknown, err.Error()}
+	case errors.As(err, &outdated), errors.As(err, &left):
+		return &AnnounceError{http.StatusConflict, announceStale, err.Error()}
+	case errors.As(err, &invalid):
+		return &AnnounceError{http.StatusBadRequest, announceInvalid, err.Error()}
+	}
+	return err
+}
+
+// notice acts on what the engine noticed.
+func (s *state) notice(ctx context.Context, now time.Duration, n balance.Notice) {
+	switch n.Kind {
+	case balance.NoticeProbe:
+		s.probe(ctx, now, n)
+	case balance.NoticeFallback:
+		s.fallback(ctx, now, n)
+	case balance.NoticeWarm:
+		s.registry.SetCold(n.Address, n.Incarnation, false)
+	case balance.NoticeEjected:
+		s.counters.Counter("ejections", "service", n.Service).Inc(1)
+		s.log.Log(eventServerEjected, telemetry.F("service", n.Service), telemetry.F("address", n.Address))
+	case balance.NoticeReturned:
+		s.log.Log(eventServerReturned, telemetry.F("service", n.Service), telemetry.F("address", n.Address))
+	}
+}
+
+// fallback records a return into cold start, or tells the owner of it.
+func (s *state) fallback(ctx context.Context, now time.Duration, n balance.Notice) {
+	s.log.Log(eventServerFellBack, telemetry.F("service", n.Service), telemetry.F("address", n.Address))
+	s.registry.SetCold(n.Address, n.Incarnation, true)
+	owner, request := s.registry.FallbackReport(now, n.Address, n.Incarnation)
+	if request == nil {
+		return
+	}
+	for _, p := range s.registry.Peers() {
+		if p.ID == owner {
+			s.send(ctx, now, p, request)
+		}
+	}
+}
+
+// engineSelector adapts the engine to the request path.
+type engineSelector struct {
+	state  *state
+	queues queues
+}
+
+// Pick implements selector. When every server is at its limit, the request waits for a short time in a queue that is
+// ordered by deadline.
+func (e *engineSelector) Pick(ctx context.Context, q *query) (selection, *Refusal) {
+	s, refusal := e.pick(q)
+	if refusal.Reason != balance.ReasonOverloaded || q.hedge || q.retry {
+		return s, pickRefusal(refusal)
+	}
+	queue := e.queues.get(q.service)
+	waiter, refusal := queue.Enter(e.state.clock.now(), q.deadline)
+	if refusal.Refused() {
+		return nil, pickRefusal(refusal)
+	}
+	defer queue.Leave(waiter)
+	limit := time.NewTimer(min(queueMaxWait, q.deadline-e.state.clock.now()))
+	defer limit.Stop()
+	select {
+	case <-waiter.Woken:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+	s, refusal = e.pick(q)
+	return s, pickRefusal(refusal)
+}
+
+// HedgeAfter implements selector.
+func (e *engineSelector) HedgeAfter(service string) (time.Duration, bool) {
+	return e.state.engine.Current().HedgeAfter(service)
+}
+
+func (e *engineSelector) pick(q *query) (selection, balance.Refusal) {
+	now := e.state.clock.now()
+	query := balance.Query{
+		Now: now, Service: q.service, Member: q.member, Regions: q.regions, AnyRegion: q.allRegions,
+		Idempotent: q.idempotent, Remaining: max(q.deadline-now, 1), Random: rand.Uint64(), Kind: attemptKind(q),
+	}
+	last := q.tried[max(0, len(q.tried)-balance.MaxExcluded):]
+	copy(query.Excluded[:], last)
+	a, refusal := e.state.engine.Current().Pick(query)
+	if refusal.Refused() {
+		return nil, refusal
+	}
+	return &engineSelection{selector: e, attempt: a, service: q.service, started: now}, refusal
+}
+
+func attemptKind(q *query) balance.AttemptKind {
+	switch {
+	case q.hedge:
+		return balance.AttemptHedge
+	case q.retry:
+		return balance.AttemptRetry
+	}
+	return balance.AttemptFirst
+}
+
+// pickRefusal maps refusals of the engine; nil means that the engine did not refuse.
+func pickRefusal(r balance.Refusal) *Refusal {
+	switch r.Reason {
+	case balance.ReasonNone:
+		return nil
+	case balance.ReasonNoServer:
+		return refuse(NoServer, "no backend server of the service may receive the request").after(r.RetryAfter)
+	case balance.ReasonServiceLimit:
+		return refuse(LimitService, "the service is at its limit at this gateway").after(r.RetryAfter)
+	case balance.ReasonMemberLimit:
+		return refuse(LimitMember, "the member is at its limit at this gateway").after(r.RetryAfter)
+	case balance.ReasonDeadline:
+		return refuse(DeadlineTooShort, "the remaining time is shorter than any answer takes")
+	case balance.ReasonBudget:
+		return refuse(Overloaded, "the budget of further attempts is spent").after(max(r.RetryAfter, time.Second))
+	}
+	return refuse(Overloaded, "every permitted backend server is at its limit").after(max(r.RetryAfter, time.Second))
+}
+
+// engineSelection is an attempt that the engine permitted.
+type engineSelection struct {
+	selector *engineSelector
+	attempt  balance.Attempt
+	service  string
+	started  time.Duration
+}
+
+// Server implements selection.
+func (s *engineSelection) Server() target {
+	return target{service: s.service, address: s.attempt.Address, region: s.attempt.Region, domain: s.attempt.FailureDomain}
+}
+
+// Done implements selection.
+func (s *engineSelection) Done(r result) {
+	o := balance.Outcome{Kind: outcomeKind(r.kind), Latency: r.latency, Pause: r.retryAfter, InFlight: r.inflight, Slots: r.slots}
+	o.State, o.Reported = reportedState(r.state)
+	s.attempt.Done(o)
+	if o.Reported && o.State != balance.StateDraining {
+		s.selector.state.evidence.add(s.attempt.Address, s.started)
+	}
+	s.selector.queues.get(s.service).Release(s.selector.state.clock.now())
+}
+
+func reportedState(text string) (balance.State, bool) {
+	switch text {
+	case stateReady:
+		return balance.StateReady, true
+	case stateCold:
+		return balance.StateCold, true
+	case stateDraining:
+		return balance.StateDraining, true
+	}
+	return balance.StateReady, false
+}
+
+func outcomeKind(k resultKind) balance.OutcomeKind {
+	switch k {
+	case resultAnswered:
+		return balance.OutcomeOK
+	case resultShed:
+		return balance.OutcomeNotRun
+	case resultUnreachable:
+		return balance.OutcomeNotConnected
+	case resultBroken:
+		return balance.OutcomeCrashed
+	case resultCanceled, resultNotSent:
+		return balance.OutcomeCanceled
+	}
+	return balance.OutcomeFailed
+}
+
+// Limits of the queue in front of servers that are at their limits.
+const (
+	queueMaxLength = 64
+	queueMaxWait   = 100 * time.Millisecond
+)
+
+// queues holds one queue for each service.
+type queues struct {
+	byService sync.Map // service name to *balance.Queue
+}
+
+func (q *queues) get(service string) *balance.Queue {
+	if found, ok := q.byService.Load(service); ok {
+		return found.(*balance.Queue)
+	}
+	made := balance.NewQueue(balance.QueueConfig{MaxLength: queueMaxLength, MaxWait: queueMaxWait})
+	stored, _ := q.byService.LoadOrStore(service, made)
+	return stored.(*balance.Queue)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -97,7 +97,7 @@
 
 // keptAnswer returns the answer to keep for repeats, or nil when it must not or cannot be kept.
 func keptAnswer(c *call, a *attempt, s streamed) *controlpb.KeptAnswer {
-	permitted := slices.Contains(c.rule.keepIn, c.rule.service.claimRegion)
+	permitted := c.placement.KeepIn.Contains(c.rule.Service.ClaimRegion)
 	if !permitted || !s.complete || len(s.head) > maxKeptBytes || len(a.answer.Trailer) > 0 {
 		return nil
 	}
--- a/gateway/thin_test.go
+++ b/gateway/thin_test.go
@@ -4,18 +4,52 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"heatherwall.example/api/controlpb"
+	"heatherwall.example/document"
 )
 
-func testSections() []*controlpb.Section {
-	return []*controlpb.Section{
-		{Name: "members/kerdrean", Revision: 1, Text: "tenants: {main: {callers: {web: {token_sha256: " + hexSum(testToken) + "}}}}\n"},
-		{Name: "services/labels", Revision: 1, Text: "credential_sha256: " + hexSum(testCredential) + "\nclaim_region: north\nrules:\n" +
-			"- {name: read, path: /read, methods: [GET, PUT], callers: [kerdrean/*], idempotent: true, deadline: 5s}\n" +
-			"- {name: issue, path: /issue, methods: [POST], callers: [kerdrean/main], deadline: 5s, keepin: [north]}\n"},
+const testDocument = `format: 1
+members:
+  kerdrean:
+    keys:
+      - {id: k1, public_key: "11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo="}
+    tenants:
+      main: {callers: [{name: web, token_sha256: TOKEN}]}
+      south: {home_regions: [south], callers: [{name: web, token_sha256: SOUTH}]}
+topology:
+  owner: kerdrean
+  regions: {north: [north-a, north-b], south: [south-a]}
+measuring: {owner: kerdrean, within_region: 1MiB, across_regions: 1MiB}
+services:
+  labels:
+    owner: kerdrean
+    credential_sha256: CREDENTIAL
+    claim_region: north
+    workers: 2
+    slots: 6
+    connections: 220
+    rules:
+      - {name: read, path: /read, methods: [GET, PUT], callers: ["kerdrean/*"], idempotent: true, deadline: 5s, max_body: 64KiB}
+      - {name: hedged, path: /hedged, methods: [GET], callers: [kerdrean/main], idempotent: true, deadline: 5s, hedge: true}
+      - {name: issue, path: /issue, methods: [POST], callers: [kerdrean/main], idempotent: false, deadline: 5s, home_regions: [north], keep_in: [north]}
+      - {name: free, path: /free, methods: [POST], callers: [kerdrean/main], idempotent: false, idempotency_key: optional, deadline: 5s, home_regions: [north], keep_in: [north]}
+`
+
+func testSections(t testing.TB) []*controlpb.Section {
+	t.Helper()
+	text := strings.NewReplacer("TOKEN", hexSum(testToken), "SOUTH", hexSum(southToken), "CREDENTIAL", hexSum(testCredential)).Replace(testDocument)
+	d, problems := document.Parse("test.yaml", []byte(text))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	var sections []*controlpb.Section
+	for _, s := range d.Sections() {
+		sections = append(sections, &controlpb.Section{Name: s.Name, Text: s.Text, Revision: 1})
 	}
+	return sections
 }
 
 func serverAnnouncement(address string) announcement {
@@ -25,7 +59,7 @@
 // Guards against a break anywhere between announcement, configuration lease and the request path.
 func TestOneRequestThroughTheGateway(t *testing.T) {
 	c := newCertificates(t)
-	g := startGateway(t, c, "gw-1", startControl(t, c, "control-1", testSections()))
+	g := startGateway(t, c, "gw-1", startControl(t, c, "control-1", testSections(t)))
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		_, _ = io.WriteString(w, r.Method+" "+r.URL.Path+" "+string(body)+" "+r.Header.Get("Authorization"))
