--- /dev/null
+++ b/testbed/bench/bench_test.go
@@ -0,0 +1,153 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"heatherwall.example/testbed/harness"
+	"heatherwall.example/testbed/load"
+	"heatherwall.example/testbed/localsetup"
+)
+
+const (
+	seed          = 20260101
+	limit         = 60 * time.Second
+	callRate      = 500
+	callRequests  = 5000
+	busyRate      = 1000
+	measuringTime = 8 * time.Second
+	changes       = 20
+)
+
+var gatewayCounts = []int{3, 6, 12, 18}
+
+var binaries harness.Binaries
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "heatherwall-bench")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	if binaries, err = harness.Build("../..", folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+func serving(b *testing.B, gateways int) (*harness.Cluster, *harness.ServerGroup) {
+	b.Helper()
+	o := harness.DefaultOptions()
+	o.Gateways = gateways
+	c := harness.NewCluster(b, binaries, o)
+	c.Apply(b, harness.Document())
+	c.Ready(b)
+	place := localsetup.Place{Region: harness.Near, FailureDomain: harness.NearFirst}
+	servers := c.StartServers(b, harness.Catalogue, place, 12, "-service-time", "1ms", "-journal", "")
+	harness.Eventually(b, limit, "registration", servers.Registered)
+	return c, servers
+}
+
+func runLoad(b *testing.B, o load.Options) load.Summary {
+	b.Helper()
+	s, err := load.Run(context.Background(), o)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if s.OK < s.Requests {
+		b.Logf("not every request was answered: %s", s.Line())
+	}
+	return s
+}
+
+// BenchmarkAddedTime compares calls through one gateway with direct calls to the same servers, the same seed and rate.
+func BenchmarkAddedTime(b *testing.B) {
+	c, servers := serving(b, 3)
+	o := load.Options{
+		Targets: harness.Targets()[:1], Rate: callRate, Requests: callRequests, Timeout: 10 * time.Second, Seed: seed,
+	}
+	direct, through := o, o
+	through.Gateways = c.Callers()[:1]
+	for _, address := range servers.Addresses {
+		direct.Gateways = append(direct.Gateways, load.Gateway{Address: address})
+	}
+	runLoad(b, through) // opens the connections
+	for b.Loop() {
+		base, added := runLoad(b, direct), runLoad(b, through)
+		b.ReportMetric(base.P50, "direct-p50-us")
+		b.ReportMetric(base.P99, "direct-p99-us")
+		b.ReportMetric(added.P50-base.P50, "added-p50-us")
+		b.ReportMetric(added.P99-base.P99, "added-p99-us")
+	}
+}
+
+// BenchmarkUsage reports what one replica and one gateway use at each number of gateways, idle and under load.
+func BenchmarkUsage(b *testing.B) {
+	for _, gateways := range gatewayCounts {
+		b.Run(fmt.Sprintf("gateways=%d", gateways), func(b *testing.B) {
+			c, _ := serving(b, gateways)
+			for b.Loop() {
+				report(b, c, "idle", func() { time.Sleep(measuringTime) })
+				report(b, c, "busy", func() {
+					runLoad(b, load.Options{
+						Gateways: c.Callers(), Targets: harness.Targets()[:1], Rate: busyRate,
+						Requests: int(busyRate * measuringTime.Seconds()), Timeout: 10 * time.Second, Seed: seed,
+					})
+				})
+			}
+		})
+	}
+}
+
+// report measures the leader and the first gateway while step runs.
+func report(b *testing.B, c *harness.Cluster, state string, step func()) {
+	b.Helper()
+	processes := map[string]*harness.Process{
+		"leader":  c.Process(c.Leader(b).Name),
+		"gateway": c.Process(c.Setup.Gateways[0].Name),
+	}
+	before := map[string]harness.Usage{}
+	for role, p := range processes {
+		before[role] = p.Usage(b)
+	}
+	step()
+	for role, p := range processes {
+		r := p.Usage(b).Since(before[role])
+		b.ReportMetric(r.CPUShare*100, state+"-"+role+"-cpu-%")
+		b.ReportMetric(r.BytesPerSecond, state+"-"+role+"-B/s")
+		b.ReportMetric(float64(r.Resident)/(1<<20), state+"-"+role+"-MiB")
+	}
+}
+
+// BenchmarkApply reports the time from sending a change to its acceptance, and to its being in force at 18 gateways.
+func BenchmarkApply(b *testing.B) {
+	c, _ := serving(b, gatewayCounts[len(gatewayCounts)-1])
+	o := c.Operator(b)
+	for b.Loop() {
+		var commit, inForce []time.Duration
+		for n := range changes {
+			accepted, everywhere := o.Measure(b, n, limit)
+			commit = append(commit, accepted)
+			inForce = append(inForce, everywhere)
+		}
+		b.ReportMetric(median(commit), "commit-p50-ms")
+		b.ReportMetric(milliseconds(slices.Max(commit)), "commit-max-ms")
+		b.ReportMetric(median(inForce), "in-force-p50-ms")
+		b.ReportMetric(milliseconds(slices.Max(inForce)), "in-force-max-ms")
+	}
+}
+
+func median(d []time.Duration) float64 {
+	slices.Sort(d)
+	return milliseconds(d[len(d)/2])
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/testbed/check/check.go
+++ b/testbed/check/check.go
@@ -55,6 +55,12 @@
 		r.Calls, r.Requests, r.Whole, r.RefusedNot, r.Unknown, r.Runs, r.Doubled, r.Misplaced, r.FalseNotRun, r.Mismatched, r.FellOver)
 }
 
+// ShortLine is what operators need of the report, on one line.
+func (r Report) ShortLine(title string) string {
+	return fmt.Sprintf("%s: calls=%d whole=%d refused_not_run=%d unknown=%d doubled=%d misplaced=%d",
+		title, r.Calls, r.Whole, r.RefusedNot, r.Unknown, r.Doubled, r.Misplaced)
+}
+
 // Sound reports whether there is no violation.
 func (r Report) Sound() bool { return len(r.Violations) == 0 }
 
--- a/testbed/cmd/standin/check.go
+++ b/testbed/cmd/standin/check.go
@@ -16,6 +16,7 @@
 	set := flag.NewFlagSet("check", flag.ContinueOnError)
 	set.StringVar(&servers, "servers", "", "journals of servers, separated by commas")
 	set.StringVar(&callers, "callers", "", "journals of callers, separated by commas")
+	title := set.String("title", "", "also print a short line that begins with this title")
 	if err := set.Parse(arguments); err != nil {
 		return exitUsage
 	}
@@ -30,6 +31,9 @@
 		fmt.Printf("%s: request %s: %s\n", v.Kind, v.Request, v.Detail)
 	}
 	fmt.Println(report.Line())
+	if *title != "" {
+		fmt.Println(report.ShortLine(*title))
+	}
 	if !report.Sound() {
 		return exitFailed
 	}
--- a/testbed/harness/cluster.go
+++ b/testbed/harness/cluster.go
@@ -172,6 +172,26 @@
 	return response.StatusCode
 }
 
+// Get makes a call with the token of the test caller and further headers, and returns the status, or 0 without one.
+func Get(t testing.TB, url string, header http.Header) int {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+Token)
+	client := http.Client{Timeout: CallLimit}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
 // Client runs the operators' client with a command, its flags and the client file.
 func (c *Cluster) Client(t testing.TB, command string, arguments ...string) Result {
 	t.Helper()
--- /dev/null
+++ b/testbed/harness/measure.go
@@ -0,0 +1,50 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+)
+
+// measuringSection is the section that changes of the tests edit.
+const measuringSection = "measuring"
+
+// Measure applies change number n to the section measuring and returns the times to its acceptance and to its being in
+// force at every gateway.
+func (o *Operator) Measure(t testing.TB, n int, limit time.Duration) (accepted, inForce time.Duration) {
+	t.Helper()
+	var base uint64
+	for _, s := range o.Sections().GetSections() {
+		if s.Name == measuringSection {
+			base = s.Revision
+		}
+	}
+	text := fmt.Sprintf("owner: %s\nwithin_region: %dKiB\nacross_regions: 16KiB\n", Member, 100+n)
+	signed := o.NewChange(t, measuringSection, base, text)
+	start := time.Now()
+	outcome := o.Apply(signed, limit)
+	accepted = time.Since(start)
+	if outcome.GetResult() != controlpb.ChangeResult_CHANGE_ACCEPTED {
+		t.Fatalf("change %d: %v", n, outcome)
+	}
+	o.awaitInForce(t, outcome.Revision, limit)
+	return accepted, time.Since(start)
+}
+
+func (o *Operator) awaitInForce(t testing.TB, revision uint64, limit time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for ctx.Err() == nil {
+		for _, i := range o.controls {
+			answer, err := controlpb.NewOperatorsClient(o.connections[i.Name]).InForce(ctx, &controlpb.InForceRequest{Revision: revision})
+			if err == nil && answer.InForce {
+				return
+			}
+		}
+	}
+	t.Fatalf("revision %d was not in force within %s", revision, limit)
+}
--- a/testbed/harness/operator.go
+++ b/testbed/harness/operator.go
@@ -87,24 +87,47 @@
 // Sections asks the replicas in turn for the newest document. It returns nil without an answer.
 func (o *Operator) Sections() *controlpb.GetAnswer {
 	for _, i := range o.controls {
-		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-		answer, err := controlpb.NewOperatorsClient(o.connections[i.Name]).Get(ctx, &controlpb.GetRequest{})
-		cancel()
-		if err == nil {
+		if answer := o.SectionsAt(i.Name); answer != nil {
 			return answer
 		}
 	}
 	return nil
 }
 
-// History returns the decided changes from a revision on; nil without an answer.
+// SectionsAt asks one replica for the newest document. It returns nil without an answer.
+func (o *Operator) SectionsAt(name string) *controlpb.GetAnswer {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	answer, err := controlpb.NewOperatorsClient(o.connections[name]).Get(ctx, &controlpb.GetRequest{})
+	if err != nil {
+		return nil
+	}
+	return answer
+}
+
+// History returns all decided changes from a revision on; nil if a page got no answer.
 func (o *Operator) History(from uint64) []*controlpb.HistoryEntry {
+	var all []*controlpb.HistoryEntry
+	for {
+		page := o.historyPage(from)
+		if page == nil {
+			return nil
+		}
+		if len(page.Entries) == 0 {
+			return all
+		}
+		all = append(all, page.Entries...)
+		from = page.Entries[len(page.Entries)-1].Revision + 1
+	}
+}
+
+func (o *Operator) historyPage(from uint64) *controlpb.HistoryAnswer {
 	for _, i := range o.controls {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		answer, err := controlpb.NewOperatorsClient(o.connections[i.Name]).History(ctx, &controlpb.HistoryRequest{FromRevision: from})
 		cancel()
 		if err == nil {
-			return answer.Entries
+			return answer
 		}
 	}
 	return nil
@@ -128,7 +151,7 @@
 func (o *Operator) Apply(signed *controlpb.SignedChange, limit time.Duration) *controlpb.ChangeOutcome {
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(applyPause) {
 		for _, i := range o.controls {
-			if outcome := o.applyAt(i.Name, signed); outcome != nil {
+			if outcome := o.ApplyAt(i.Name, signed); outcome != nil {
 				return outcome
 			}
 		}
@@ -136,7 +159,8 @@
 	return nil
 }
 
-func (o *Operator) applyAt(name string, signed *controlpb.SignedChange) *controlpb.ChangeOutcome {
+// ApplyAt sends a change to one replica. It returns nil unless that replica decided it.
+func (o *Operator) ApplyAt(name string, signed *controlpb.SignedChange) *controlpb.ChangeOutcome {
 	ctx, cancel := context.WithTimeout(context.Background(), applyTimeout)
 	defer cancel()
 	answer, err := controlpb.NewOperatorsClient(o.connections[name]).Apply(ctx, &controlpb.ApplyRequest{Change: signed})
@@ -145,3 +169,13 @@
 	}
 	return answer.Outcome
 }
+
+// ChangeID returns the ID of a signed change.
+func ChangeID(t testing.TB, signed *controlpb.SignedChange) string {
+	t.Helper()
+	change, err := document.DecodeChange(signed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return change.Id
+}
--- a/testbed/harness/roles.go
+++ b/testbed/harness/roles.go
@@ -20,6 +20,12 @@
 	return nil
 }
 
+// Identity is the identity of a replica in the configuration group; 0 without an answer.
+func (o *Operator) Identity(name string) uint64 { return o.configuration(name).GetId() }
+
+// Applied is the revision that a replica has applied, confirmed or not; 0 without an answer.
+func (o *Operator) Applied(name string) uint64 { return o.Status(name).GetRevision() }
+
 // Leader returns the control replica that leads the configuration group with a quorum behind it.
 func (c *Cluster) Leader(t testing.TB) localsetup.Instance {
 	t.Helper()
--- /dev/null
+++ b/testbed/process/main_test.go
@@ -0,0 +1,72 @@
+package process
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"heatherwall.example/testbed/harness"
+	"heatherwall.example/testbed/localsetup"
+)
+
+// Seeds and limits of this package. Limits are for liveness only and generous, because the machine may be busy.
+const (
+	seed  = 20260101
+	limit = 60 * time.Second
+)
+
+var (
+	binaries    harness.Binaries
+	nearFirst   = localsetup.Place{Region: harness.Near, FailureDomain: harness.NearFirst}
+	nearSecond  = localsetup.Place{Region: harness.Near, FailureDomain: harness.NearSecond}
+	farFirst    = localsetup.Place{Region: harness.Far, FailureDomain: harness.FarFirst}
+	serverFlags = []string{"-service-time", "3ms", "-shift-every", "50ms", "-shift-factor", "3", "-seed", "7"}
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "heatherwall-process")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	if binaries, err = harness.Build("../..", folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// serving starts a cluster with the test document in force.
+func serving(t *testing.T, relayed bool) *harness.Cluster {
+	t.Helper()
+	o := harness.DefaultOptions()
+	o.Relayed = relayed
+	c := harness.NewCluster(t, binaries, o)
+	c.Apply(t, harness.Document())
+	c.Ready(t)
+	return c
+}
+
+// startServers starts servers of every service and waits until each has an owner.
+func startServers(t *testing.T, c *harness.Cluster) []*harness.ServerGroup {
+	t.Helper()
+	groups := []*harness.ServerGroup{
+		c.StartServers(t, harness.Catalogue, nearFirst, 3, serverFlags...),
+		c.StartServers(t, harness.Catalogue, nearSecond, 3, serverFlags...),
+		c.StartServers(t, harness.Catalogue, farFirst, 3, serverFlags...),
+		c.StartServers(t, harness.Ledger, nearFirst, 3, serverFlags...),
+		c.StartServers(t, harness.Ledger, nearSecond, 3, serverFlags...),
+		c.StartServers(t, harness.Vault, nearFirst, 2, serverFlags...),
+		c.StartServers(t, harness.Vault, farFirst, 2, serverFlags...),
+	}
+	for _, g := range groups {
+		harness.Eventually(t, limit, g.Name+" registered", g.Registered)
+	}
+	return groups
+}
--- /dev/null
+++ b/testbed/process/schedule_test.go
@@ -0,0 +1,152 @@
+package process
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"heatherwall.example/testbed/harness"
+	"heatherwall.example/testbed/relay"
+)
+
+// requestsVariable names the environment variable with the number of requests of the schedule; the default takes about
+// 45 s. The full run has at least 100000 requests.
+const (
+	requestsVariable = "HEATHERWALL_SCHEDULE_REQUESTS"
+	defaultRequests  = 13500
+	scheduleRate     = 300
+	faultPause       = 1500 * time.Millisecond
+	longestFault     = 3 * time.Second
+)
+
+// schedule injects faults that come from a seed.
+type schedule struct {
+	t      *testing.T
+	c      *harness.Cluster
+	groups []*harness.ServerGroup
+	rand   *rand.Rand
+	counts map[string]int
+}
+
+// Guards against requests that run twice, run or are answered outside their home regions, are refused as not run
+// although they ran, or are answered in part or with another answer, under kills, freezes and silent cuts, with resends
+// through other gateways, also twice and at the same time.
+func TestFaultSchedule(t *testing.T) {
+	requests := defaultRequests
+	if text := os.Getenv(requestsVariable); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		requests = n
+	}
+	c := serving(t, true)
+	s := &schedule{t: t, c: c, groups: startServers(t, c), rand: rand.New(rand.NewPCG(seed, 0)), counts: map[string]int{}}
+	o, calls := c.NewLoad(t, "schedule", scheduleRate, requests, seed)
+	o.Resends = 3
+	o.TwinShare = 0.02
+	o.RetryRefused = true
+	o.FollowReadiness = true
+	o.Timeout = 6 * time.Second
+	end := time.Now().Add(time.Duration(requests) * time.Second / scheduleRate)
+	summary := during(t, o, func() {
+		for time.Now().Before(end) {
+			time.Sleep(faultPause)
+			s.fault()
+		}
+		s.recovers()
+	})
+	t.Logf("seed %d, faults %v", seed, s.counts)
+	if summary.OK == 0 {
+		t.Error("no request was answered")
+	}
+	c.CheckSafety(t, calls)
+}
+
+func (s *schedule) fault() {
+	faults := []struct {
+		name   string
+		inject func(time.Duration)
+	}{
+		{"gateway killed", s.killGateway},
+		{"leader killed", s.killLeader},
+		{"servers killed", s.killServers},
+		{"gateway frozen", s.freezeGateway},
+		{"leader frozen", s.freezeLeader},
+		{"servers frozen", s.freezeServers},
+		{"cut between two", s.cutPair},
+		{"replica cut off", s.cutReplica},
+	}
+	f := faults[s.rand.IntN(len(faults))]
+	s.counts[f.name]++
+	f.inject(time.Duration(s.rand.Int64N(int64(longestFault))))
+}
+
+func (s *schedule) killGateway(d time.Duration) {
+	g := s.c.Setup.Gateways[s.rand.IntN(len(s.c.Setup.Gateways))]
+	s.c.Process(g.Name).Kill()
+	time.Sleep(d)
+	s.c.StartGateway(s.t, g)
+}
+
+func (s *schedule) killLeader(d time.Duration) {
+	leader := s.c.Leader(s.t)
+	s.c.Process(leader.Name).Kill()
+	time.Sleep(d)
+	s.c.StartControl(s.t, leader, false)
+}
+
+func (s *schedule) killServers(d time.Duration) {
+	g := s.groups[s.rand.IntN(len(s.groups))]
+	g.Kill()
+	time.Sleep(d)
+	g.Restart(s.t, s.c)
+}
+
+func (s *schedule) freezeGateway(d time.Duration) {
+	freeze(s.c.Process(s.c.Setup.Gateways[s.rand.IntN(len(s.c.Setup.Gateways))].Name), d)
+}
+
+func (s *schedule) freezeLeader(d time.Duration) {
+	freeze(s.c.Process(s.c.Leader(s.t).Name), d)
+}
+
+func (s *schedule) freezeServers(d time.Duration) {
+	freeze(s.groups[s.rand.IntN(len(s.groups))].Process, d)
+}
+
+func freeze(p *harness.Process, d time.Duration) {
+	p.Freeze()
+	time.Sleep(d)
+	p.Thaw()
+}
+
+var directions = []relay.Direction{relay.Forward, relay.Backward, relay.Both}
+
+func (s *schedule) cutPair(d time.Duration) {
+	g := s.c.Setup.Gateways[s.rand.IntN(len(s.c.Setup.Gateways))].Name
+	r := s.c.Setup.Controls[s.rand.IntN(len(s.c.Setup.Controls))].Name
+	s.c.Cut(s.t, g, r, directions[s.rand.IntN(len(directions))])
+	time.Sleep(d)
+	s.c.Cut(s.t, g, r, relay.None)
+}
+
+func (s *schedule) cutReplica(d time.Duration) {
+	r := s.c.Setup.Controls[s.rand.IntN(len(s.c.Setup.Controls))].Name
+	s.c.Isolate(s.t, r, directions[s.rand.IntN(len(directions))])
+	time.Sleep(d)
+	s.c.Isolate(s.t, r, relay.None)
+}
+
+// recovers waits until every part works again after the last fault.
+func (s *schedule) recovers() {
+	s.t.Helper()
+	harness.Eventually(s.t, limit, "a full control group", func() bool { return s.c.Voters(s.t) == len(s.c.Setup.Controls) })
+	s.c.Ready(s.t)
+	for _, g := range s.groups {
+		before := g.Started()
+		harness.Eventually(s.t, limit, "work for "+g.Name, func() bool { return g.Registered() && g.Started() > before })
+	}
+}
