--- /dev/null
+++ b/balance/engine.go
@@ -0,0 +1,259 @@
+package balance
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Engine holds what one gateway knows for its decisions. Apply, Tick and Notices belong to one owner goroutine;
+// Current may be called by any goroutine.
+type Engine struct {
+	config   Config
+	now      time.Duration
+	servers  map[string]*record
+	services map[string]*serviceLoad
+	members  map[string]*memberLoad
+	out      map[string]bool
+	notices  []Notice
+	current  atomic.Pointer[Snapshot]
+
+	byService    map[string][]*record
+	serviceNames []string
+	uses         map[string]usage
+	lastFade     time.Duration
+	// works is scratch space.
+	works []float64
+}
+
+// record is what the owner goroutine knows of a server.
+type record struct {
+	server   Server
+	load     *serverLoad
+	probed   bool
+	probedAt time.Duration
+}
+
+// usage tells when a service was last used.
+type usage struct {
+	first uint64
+	at    time.Duration
+	used  bool
+}
+
+// New returns an engine without servers.
+func New(c Config) *Engine {
+	e := &Engine{
+		config:   c.withDefaults(),
+		servers:  map[string]*record{},
+		services: map[string]*serviceLoad{},
+		members:  map[string]*memberLoad{},
+		out:      map[string]bool{},
+		uses:     map[string]usage{},
+	}
+	e.publish()
+	return e
+}
+
+// Current returns the newest snapshot.
+func (e *Engine) Current() *Snapshot { return e.current.Load() }
+
+// Notices returns the notices since the last call.
+func (e *Engine) Notices() []Notice {
+	n := e.notices
+	e.notices = nil
+	return n
+}
+
+// Apply takes an event. Events that change the structure publish a new snapshot.
+func (e *Engine) Apply(ev Event) {
+	switch ev := ev.(type) {
+	case ServerChanged:
+		e.change(ev.Server)
+	case ServerRemoved:
+		delete(e.servers, ev.Address)
+	case Configured:
+		e.configure(ev)
+	case EvidenceSeen:
+		e.seen(ev)
+		return
+	case SendRightRenewed:
+		e.renewed(ev)
+		return
+	case StateReported:
+		e.stateReported(ev)
+		return
+	case Ticked:
+		e.Tick(ev.Now)
+		return
+	}
+	e.publish()
+}
+
+// change keeps the load of a server unless its incarnation rises. What answers reported is valid until the server
+// announces something newer.
+func (e *Engine) change(s Server) {
+	old := e.servers[s.Address]
+	if old != nil && s.Incarnation < old.server.Incarnation {
+		return
+	}
+	r := &record{server: s}
+	if old != nil && old.server.Incarnation == s.Incarnation {
+		r.load = old.load
+		e.compareAnnouncements(r, old.server)
+	} else {
+		r.load = &serverLoad{}
+	}
+	r.load.evidence.raise(s.Evidence)
+	r.load.sendUntil.store(s.SendUntil)
+	e.servers[s.Address] = r
+}
+
+func (e *Engine) compareAnnouncements(r *record, old Server) {
+	if r.server.Sequence > old.Sequence || r.server.State != StateReady {
+		r.load.reported.Store(uint32(StateReady))
+	}
+	if r.server.State == StateCold && old.State != StateCold {
+		r.load.cold.begin()
+	}
+	if r.server.State == StateReady && old.State == StateCold {
+		r.load.cold.fallback.store(0)
+		r.load.latency.reset()
+	}
+}
+
+func (e *Engine) seen(ev EvidenceSeen) {
+	if r := e.servers[ev.Address]; r != nil {
+		r.load.evidence.raise(ev.At)
+	}
+}
+
+func (e *Engine) renewed(ev SendRightRenewed) {
+	if r := e.servers[ev.Address]; r != nil {
+		r.load.sendUntil.raise(ev.Until)
+	}
+}
+
+func (e *Engine) stateReported(ev StateReported) {
+	r := e.servers[ev.Address]
+	if r == nil {
+		return
+	}
+	r.load.reported.Store(uint32(ev.State))
+	if ev.Slots > 0 {
+		r.load.report.add(ev.At, int64(ev.InFlight), r.load.inFlight.Load())
+	}
+	if ev.State <= StateCold {
+		r.load.evidence.raise(ev.At)
+	}
+}
+
+func (e *Engine) configure(ev Configured) {
+	e.setDomains(ev.DomainsOut)
+	for _, s := range e.services {
+		s.limit.Store(0)
+	}
+	for _, l := range ev.Services {
+		e.service(l.Service).limit.Store(int64(l.MaxInFlight))
+	}
+	for _, m := range e.members {
+		m.limit.Store(0)
+	}
+	for _, l := range ev.Members {
+		if e.members[l.Member] == nil {
+			e.members[l.Member] = &memberLoad{}
+		}
+		e.members[l.Member].limit.Store(int64(l.MaxInFlight))
+	}
+}
+
+// setDomains starts the gradual return of servers whose failure domain is no longer out.
+func (e *Engine) setDomains(out []string) {
+	before := e.out
+	e.out = map[string]bool{}
+	for _, d := range out {
+		e.out[d] = true
+	}
+	for _, r := range e.servers {
+		d := r.server.FailureDomain
+		if before[d] && !e.out[d] {
+			r.load.latency.reset()
+			r.load.returnStart.store(e.now)
+		}
+	}
+}
+
+func (e *Engine) service(name string) *serviceLoad {
+	if e.services[name] == nil {
+		e.services[name] = &serviceLoad{}
+	}
+	return e.services[name]
+}
+
+// publish builds a snapshot; servers are in the order of their addresses.
+func (e *Engine) publish() {
+	s := &Snapshot{config: e.config, services: map[string]*serviceView{}, members: map[string]*memberLoad{}}
+	for name, m := range e.members {
+		s.members[name] = m
+	}
+	e.index()
+	for _, name := range e.serviceNames {
+		for _, r := range e.byService[name] {
+			e.add(s, r)
+		}
+	}
+	e.current.Store(s)
+}
+
+func (e *Engine) add(s *Snapshot, r *record) {
+	v := s.services[r.server.Service]
+	if v == nil {
+		v = &serviceView{load: e.service(r.server.Service)}
+		s.services[r.server.Service] = v
+	}
+	if !e.mayReceive(r) {
+		return
+	}
+	t := e.tier(r.server)
+	v.tiers[t] = append(v.tiers[t], candidate{
+		server: r.server, load: r.load, slots: slots(r.server), cost: e.cost(r.server),
+	})
+}
+
+func slots(s Server) int64 { return int64(max(s.Slots, 1)) }
+
+// cost is the round trip to a server, by its place.
+func (e *Engine) cost(s Server) time.Duration {
+	switch {
+	case e.config.Switches.NoTiers:
+		return 0
+	case s.Region != e.config.Region:
+		return e.config.SpillCost
+	case s.FailureDomain != e.config.FailureDomain:
+		return e.config.RegionCost
+	}
+	return 0
+}
+
+// mayReceive rules out servers that no query may pick, whatever their load.
+func (e *Engine) mayReceive(r *record) bool {
+	if e.out[r.server.FailureDomain] {
+		return false
+	}
+	switch r.server.State {
+	case StateReady:
+		return true
+	case StateCold:
+		return r.server.Owned
+	}
+	return false
+}
+
+func (e *Engine) tier(s Server) int {
+	if e.config.Switches.NoTiers || s.FailureDomain == e.config.FailureDomain {
+		return tierDomain
+	}
+	if s.Region == e.config.Region {
+		return tierRegion
+	}
+	return tierOther
+}
--- /dev/null
+++ b/gateway/admin.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// Limits of the announce and admin listeners.
+const (
+	smallHeaderBytes = 16 << 10
+	adminTimeout     = 10 * time.Second
+	readyPath        = "/readyz"
+)
+
+// callerServer serves callers, and /readyz for the platform's balancer.
+func (d *daemon) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           d.callerHandler(),
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+	}
+}
+
+// callerHandler keeps requests of callers away from the mux, which would redirect paths that are not clean.
+func (d *daemon) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+readyPath, d.serveReady)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == readyPath {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		d.path.ServeHTTP(w, r)
+	})
+}
+
+func (d *daemon) announceServer() *http.Server {
+	s := &announceServer{configuration: d.lease, registrar: d.state, log: d.log, counters: d.counters}
+	return smallServer(s.handler(), announceTimeout)
+}
+
+func (d *daemon) adminServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeStatus(w, http.StatusOK, "ok") })
+	mux.HandleFunc("GET "+readyPath, d.serveReady)
+	mux.Handle("GET /metrics", d.counters)
+	return smallServer(mux, adminTimeout)
+}
+
+func smallServer(h http.Handler, timeout time.Duration) *http.Server {
+	return &http.Server{Handler: h, MaxHeaderBytes: smallHeaderBytes, ReadHeaderTimeout: timeout, ReadTimeout: timeout, WriteTimeout: timeout, IdleTimeout: callerIdleTimeout}
+}
+
+// serveReady answers 200 only while this gateway may serve requests.
+func (d *daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	_, valid := d.lease.Valid()
+	switch {
+	case d.path.stopping.Load():
+		writeStatus(w, http.StatusServiceUnavailable, string(Draining))
+	case !valid:
+		writeStatus(w, http.StatusServiceUnavailable, string(ConfigurationStale))
+	default:
+		writeStatus(w, http.StatusOK, "ready")
+	}
+}
+
+func writeStatus(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text + "\n"))
+}
--- /dev/null
+++ b/gateway/poison.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"heatherwall.example/api/gossippb"
+)
+
+// Limits of crash marks, see section 5.8 of docs/design.md.
+const (
+	poisonThreshold = 2
+	markLifetime    = time.Minute
+	// maxMarks bounds the memory of marks; the oldest go first.
+	maxMarks = 10_000
+	// maxNews bounds the marks that wait to be pushed; exchanges of digests carry the rest.
+	maxNews = 256
+)
+
+// crashMark counts broken connections on which one request was in flight. Each gateway sends only its own counts, so
+// the sum over gateways counts every break once.
+type crashMark struct {
+	counts  map[string]int // by gateway
+	expires time.Duration
+	regions []string // regions that may hold the mark; empty for all
+}
+
+func (m *crashMark) total() int {
+	n := 0
+	for _, c := range m.counts {
+		n += c
+	}
+	return n
+}
+
+// poisonMarks holds the crash marks known to one gateway. It is safe for use by several goroutines.
+type poisonMarks struct {
+	self string
+
+	mu    sync.Mutex
+	marks map[fingerprint]*crashMark
+	news  []*gossippb.CrashMark
+}
+
+func newPoisonMarks(self string) *poisonMarks {
+	return &poisonMarks{self: self, marks: map[fingerprint]*crashMark{}}
+}
+
+// Remaining returns how long the request is still refused; 0 when it is not.
+func (m *poisonMarks) Remaining(now time.Duration, f fingerprint) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mark := m.live(now, f)
+	if mark == nil || mark.total() < poisonThreshold {
+		return 0
+	}
+	return mark.expires - now
+}
+
+// Suspect counts a broken connection with the request in flight and reports whether it is poison now.
+func (m *poisonMarks) Suspect(now time.Duration, f fingerprint, regions []string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mark := m.findOrAdd(now, f, regions)
+	mark.counts[m.self]++
+	mark.expires = now + markLifetime
+	m.addNews(m.message(now, f, mark))
+	return mark.total() >= poisonThreshold
+}
+
+// Clear forgets the marks of a request that succeeded.
+func (m *poisonMarks) Clear(now time.Duration, f fingerprint) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mark := m.live(now, f)
+	if mark == nil {
+		return
+	}
+	delete(m.marks, f)
+	m.addNews(&gossippb.CrashMark{Fingerprint: f[:], RemainingMs: uint32(markLifetime.Milliseconds()), Regions: mark.regions})
+}
+
+func (m *poisonMarks) addNews(mark *gossippb.CrashMark) {
+	if len(m.news) < maxNews {
+		m.news = append(m.news, mark)
+	}
+}
+
+func (m *poisonMarks) live(now time.Duration, f fingerprint) *crashMark {
+	mark := m.marks[f]
+	if mark != nil && mark.expires <= now {
+		delete(m.marks, f)
+		return nil
+	}
+	return mark
+}
+
+func (m *poisonMarks) findOrAdd(now time.Duration, f fingerprint, regions []string) *crashMark {
+	mark := m.live(now, f)
+	if mark == nil {
+		m.makeRoom(now)
+		mark = &crashMark{counts: map[string]int{}, regions: regions}
+		m.marks[f] = mark
+	}
+	return mark
+}
+
+// makeRoom deletes expired marks, then the oldest one, when the table is full.
+func (m *poisonMarks) makeRoom(now time.Duration) {
+	if len(m.marks) < maxMarks {
+		return
+	}
+	var oldest fingerprint
+	first := true
+	for f, mark := range m.marks {
+		if mark.expires <= now {
+			delete(m.marks, f)
+			continue
+		}
+		if first || mark.expires < m.marks[oldest].expires {
+			oldest, first = f, false
+		}
+	}
+	if len(m.marks) >= maxMarks {
+		delete(m.marks, oldest)
+	}
+}
