--- /dev/null
+++ b/cmd/heatherwall/internal/operator/key.go
@@ -0,0 +1,70 @@
+package operator
+
+import (
+	"crypto/rand"
+	"fmt"
+	"os"
+
+	"heatherwall.example/document"
+)
+
+const keyMode = 0o600
+
+// keyResult is the JSON form of the public part of a key.
+type keyResult struct {
+	Signer    string `json:"signer"`
+	ID        string `json:"id"`
+	PublicKey string `json:"public_key"`
+}
+
+// runKey makes a key file, or shows the public part of one. It never replaces a file.
+func runKey(c *call, args []string) error {
+	c.addJSONFlag()
+	signer := c.flags.String("signer", "", "`MEMBER` or MEMBER/TEAM that the new key signs for")
+	id := c.flags.String("key-id", "k1", "`name` of the new key in the document")
+	positional, err := c.parse(args, 2)
+	if err != nil {
+		return err
+	}
+	switch positional[0] {
+	case "new":
+		return c.newKey(*signer, *id, positional[1])
+	case "show":
+		key, err := readKey(positional[1])
+		if err != nil {
+			return err
+		}
+		return c.writeKey(key)
+	}
+	return c.usage("expected new or show, got " + positional[0])
+}
+
+func (c *call) newKey(signer, id, file string) error {
+	if signer == "" {
+		return c.usage("expected -signer")
+	}
+	key, err := document.NewKey(signer, id, rand.Reader)
+	if err != nil {
+		return c.usage(err.Error())
+	}
+	f, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, keyMode)
+	if err != nil {
+		return &FileError{File: file, Cause: err}
+	}
+	if _, err := f.Write(key.File()); err != nil {
+		f.Close()
+		return &FileError{File: file, Cause: err}
+	}
+	if err := f.Close(); err != nil {
+		return &FileError{File: file, Cause: err}
+	}
+	return c.writeKey(key)
+}
+
+func (c *call) writeKey(key *document.PrivateKey) error {
+	if c.options.json {
+		return c.writeJSON(keyResult{Signer: key.Signer, ID: key.ID, PublicKey: key.Public()})
+	}
+	fmt.Fprintf(c.stdout, "# for %s\n- {id: %s, public_key: %s}\n", key.Signer, key.ID, key.Public())
+	return nil
+}
--- /dev/null
+++ b/cmd/heatherwall/internal/operator/output.go
@@ -0,0 +1,144 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/document"
+)
+
+const jsonIndent = "  "
+
+func (c *call) writeJSON(value any) error {
+	e := json.NewEncoder(c.stdout)
+	e.SetIndent("", jsonIndent)
+	e.SetEscapeHTML(false)
+	return e.Encode(value)
+}
+
+// writeMessage writes a message as JSON with the field names of the protocol. Numbers of 64 bits are strings.
+func (c *call) writeMessage(m proto.Message) error {
+	text, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(m)
+	if err != nil {
+		return err
+	}
+	var b bytes.Buffer
+	if err := json.Indent(&b, text, "", jsonIndent); err != nil {
+		return err
+	}
+	b.WriteByte('\n')
+	_, err = b.WriteTo(c.stdout)
+	return err
+}
+
+// changeResult is the JSON form of the outcome of a change.
+type changeResult struct {
+	ID         string          `json:"id,omitempty"`
+	Result     string          `json:"result"`
+	Revision   uint64          `json:"revision"`
+	InForce    bool            `json:"in_force,omitempty"`
+	WaitingFor []string        `json:"waiting_for,omitempty"`
+	Problems   []problemResult `json:"problems,omitempty"`
+	Conflicts  []sectionResult `json:"conflicts,omitempty"`
+}
+
+// resultName gives accepted, pending, conflict, invalid, unauthorized or nothing.
+func resultName(r controlpb.ChangeResult) string {
+	return strings.ToLower(strings.TrimPrefix(r.String(), "CHANGE_"))
+}
+
+// locate gives FILE:LINE:COLUMN of a path, or an empty text.
+type locate func(path string) string
+
+// conclude writes the outcome of a change, after waiting if asked to.
+func (c *call) conclude(ctx context.Context, r *replicas, id string, o *controlpb.ChangeOutcome, at locate) error {
+	result := changeResult{ID: id, Result: resultName(o.GetResult()), Revision: o.GetRevision(), WaitingFor: o.GetWaitingFor()}
+	for _, p := range o.GetProblems() {
+		result.Problems = append(result.Problems, problemResult{Path: p.GetPath(), Expected: p.GetExpected(), Reason: p.GetReason()})
+	}
+	var waitError error
+	if c.options.wait && isDone(o) {
+		waitError = c.waitInForce(ctx, r, o.GetRevision())
+		result.InForce = waitError == nil
+	}
+	if err := c.writeResult(result, at); err != nil {
+		return err
+	}
+	if waitError != nil {
+		return waitError
+	}
+	if !isDone(o) && o.GetResult() != controlpb.ChangeResult_CHANGE_PENDING {
+		return &RefusedError{Fault: result.Result}
+	}
+	return nil
+}
+
+func isDone(o *controlpb.ChangeOutcome) bool {
+	done := []controlpb.ChangeResult{controlpb.ChangeResult_CHANGE_ACCEPTED, controlpb.ChangeResult_CHANGE_NOTHING}
+	return slices.Contains(done, o.GetResult())
+}
+
+func (c *call) writeResult(result changeResult, at locate) error {
+	if c.options.json {
+		return c.writeJSON(result)
+	}
+	switch result.Result {
+	case "accepted":
+		fmt.Fprintf(c.stdout, "accepted as revision %d (change %s)\n", result.Revision, result.ID)
+	case "nothing":
+		fmt.Fprintf(c.stdout, "nothing to change; revision %d is in place\n", result.Revision)
+	case "pending":
+		fmt.Fprintf(c.stdout, "pending; waiting for the approval of: %s\n", strings.Join(result.WaitingFor, ", "))
+	default:
+		fmt.Fprintf(c.stdout, "%s at revision %d (change %s)\n", result.Result, result.Revision, result.ID)
+	}
+	for _, p := range result.Problems {
+		fmt.Fprintln(c.stdout, strings.TrimPrefix(fmt.Sprintf("%s: %s: %s", at(p.Path), p.Path, p.Expected), ": "))
+	}
+	if result.InForce {
+		fmt.Fprintf(c.stdout, "in force at every gateway\n")
+	}
+	return nil
+}
+
+func noPlace(string) string { return "" }
+
+// writeUnsent writes what a file without changes means.
+func (c *call) writeUnsent(p plan, revision uint64) error {
+	if p.waiting != nil {
+		return c.writeResult(changeResult{Result: "pending", Revision: revision, WaitingFor: p.waiting.GetWaitingFor()}, noPlace)
+	}
+	return c.writeResult(changeResult{Result: "nothing", Revision: revision}, noPlace)
+}
+
+// writeConflict writes the three versions of the sections in conflict.
+func (c *call) writeConflict(id string, o *controlpb.ChangeOutcome, base, mine []document.Section) error {
+	var names []string
+	var theirs []document.Section
+	for _, s := range o.GetConflicts() {
+		names = append(names, s.GetName())
+		if s.GetRevision() != 0 {
+			theirs = append(theirs, document.Section{Name: s.GetName(), Text: s.GetText()})
+		}
+	}
+	other := func(s document.Section) bool { return !slices.Contains(names, s.Name) }
+	differences := document.Diff(slices.DeleteFunc(base, other), slices.DeleteFunc(slices.Clone(mine), other), theirs)
+	refusal := &RefusedError{Fault: "conflict with revision " + fmt.Sprint(o.GetRevision()) + "; get the newest document and make the change again"}
+	if c.options.json {
+		result := changeResult{ID: id, Result: resultName(o.GetResult()), Revision: o.GetRevision(), Conflicts: sectionResults(differences)}
+		if err := c.writeJSON(result); err != nil {
+			return err
+		}
+		return refusal
+	}
+	fmt.Fprintf(c.stdout, "conflict at revision %d (change %s)\n%s", o.GetRevision(), id, document.RenderDiff(differences))
+	return refusal
+}
--- /dev/null
+++ b/cmd/heatherwall/internal/operator/read.go
@@ -0,0 +1,162 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/document"
+)
+
+const documentMode = 0o644
+
+// runGet writes a document with the field revision, from which apply and diff know what a file was made from.
+func runGet(c *call, args []string) error {
+	c.addConnectionFlags()
+	revision := c.flags.Uint64("revision", 0, "`revision` of the document; 0 is the newest one")
+	output := c.flags.String("o", "", "`file` to write instead of standard output")
+	answer, err := read(c, args, func(ctx context.Context, client controlpb.OperatorsClient) (*controlpb.GetAnswer, error) {
+		return client.Get(ctx, &controlpb.GetRequest{Revision: *revision})
+	})
+	if err != nil {
+		return err
+	}
+	if c.options.json {
+		return c.writeMessage(answer)
+	}
+	text := document.Render(base{answer: answer}.sections(), answer.GetRevision())
+	for _, p := range answer.GetPending() {
+		fmt.Fprintf(c.stderr, "candidate %s waits for the approval of: %s\n", p.GetCandidate(), strings.Join(p.GetWaitingFor(), ", "))
+	}
+	if *output == "" {
+		_, err := c.stdout.Write(text)
+		return err
+	}
+	if err := os.WriteFile(*output, text, documentMode); err != nil {
+		return &FileError{File: *output, Cause: err}
+	}
+	return nil
+}
+
+// read runs a subcommand without arguments that only asks.
+func read[T any](c *call, args []string, method func(context.Context, controlpb.OperatorsClient) (T, error)) (T, error) {
+	var none T
+	if _, err := c.parse(args, 0); err != nil {
+		return none, err
+	}
+	r, err := c.connect()
+	if err != nil {
+		return none, err
+	}
+	defer r.close()
+	ctx, cancel := c.deadline()
+	defer cancel()
+	return ask(ctx, r, method)
+}
+
+// runHistory lists decided changes, oldest first.
+func runHistory(c *call, args []string) error {
+	c.addConnectionFlags()
+	from := c.flags.Uint64("from", 0, "first `revision`")
+	limit := c.flags.Uint("limit", 100, "largest `number` of entries")
+	answer, err := read(c, args, func(ctx context.Context, client controlpb.OperatorsClient) (*controlpb.HistoryAnswer, error) {
+		return client.History(ctx, &controlpb.HistoryRequest{FromRevision: *from, Limit: uint32(*limit)})
+	})
+	if err != nil {
+		return err
+	}
+	if c.options.json {
+		return c.writeMessage(answer)
+	}
+	for _, e := range answer.GetEntries() {
+		fmt.Fprintln(c.stdout, historyLine(e))
+	}
+	return nil
+}
+
+func historyLine(e *controlpb.HistoryEntry) string {
+	line := fmt.Sprintf("%6d  %-8s  %s  by %s", e.GetRevision(), resultName(e.GetResult()), subject(e), strings.Join(e.GetSigners(), ", "))
+	if e.GetComment() != "" {
+		line += fmt.Sprintf("  %q", e.GetComment())
+	}
+	return line
+}
+
+func subject(e *controlpb.HistoryEntry) string {
+	switch {
+	case e.GetDomain() != nil:
+		return "domain " + direction(e.GetDomain().GetOut()) + " " + e.GetDomain().GetFailureDomain()
+	case e.GetApproval() != nil:
+		return "approval of " + e.GetApproval().GetCandidate()
+	}
+	return strings.Join(e.GetSections(), ", ")
+}
+
+func direction(out bool) string {
+	if out {
+		return "out"
+	}
+	return "in"
+}
+
+// runStatus shows what one replica knows.
+func runStatus(c *call, args []string) error {
+	c.addConnectionFlags()
+	answer, err := read(c, args, func(ctx context.Context, client controlpb.OperatorsClient) (*controlpb.StatusAnswer, error) {
+		return client.Status(ctx, &controlpb.StatusRequest{})
+	})
+	if err != nil {
+		return err
+	}
+	if c.options.json {
+		return c.writeMessage(answer)
+	}
+	fmt.Fprintf(c.stdout, "revision %d, answered by %s, cluster %x\n", answer.GetRevision(), answer.GetAnsweredBy(), answer.GetClusterId())
+	fmt.Fprintf(c.stdout, "failure domains out: %s\n", orNone(answer.GetDomainsOut()))
+	for _, g := range answer.GetGroups() {
+		fmt.Fprintln(c.stdout, groupLine(g))
+	}
+	for _, g := range answer.GetGateways() {
+		fmt.Fprintln(c.stdout, gatewayLine(g))
+	}
+	return nil
+}
+
+func orNone(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
+
+func groupLine(g *controlpb.GroupStatus) string {
+	name := "configuration"
+	if g.GetRegion() != "" {
+		name = "claims of " + g.GetRegion()
+	}
+	state := "current"
+	if !g.GetCurrent() {
+		state = "NOT CURRENT"
+	}
+	var members []string
+	for _, m := range g.GetMembership().GetMembers() {
+		role := ""
+		if m.GetLearner() {
+			role = " (learner)"
+		}
+		members = append(members, m.GetName()+role)
+	}
+	return fmt.Sprintf("group %d, %s: %s, leader %s, term %d, applied %d of %d, replicas %s", g.GetGroup(), name, state,
+		g.GetLeaderAddress(), g.GetTerm(), g.GetApplied(), g.GetCommit(), strings.Join(members, ", "))
+}
+
+func gatewayLine(g *controlpb.GatewayStatus) string {
+	state := "serving"
+	if g.GetDraining() {
+		state = "draining"
+	}
+	return fmt.Sprintf("gateway %s in %s/%s: %s, revision %d, last renewal %d ms ago", g.GetName(), g.GetRegion(),
+		g.GetFailureDomain(), state, g.GetRevision(), g.GetAgeMs())
+}
