--- /dev/null
+++ b/cmd/heatherwall/internal/operator/operator_test.go
@@ -0,0 +1,172 @@
+package operator
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"go.yaml.in/yaml/v3"
+)
+
+type groupKey struct{}
+
+// Golden sessions: each script has its own control group and the examples, and compares exit codes and output.
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: func(e *testscript.Env) error { return setup(t, e) },
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"heatherwall": runHeatherwall,
+			"race":        race,
+			"lose": func(ts *testscript.TestScript, _ bool, args []string) {
+				groupOf(ts).loseAnswers.Store(number(ts, args))
+			},
+			"delay":   func(ts *testscript.TestScript, _ bool, args []string) { groupOf(ts).notInForce.Store(number(ts, args)) },
+			"edit":    edit,
+			"cut":     cut,
+			"capture": capture,
+		},
+		UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
+	})
+}
+
+func setup(t *testing.T, e *testscript.Env) error {
+	folder := filepath.Join(e.WorkDir, "certificates")
+	g := startGroup(t, folder)
+	e.Values[groupKey{}] = g
+	examples, err := filepath.Abs(filepath.Join("..", "..", "..", "..", "examples"))
+	if err != nil {
+		return err
+	}
+	e.Setenv("EXAMPLES", examples)
+	text, err := yaml.Marshal(g.file(folder))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(e.WorkDir, "client.yaml"), text, 0o644)
+}
+
+func groupOf(ts *testscript.TestScript) *group { return ts.Value(groupKey{}).(*group) }
+
+func number(ts *testscript.TestScript, args []string) int32 {
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	return int32(n)
+}
+
+// runHeatherwall is "heatherwall EXIT ARGS...": it runs a subcommand and compares its exit code. Names of YAML files
+// become absolute, because the script has a folder of its own.
+func runHeatherwall(ts *testscript.TestScript, _ bool, args []string) {
+	exit, known := Run(absolute(ts, args[1:]), ts.Stdout(), ts.Stderr())
+	if !known || strconv.Itoa(exit) != args[0] {
+		ts.Fatalf("exit code %d (known %v), want %s", exit, known, args[0])
+	}
+}
+
+func absolute(ts *testscript.TestScript, args []string) []string {
+	args = slices.Clone(args)
+	for i, a := range args {
+		if strings.HasSuffix(a, ".yaml") {
+			args[i] = ts.MkAbs(a)
+		}
+	}
+	return args
+}
+
+// race is "race FILE...": one operator for each file applies it at the same time; all read the same revision first. It
+// writes the exit codes, sorted, and the output of all.
+func race(ts *testscript.TestScript, _ bool, files []string) {
+	g := groupOf(ts)
+	var gets, all sync.WaitGroup
+	gets.Add(len(files))
+	g.gets.Store(&gets)
+	defer g.gets.Store(nil)
+	exits := make([]int, len(files))
+	outputs := make([]bytes.Buffer, len(files))
+	for i, file := range files {
+		all.Go(func() {
+			args := []string{"apply", "-client", ts.MkAbs("client.yaml"), "-key", ts.MkAbs("wendover.yaml"), ts.MkAbs(file)}
+			exits[i], _ = Run(args, &outputs[i], &outputs[i])
+		})
+	}
+	all.Wait()
+	slices.Sort(exits)
+	fmt.Fprintln(ts.Stdout(), "exit codes", exits)
+	for i := range outputs {
+		outputs[i].WriteTo(ts.Stdout())
+	}
+}
+
+// edit is "edit FROM TO OLD NEW": it replaces the only place of OLD. \n stands for a line feed.
+func edit(ts *testscript.TestScript, _ bool, args []string) {
+	text := ts.ReadFile(args[0])
+	from, to := strings.ReplaceAll(args[2], `\n`, "\n"), strings.ReplaceAll(args[3], `\n`, "\n")
+	if strings.Count(text, from) != 1 {
+		ts.Fatalf("%q occurs %d times in %s", from, strings.Count(text, from), args[0])
+	}
+	text = strings.Replace(text, from, to, 1)
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o644))
+}
+
+// cut is "cut FROM TO MARK": it drops everything from MARK on.
+func cut(ts *testscript.TestScript, _ bool, args []string) {
+	text, _, found := strings.Cut(ts.ReadFile(args[0]), args[2])
+	if !found {
+		ts.Fatalf("no %q in %s", args[2], args[0])
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o644))
+}
+
+// capture is "capture NAME BEFORE AFTER": it sets a variable to what the last output has between two texts.
+func capture(ts *testscript.TestScript, _ bool, args []string) {
+	_, rest, before := strings.Cut(ts.ReadFile("stdout"), args[1])
+	value, _, after := strings.Cut(rest, args[2])
+	if !before || !after {
+		ts.Fatalf("output has nothing between %q and %q", args[1], args[2])
+	}
+	ts.Setenv(args[0], value)
+}
+
+// A name that is no subcommand must be left to the caller.
+func TestRunUnknown(t *testing.T) {
+	for _, args := range [][]string{nil, {"gateway"}, {"-h"}} {
+		if _, known := Run(args, &bytes.Buffer{}, &bytes.Buffer{}); known {
+			t.Errorf("%v is known", args)
+		}
+	}
+}
+
+// A server of the setup that is no control replica, such as a gateway, must not be able to answer operators.
+func TestReplicaNames(t *testing.T) {
+	folder := t.TempDir()
+	g := startGroup(t, folder)
+	for _, c := range []struct {
+		names []string
+		exit  int
+	}{{g.names, exitDone}, {[]string{"other-1", "other-2", "other-3"}, exitRefused}} {
+		f := g.file(folder)
+		for i := range f.Control {
+			f.Control[i].Name = c.names[i]
+		}
+		text, err := yaml.Marshal(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		file := filepath.Join(folder, "client.yaml")
+		if err := os.WriteFile(file, text, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		var output bytes.Buffer
+		exit, _ := Run([]string{"status", "-client", file, "-timeout", "2s"}, &output, &output)
+		if exit != c.exit {
+			t.Errorf("names %v: exit code %d, want %d\n%s", c.names, exit, c.exit, &output)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/heatherwall/internal/operator/server_test.go
@@ -0,0 +1,155 @@
+package operator
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/controlstate"
+	"heatherwall.example/settings"
+	"heatherwall.example/testbed/devcerts"
+)
+
+// group is a control group in this process: replicas that share one state, of which the last one leads.
+type group struct {
+	mu        sync.Mutex
+	state     *controlstate.Configuration
+	addresses []string
+	// loseAnswers is the number of decided changes whose answers get lost.
+	loseAnswers atomic.Int32
+	// gets, when set, holds back answers to Get until all of a race have asked.
+	gets atomic.Pointer[sync.WaitGroup]
+	// notInForce is the number of times that InForce says no.
+	notInForce atomic.Int32
+	names      []string
+}
+
+// replica is one server of a group.
+type replica struct {
+	controlpb.UnimplementedOperatorsServer
+	group *group
+	self  int
+}
+
+func (r *replica) leads() bool { return r.self == len(r.group.addresses)-1 }
+
+func (r *replica) leader() string { return r.group.addresses[len(r.group.addresses)-1] }
+
+func (r *replica) Apply(_ context.Context, q *controlpb.ApplyRequest) (*controlpb.ApplyAnswer, error) {
+	if !r.leads() {
+		return &controlpb.ApplyAnswer{NotLeader: true, LeaderAddress: r.leader()}, nil
+	}
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	state := r.group.state
+	result := state.Apply(state.Applied()+1, controlstate.ChangeEntry(q.GetChange()))
+	if r.group.loseAnswers.Add(-1) >= 0 {
+		return nil, status.Error(codes.Unavailable, "connection lost")
+	}
+	return &controlpb.ApplyAnswer{Outcome: result.Outcome}, nil
+}
+
+func (r *replica) Get(_ context.Context, q *controlpb.GetRequest) (*controlpb.GetAnswer, error) {
+	r.group.mu.Lock()
+	answer, err := r.group.state.Get(q.GetRevision())
+	r.group.mu.Unlock()
+	var gone *controlstate.RevisionError
+	if errors.As(err, &gone) {
+		return nil, status.Error(codes.OutOfRange, err.Error())
+	}
+	if racers := r.group.gets.Load(); racers != nil {
+		racers.Done()
+		racers.Wait()
+	}
+	return answer, err
+}
+
+func (r *replica) History(_ context.Context, q *controlpb.HistoryRequest) (*controlpb.HistoryAnswer, error) {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	return &controlpb.HistoryAnswer{Entries: r.group.state.History(q.GetFromRevision(), q.GetLimit())}, nil
+}
+
+func (r *replica) Status(context.Context, *controlpb.StatusRequest) (*controlpb.StatusAnswer, error) {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	s := r.group.state
+	gateway := &controlpb.GatewayStatus{Name: "gateway-1", Region: "erie", FailureDomain: "erie-a", Revision: s.Revision()}
+	return &controlpb.StatusAnswer{
+		Revision: s.Revision(), DomainsOut: s.DomainsOut(), AnsweredBy: r.group.names[r.self], ClusterId: 10,
+		Groups: []*controlpb.GroupStatus{{Group: 1, Current: true, LeaderAddress: r.leader()}}, Gateways: []*controlpb.GatewayStatus{gateway},
+	}, nil
+}
+
+func (r *replica) InForce(context.Context, *controlpb.InForceRequest) (*controlpb.InForceAnswer, error) {
+	if !r.leads() {
+		return &controlpb.InForceAnswer{NotLeader: true, LeaderAddress: r.leader()}, nil
+	}
+	if r.group.notInForce.Add(-1) >= 0 {
+		return &controlpb.InForceAnswer{WaitingFor: []string{"gateway-1"}}, nil
+	}
+	return &controlpb.InForceAnswer{InForce: true}, nil
+}
+
+// startGroup starts three replicas with certificates in folder.
+func startGroup(t testing.TB, folder string) *group {
+	g := &group{state: controlstate.NewConfiguration(), names: []string{"control-1", "control-2", "control-3"}}
+	if err := devcerts.Write(folder, append([]string{"operator", "gateway-1"}, g.names...)); err != nil {
+		t.Fatal(err)
+	}
+	var listeners []net.Listener
+	for range g.names {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		g.addresses = append(g.addresses, l.Addr().String())
+	}
+	for i, l := range listeners {
+		s := grpc.NewServer(grpc.Creds(credentials.NewTLS(serverTLS(t, folder, g.names[i]))))
+		controlpb.RegisterOperatorsServer(s, &replica{group: g, self: i})
+		go s.Serve(l)
+		t.Cleanup(s.Stop)
+	}
+	return g
+}
+
+func serverTLS(t testing.TB, folder, name string) *tls.Config {
+	pair, err := tls.LoadX509KeyPair(filepath.Join(folder, name+".pem"), filepath.Join(folder, name+".key"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	authority, err := os.ReadFile(filepath.Join(folder, devcerts.AuthorityName+".pem"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(authority)
+	return &tls.Config{Certificates: []tls.Certificate{pair}, ClientCAs: roots, ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13}
+}
+
+// file is the client file for the group, with the operator's certificate.
+func (g *group) file(folder string) clientFile {
+	f := clientFile{TLS: settings.TLS{
+		Certificate: filepath.Join(folder, "operator.pem"), Key: filepath.Join(folder, "operator.key"),
+		Authority: filepath.Join(folder, devcerts.AuthorityName+".pem"),
+	}}
+	for i, address := range g.addresses {
+		f.Control = append(f.Control, settings.Peer{Name: g.names[i], Address: address})
+	}
+	return f
+}
