--- a/document/compile.go
+++ b/document/compile.go
@@ -124,15 +124,15 @@
 func (r *reader) parseYAML(file string, text []byte) *yaml.Node {
 	var root yaml.Node
 	if err := yaml.Unmarshal(text, &root); err != nil {
-		r.add(spot{file, syntaxLine(err), 1, "(file)"}, ReasonSyntax, "expected YAML: %s", err.Error())
+		r.add(spot{file, syntaxLine(err), 1, wholeFile}, ReasonSyntax, "expected YAML: %s", err.Error())
 		return nil
 	}
 	if len(root.Content) == 0 {
-		r.add(spot{file, 1, 1, "(file)"}, ReasonSyntax, "expected a mapping of fields")
+		r.add(spot{file, 1, 1, wholeFile}, ReasonSyntax, "expected a mapping of fields")
 		return nil
 	}
 	if hasMoreDocuments(text) {
-		r.add(spot{file, 1, 1, "(file)"}, ReasonSyntax, "expected one YAML document")
+		r.add(spot{file, 1, 1, wholeFile}, ReasonSyntax, "expected one YAML document")
 		return nil
 	}
 	before := len(r.problems)
--- a/document/keyfile.go
+++ b/document/keyfile.go
@@ -50,7 +50,7 @@
 func ParseKeyFile(file string, text []byte) (*PrivateKey, Problems) {
 	r := &reader{}
 	if len(text) > maxTextBytes {
-		r.add(spot{file, 1, 1, "(file)"}, ReasonTooLarge, "expected at most %d bytes", maxTextBytes)
+		r.add(spot{file, 1, 1, wholeFile}, ReasonTooLarge, "expected at most %d bytes", maxTextBytes)
 		return nil, r.problems
 	}
 	root := r.parseYAML(file, text)
--- a/document/node.go
+++ b/document/node.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -10,6 +11,9 @@
 	"go.yaml.in/yaml/v3"
 )
 
+// wholeFile is the path of problems that belong to no field.
+const wholeFile = "(file)"
+
 // spot is the place of a field.
 type spot struct {
 	file string
@@ -38,7 +42,7 @@
 }
 
 func (r *reader) add(at spot, reason Reason, format string, args ...any) {
-	p := Problem{File: at.file, Line: at.line, Column: at.col, Path: at.path, Reason: reason}
+	p := Problem{File: at.file, Line: at.line, Column: at.col, Path: cmp.Or(at.path, wholeFile), Reason: reason}
 	p.Expected = fmt.Sprintf(format, args...)
 	r.problems = append(r.problems, p)
 }
@@ -263,7 +267,7 @@
 // noAliases reports anchors and aliases: they would make the text of a section depend on another section.
 func (r *reader) noAliases(file string, n *yaml.Node) {
 	if n.Kind == yaml.AliasNode || n.Anchor != "" {
-		r.add(spot{file, n.Line, n.Column, "(file)"}, ReasonSyntax, "expected no anchors and aliases")
+		r.add(spot{file, n.Line, n.Column, wholeFile}, ReasonSyntax, "expected no anchors and aliases")
 		return
 	}
 	for _, c := range n.Content {
--- a/document/parse.go
+++ b/document/parse.go
@@ -54,7 +54,7 @@
 }
 
 func (p *parser) parse() {
-	start := spot{file: p.file, line: 1, col: 1, path: "(file)"}
+	start := spot{file: p.file, line: 1, col: 1, path: wholeFile}
 	if len(p.text) > MaxDocumentBytes {
 		p.add(start, ReasonTooLarge, "expected at most %d bytes", MaxDocumentBytes)
 		return
--- a/document/parse_test.go
+++ b/document/parse_test.go
@@ -90,8 +90,11 @@
 	if !slices.Equal(d.Sections(), again.Sections()) || again.Revision != 7 {
 		t.Errorf("sections changed:\n%s", rendered)
 	}
-	if !strings.Contains(d.Sections()[0].Text, "# Keys of the head office.\nkeys:\n  - {id") {
-		t.Errorf("comment or layout lost: %q", d.Sections()[0].Text)
+	outdented := mustParse(t, strings.Replace(sample, "    tenants:", "# column 0\n    tenants:", 1))
+	for _, want := range []string{"# Keys of the head office.\nkeys:\n  - {id", "\n# column 0\ntenants:\n"} {
+		if !strings.Contains(outdented.Sections()[0].Text, want) {
+			t.Errorf("%q lost in %q", want, outdented.Sections()[0].Text)
+		}
 	}
 }
 
@@ -116,6 +119,8 @@
 		{"caller", "[alpha/west]", "[alpha/east]", 37, "services.labels.rules[0].callers[0]", ReasonUnknownName},
 		{"keep outside home", "keep_in: [r1]", "keep_in: [r1, r3]", 41, "services.labels.rules[0].keep_in[1]", ReasonRegions},
 		{"claim region not kept", "claim_region: r1", "claim_region: r2", 34, "services.labels.rules[0]", ReasonClaimRegion},
+		{"claim region outside keep", "keep_in: [r1]", "keep_in: [r2]", 34, "services.labels.rules[0]", ReasonClaimRegion},
+		{"tenant outside run", "run_in: [r2, r1]", "run_in: [r2]", 37, "services.labels.rules[0].callers[0]", ReasonRegions},
 		{"claim region left out", "    claim_region: r1\n", "", 33, "services.labels.rules[0]", ReasonClaimRegion},
 		{"claim region outside tenant home", "home_regions: [r1]\n", "home_regions: [r2]\n", 34, "services.labels.rules[0]", ReasonClaimRegion},
 		{"ambiguous", "path: /labels/find", "path: /labels", 45, "services.labels.rules[1].path", ReasonAmbiguous},
--- a/document/regions.go
+++ b/document/regions.go
@@ -33,9 +33,6 @@
 	if r.Any {
 		return other
 	}
-	if other.Any {
-		return r
-	}
 	both := Regions{}
 	for _, name := range r.Names {
 		if other.Contains(name) {
