--- a/control/group.go
+++ b/control/group.go
@@ -19,7 +19,9 @@
 // finds the request that waits for it.
 const proposalHeader = 16
 
-// A snapshot is taken after this many entries or bytes, whichever comes first, so that a restart replays little.
+// A snapshot is taken after this many entries, or at the latest after this many bytes, so that a restart replays little.
+// It waits until the log has grown as large as the last snapshot, so that writing snapshots at most doubles the bytes
+// written to the disk.
 const (
 	snapshotEntries = 5000
 	snapshotBytes   = 16 << 20
@@ -48,6 +50,7 @@
 	applied      uint64
 	appliedSince int
 	bytesSince   int
+	snapshotSize int
 	leading      bool
 
 	proposals    map[uint64]proposalResult
@@ -236,8 +239,15 @@
 	}
 }
 
+func (g *group) isSnapshotDue() bool {
+	if g.bytesSince < g.snapshotSize {
+		return false
+	}
+	return g.appliedSince >= snapshotEntries || g.bytesSince >= snapshotBytes
+}
+
 func (g *group) compact(l *loop) error {
-	if g.appliedSince < snapshotEntries && g.bytesSince < snapshotBytes {
+	if !g.isSnapshotDue() {
 		return nil
 	}
 	data, err := g.machine.Snapshot()
@@ -251,7 +261,7 @@
 	if err := g.log.SaveSnapshot(s); err != nil {
 		return err
 	}
-	g.appliedSince, g.bytesSince = 0, 0
+	g.appliedSince, g.bytesSince, g.snapshotSize = 0, 0, len(data)
 	l.log.Log(eventSnapshot, telemetry.F("group", g.id), telemetry.F("index", s.Index), telemetry.F("bytes", len(data)))
 	return nil
 }
