--- a/control/group.go
+++ b/control/group.go
@@ -8,7 +8,6 @@
 
 	"heatherwall.example/api/raftpb"
 	"heatherwall.example/raft"
-	"heatherwall.example/raft/wal"
 	"heatherwall.example/telemetry"
 )
 
@@ -34,6 +33,13 @@
 	Restore(data []byte) error
 }
 
+// groupLog is where a group keeps its log; *wal.Log in production.
+type groupLog interface {
+	raft.Storage
+	Save(hs *raftpb.HardState, entries []*raftpb.Entry) error
+	SaveSnapshot(s *raftpb.Snapshot) error
+}
+
 type proposalResult func(result any, err error)
 
 type reader func(err error)
@@ -43,7 +49,7 @@
 	id      uint64
 	region  string
 	node    *raft.Node
-	log     *wal.Log
+	log     groupLog
 	machine stateMachine
 	self    uint64
 
@@ -71,7 +77,7 @@
 	index uint64
 }
 
-func newGroup(id uint64, region string, self uint64, node *raft.Node, log *wal.Log, machine stateMachine) *group {
+func newGroup(id uint64, region string, self uint64, node *raft.Node, log groupLog, machine stateMachine) *group {
 	return &group{
 		id: id, region: region, self: self, node: node, log: log, machine: machine,
 		proposals:    map[uint64]proposalResult{},
--- a/control/identity.go
+++ b/control/identity.go
@@ -223,6 +223,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.logs = append(r.logs, log)
 	snapshot, err := log.Snapshot()
 	if err != nil {
 		return nil, err
--- a/control/replica.go
+++ b/control/replica.go
@@ -47,6 +47,8 @@
 	transport     *transport
 	directory     *directory
 	configuration *configurationMachine
+	// logs are closed when the replica stops.
+	logs []*wal.Log
 	// batches holds the claim commands of this turn of the loop, by group.
 	batches map[uint64]*claimBatch
 	// creating marks regions whose claim group is proposed and not decided.
@@ -278,8 +280,8 @@
 
 func (r *replica) closeLogs() error {
 	var all error
-	for _, g := range r.loop.groups {
-		all = errors.Join(all, g.log.Close())
+	for _, log := range r.logs {
+		all = errors.Join(all, log.Close())
 	}
 	r.log.Log(eventStopped)
 	return all
