--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -63,6 +63,15 @@
 	return nil
 }
 
+// answerStarted closes the gate when input arrives before the first byte was written: it belongs to another request.
+func (g *sendGate) answerStarted() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conn == nil {
+		g.stopped = true
+	}
+}
+
 // stop forbids a first byte from now on. It reports whether one was written before, and the error of the check if that
 // was the reason.
 func (g *sendGate) stop() (wrote bool, denied error) {
@@ -73,9 +82,54 @@
 }
 
 // backendConn is a connection to a backend server whose writes pass the gate of the attempt that uses it.
+//
+// A server may send more bytes than its answer announces. net/http takes them for the answer to the next request if
+// that request is assigned to the connection before they are noticed. Therefore the first byte of a request waits until
+// net/http waits for input with an empty buffer: bytes that are left over reach the gate as an early answer instead.
 type backendConn struct {
 	net.Conn
 	gate atomic.Pointer[sendGate]
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	reading bool // a Read is pending
+	closed  bool
+}
+
+func newBackendConn(c net.Conn) *backendConn {
+	b := &backendConn{Conn: c}
+	b.changed = sync.NewCond(&b.mu)
+	return b
+}
+
+func (c *backendConn) Read(p []byte) (int, error) {
+	c.setReading(true)
+	defer c.setReading(false)
+	return c.Conn.Read(p)
+}
+
+func (c *backendConn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+	c.changed.Broadcast()
+}
+
+func (c *backendConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// awaitReader waits until all input has been taken or the connection is closed.
+func (c *backendConn) awaitReader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.reading && !c.closed {
+		c.changed.Wait()
+	}
 }
 
 // NoGateError reports a write without an attempt; it is a programming error.
@@ -88,6 +142,9 @@
 	if g == nil {
 		return 0, &NoGateError{}
 	}
+	if !g.wrote.Load() {
+		c.awaitReader()
+	}
 	if err := g.enter(c); err != nil {
 		return 0, err
 	}
@@ -104,7 +161,7 @@
 			if err != nil {
 				return nil, &UnreachableError{Address: address, Err: err}
 			}
-			return &backendConn{Conn: conn}, nil
+			return newBackendConn(conn), nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerServer,
@@ -132,5 +189,6 @@
 				c.gate.Store(g)
 			}
 		},
+		GotFirstResponseByte: g.answerStarted,
 	})
 }
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -365,16 +367,29 @@
 		return &http.Response{StatusCode: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("foreign"))}, nil
 	})
 	unwritten.expect(t, unwritten.request(t, "GET", "/read", ""), 503, `"ran":"no"`)
+}
+
+// Guards against an answer that net/http takes from the bytes that a server sent too many after an earlier answer.
+func TestSurplusBytesNeverAnswerAnotherRequest(t *testing.T) {
+	log.SetOutput(io.Discard) // net/http reports each surplus
+	defer log.SetOutput(os.Stderr)
 	early, _ := rawServer(t, func(c net.Conn, r *http.Request) {
 		write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"+r.URL.Path[6:]+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n!!")
 	})
 	f := newPathFixture(t, early)
-	for i := range 200 {
-		path := []string{"/read/aa", "/read/bb"}[i%2]
-		if status, body, _ := f.do(t, f.request(t, "GET", path, "")); status == 200 && body != path[6:] {
-			t.Fatalf("request %d for %s got the answer %q", i, path, body)
-		}
+	f.transport.(*http.Transport).MaxConnsPerHost = 1 // a connection goes straight to the next request
+	var callers sync.WaitGroup
+	for _, path := range []string{"/read/aa", "/read/bb", "/read/cc", "/read/dd"} {
+		callers.Go(func() {
+			for range 100 {
+				if status, body, _ := f.do(t, f.request(t, "GET", path, "")); status == 200 && body != path[6:] {
+					t.Errorf("request for %s got the answer %q", path, body)
+					return
+				}
+			}
+		})
 	}
+	callers.Wait()
 }
 
 // Guards against interim answers, trailers, hop-by-hop headers and Host that get lost or leak.
