--- a/gateway/run.go
+++ b/gateway/run.go
@@ -125,7 +125,7 @@
 func (d *daemon) status(incarnation uint64) *controlpb.GatewayStatus {
 	s := &controlpb.GatewayStatus{
 		Name: d.settings.Name, Incarnation: incarnation, Region: d.settings.Region, FailureDomain: d.settings.FailureDomain,
-		PeerAddress: d.settings.Peer.Advertised(), Draining: d.path.stopping.Load(), InFlight: map[string]uint32{},
+		PeerAddress: d.peerAddress(), Draining: d.path.stopping.Load(), InFlight: map[string]uint32{},
 	}
 	for _, domain := range domainsOf(d.lease.Current().config) {
 		s.InFlight[domain] = uint32(d.path.byDomain.get(domain))
@@ -133,6 +133,14 @@
 	return s
 }
 
+// peerAddress is where other gateways reach the peer listener.
+func (d *daemon) peerAddress() string {
+	if d.settings.Peer.Advertise != "" {
+		return d.settings.Peer.Advertise
+	}
+	return d.listeners["peer"].Addr().String()
+}
+
 // listen opens every listener before any of them serves.
 func (d *daemon) listen() error {
 	d.listeners = map[string]net.Listener{}
