--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -87,10 +87,12 @@
   local name=$1 port=$2 folder=$base/$1 i
   "$standin" settings -folder "$folder" -first-port "$port" -controls 3 -gateways 2 \
     -control-places "$3" -gateway-places "$4" >"$folder.json"
-  for i in 1 2 3; do
+  # The replica that creates the group asks the others first, so they have to listen.
+  for i in 3 2 1; do
     set --
     if [ "$i" = 1 ]; then set -- -bootstrap; fi
     start "$name-control-$i" "$folder/control-$i.log" "$heatherwall" control -settings "$folder/control-$i.yaml" "$@"
+    until_true "$name control replica $i" answers "http://$(control_admin "$port" "$i")/healthz"
   done
   for i in 1 2; do
     start "$name-gateway-$i" "$folder/gateway-$i.log" "$heatherwall" gateway -settings "$folder/gateway-$i.yaml"
