--- a/control/admin.go
+++ b/control/admin.go
@@ -17,10 +17,7 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, request *http.Request) {
-		ctx, cancel := context.WithTimeout(request.Context(), readyTimeout)
-		defer cancel()
-		groups, err := r.groupStatus(ctx)
-		if err != nil || r.isStopping() || !allCurrent(groups) {
+		if !r.isReady(request.Context()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -28,6 +25,16 @@
 	return mux
 }
 
+func (r *replica) isReady(ctx context.Context) bool {
+	if !r.opened.Load() || r.isStopping() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	groups, err := r.groupStatus(ctx)
+	return err == nil && allCurrent(groups)
+}
+
 func allCurrent(groups []*controlpb.GroupStatus) bool {
 	for _, g := range groups {
 		if !g.Current {
--- a/control/identity.go
+++ b/control/identity.go
@@ -25,6 +25,8 @@
 	// joinInterval is the time between two requests to be added to a group.
 	joinInterval = 500 * time.Millisecond
 	probeTimeout = time.Second
+	// bootstrapTimeout bounds how long the bootstrapping replica waits for its peers to start.
+	bootstrapTimeout = 30 * time.Second
 )
 
 func peerNamed(name string) func(settings.Peer) bool {
@@ -91,17 +93,8 @@
 // peer must answer that it holds no group; otherwise a replica that lost its folder could make a second group. saved is
 // the identity of an interrupted bootstrap, or empty.
 func (r *replica) bootstrap(ctx context.Context, saved wal.Identity) (wal.Identity, error) {
-	for _, p := range r.settings.Peers {
-		if p.Name == r.settings.Name {
-			continue
-		}
-		answer, err := probe(ctx, p.Address, r.tls)
-		if err != nil {
-			return saved, &BootstrapError{Peer: p.Name, Reason: "no answer: " + err.Error()}
-		}
-		if answer.ClusterId != 0 {
-			return saved, &BootstrapError{Peer: p.Name, Reason: "it already belongs to a setup"}
-		}
+	if err := r.checkPeersEmpty(ctx); err != nil {
+		return saved, err
 	}
 	id := saved
 	if id.ID == 0 {
@@ -117,6 +110,29 @@
 	return id, nil
 }
 
+// checkPeersEmpty waits, for a bounded time, until every peer has answered that it belongs to no setup.
+func (r *replica) checkPeersEmpty(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	defer cancel()
+	for _, p := range r.settings.Peers {
+		if p.Name == r.settings.Name {
+			continue
+		}
+		answer, err := probe(ctx, p.Address, r.tls)
+		for err != nil && ctx.Err() == nil {
+			pause(ctx, joinInterval)
+			answer, err = probe(ctx, p.Address, r.tls)
+		}
+		if err != nil {
+			return &BootstrapError{Peer: p.Name, Reason: "no answer: " + err.Error()}
+		}
+		if answer.ClusterId != 0 {
+			return &BootstrapError{Peer: p.Name, Reason: "it already belongs to a setup"}
+		}
+	}
+	return nil
+}
+
 // member describes this replica to its groups.
 func (r *replica) member(id uint64) *raftpb.Member {
 	return &raftpb.Member{
--- a/control/replica.go
+++ b/control/replica.go
@@ -55,7 +55,9 @@
 	creating map[string]bool
 	floorsAt time.Time
 	// reportDue is set when a gateway's state changed and the other replicas should know at once.
-	reportDue  atomic.Bool
+	reportDue atomic.Bool
+	// opened is set once the groups are open; the fields above are complete from then on.
+	opened     atomic.Bool
 	reportedAt time.Time
 	// stopping is closed when the replica stops; streams, which never end by themselves, end then.
 	stopping chan struct{}
@@ -84,6 +86,11 @@
 }
 
 func (r *replica) run(ctx context.Context, peers *net.TCPListener, admin net.Listener, bootstrap bool) error {
+	var wg sync.WaitGroup
+	web := &http.Server{Handler: r.adminMux(), ReadHeaderTimeout: adminHeaderTimeout}
+	wg.Go(func() { _ = web.Serve(admin) })
+	defer wg.Wait()
+	defer web.Close()
 	identity, err := r.identity(ctx, peers, bootstrap)
 	if err != nil {
 		return err
@@ -93,12 +100,10 @@
 	if err := r.open(background, identity); err != nil {
 		return err
 	}
+	r.opened.Store(true)
 	server := r.server()
-	var wg sync.WaitGroup
 	wg.Go(func() { r.loop.run() })
 	wg.Go(func() { _ = server.Serve(peers) })
-	web := &http.Server{Handler: r.adminMux(), ReadHeaderTimeout: adminHeaderTimeout}
-	wg.Go(func() { _ = web.Serve(admin) })
 	wg.Go(func() { r.keepJoining(background) })
 	r.log.Log(eventStarted, telemetry.F("id", identity.ID), telemetry.F("cluster", identity.ClusterID), telemetry.F("address", peers.Addr().String()))
 
@@ -109,10 +114,9 @@
 	}
 	close(r.stopping)
 	stopServer(server)
-	_ = web.Close()
 	close(r.loop.stop)
 	cancel()
-	wg.Wait()
+	<-r.loop.done
 	r.transport.wait()
 	return errors.Join(r.loop.fatal, r.closeLogs())
 }
