--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -15,19 +16,26 @@
 		Owner: r.self, Incarnation: r.incarnation, Version: r.version, Heartbeat: r.heartbeat,
 	}}
 	for name, v := range r.owners {
-		if !v.fresh {
-			continue
-		}
-		age := r.now - v.freshAt
 		list = append(list, &gossippb.OwnerDigest{
-			Owner: name, Incarnation: v.incarnation, Version: v.version, Heartbeat: v.heartbeat,
-			AgeMs: uint32((age + time.Millisecond - 1) / time.Millisecond),
+			Owner: name, Incarnation: v.incarnation, Version: v.version, Heartbeat: v.heartbeat, AgeMs: v.age(r.now),
 		})
 	}
 	slices.SortFunc(list, func(a, b *gossippb.OwnerDigest) int { return cmp.Compare(a.Owner, b.Owner) })
 	return list
 }
 
+// unknownAge is the age of a heartbeat that is no evidence.
+const unknownAge = math.MaxUint32
+
+// age is an upper bound of the heartbeat's age in ms.
+func (v *ownerView) age(now time.Duration) uint32 {
+	if !v.fresh {
+		return unknownAge
+	}
+	ms := (now - v.freshAt + time.Millisecond - 1) / time.Millisecond
+	return uint32(min(ms, unknownAge))
+}
+
 // Delta returns the records that the sender of a digest lacks. A record that replaced one of a lacking table is
 // included even if another owner has it now; otherwise the old record would seem current.
 func (r *Registry) Delta(digest []*gossippb.OwnerDigest) []*gossippb.Server {
@@ -44,7 +52,12 @@
 	return list
 }
 
+// lacks leaves out records of an earlier incarnation of their owner, because the receiver would take them for records
+// of the current one. Their servers announce themselves again. That a server left holds without its owner.
 func (r *Registry) lacks(theirs map[string]*gossippb.OwnerDigest, rec *record) bool {
+	if !rec.left() && rec.vouchIncarnation != r.incarnationOf(rec.server.Owner) {
+		return false
+	}
 	d := theirs[rec.server.Owner]
 	if d == nil || d.Incarnation < rec.vouchIncarnation {
 		return true
@@ -60,6 +73,17 @@
 	return false
 }
 
+// incarnationOf returns the newest known incarnation of an owner.
+func (r *Registry) incarnationOf(owner GatewayID) uint64 {
+	if owner == r.self {
+		return r.incarnation
+	}
+	if v := r.owners[owner]; v != nil {
+		return v.incarnation
+	}
+	return 0
+}
+
 // ahead reports whether this gateway knows more of an owner's table than a digest tells.
 func (r *Registry) ahead(owner string, d *gossippb.OwnerDigest) bool {
 	incarnation, version := r.incarnation, r.version
@@ -192,6 +216,9 @@
 		return
 	}
 	v.version = max(v.version, d.Version)
+	if d.AgeMs == unknownAge {
+		return
+	}
 	at := sent - time.Duration(d.AgeMs)*time.Millisecond
 	if v.fresh && at <= v.freshAt {
 		return
--- a/membership/record.go
+++ b/membership/record.go
@@ -26,21 +26,23 @@
 // maxFormerOwners bounds the list of former owners of a record.
 const maxFormerOwners = 8
 
-// newer reports whether a replaces b. Left is final for an incarnation; otherwise the order is incarnation, sequence,
-// owner, version of the owner's table. Only one owner changes a record of one sequence.
-func newer(a, b *gossippb.Server) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
+// replacedBy reports whether s, received in the table of the given incarnation of its owner, is newer. Left is final for
+// an incarnation; otherwise the order is incarnation, sequence, owner, incarnation of the owner, version of the owner's
+// table. A server may repeat an announcement at an owner that has restarted, so the sequence alone does not order them.
+func (r *record) replacedBy(s *gossippb.Server, vouchIncarnation uint64) bool {
+	old := r.server
+	if s.Incarnation != old.Incarnation {
+		return s.Incarnation > old.Incarnation
 	}
-	aLeft := a.State == gossippb.ServerState_SERVER_LEFT
-	bLeft := b.State == gossippb.ServerState_SERVER_LEFT
-	if aLeft != bLeft {
-		return aLeft
+	left := s.State == gossippb.ServerState_SERVER_LEFT
+	if left != r.left() {
+		return left
 	}
 	order := cmp.Or(
-		cmp.Compare(a.Sequence, b.Sequence),
-		cmp.Compare(a.Owner, b.Owner),
-		cmp.Compare(a.OwnerVersion, b.OwnerVersion),
+		cmp.Compare(s.Sequence, old.Sequence),
+		cmp.Compare(s.Owner, old.Owner),
+		cmp.Compare(vouchIncarnation, r.vouchIncarnation),
+		cmp.Compare(s.OwnerVersion, old.OwnerVersion),
 	)
 	return order > 0
 }
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -120,7 +120,7 @@
 // store replaces the record of a server if s is newer, and reports whether it did.
 func (r *Registry) store(s *gossippb.Server, vouchIncarnation uint64) bool {
 	old := r.records[s.Address]
-	if old != nil && !newer(s, old.server) {
+	if old != nil && !old.replacedBy(s, vouchIncarnation) {
 		return false
 	}
 	rec := &record{server: s, vouchIncarnation: vouchIncarnation, changed: r.now}
--- /dev/null
+++ b/membership/registry_test.go
@@ -0,0 +1,354 @@
+package membership
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"heatherwall.example/api/gossippb"
+)
+
+const (
+	ready    = gossippb.ServerState_SERVER_READY
+	cold     = gossippb.ServerState_SERVER_COLD
+	draining = gossippb.ServerState_SERVER_DRAINING
+)
+
+// backend is a backend server as section 5.4 describes it.
+type backend struct {
+	record     *gossippb.Server
+	owner      int
+	grant      uint64
+	lastAnswer time.Duration
+	announced  bool
+	gone       bool
+}
+
+// network carries messages that are lost, repeated and reordered.
+type network struct {
+	t        *rapid.T
+	now      time.Duration
+	gateways []*Registry
+	starts   []uint64
+	servers  []*backend
+	// mail holds deliveries that wait; each one may happen never, once or twice.
+	mail []func()
+	// left holds the incarnations that a registry knows to have left, by address.
+	left map[*Registry]map[string]uint64
+}
+
+func newNetwork(t *rapid.T, gateways, servers int) *network {
+	n := &network{t: t, now: time.Second, left: map[*Registry]map[string]uint64{}}
+	for i := range gateways {
+		n.starts = append(n.starts, 1)
+		n.gateways = append(n.gateways, New(gatewayName(i), 1))
+	}
+	for i := range servers {
+		r := &gossippb.Server{Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i), Incarnation: 1, Sequence: 1, State: cold}
+		n.servers = append(n.servers, &backend{record: r, owner: i % gateways})
+	}
+	return n
+}
+
+func gatewayName(i int) string { return fmt.Sprintf("gateway-%d", i) }
+
+func (n *network) server() *backend {
+	return n.servers[rapid.IntRange(0, len(n.servers)-1).Draw(n.t, "server")]
+}
+
+func (n *network) gateway() int { return rapid.IntRange(0, len(n.gateways)-1).Draw(n.t, "gateway") }
+
+// renew sends one announcement or renewal; its delivery and the delivery of the answer wait in the mail.
+func (n *network) renew() { n.renewServer(n.server()) }
+
+func (n *network) renewServer(b *backend) {
+	if b.gone {
+		return
+	}
+	if n.now-b.lastAnswer > SwitchAfter {
+		b.announced = false
+		b.owner = (b.owner + 1) % len(n.gateways)
+		b.record.Sequence++
+		b.grant = 0
+		b.lastAnswer = n.now
+	}
+	a := Announcement{Server: proto.CloneOf(b.record), Grant: b.grant}
+	owner, first := b.owner, !b.announced
+	n.mail = append(n.mail, func() { n.deliver(b, a, owner, first) })
+}
+
+func (n *network) deliver(b *backend, a Announcement, owner int, first bool) {
+	call := n.gateways[owner].Renew
+	if first {
+		call = n.gateways[owner].Announce
+	}
+	answer, err := call(n.now, a)
+	n.mail = append(n.mail, func() {
+		if b.gone || b.owner != owner || b.record.Incarnation != a.Server.Incarnation || b.record.Sequence != a.Server.Sequence {
+			return
+		}
+		var unknown *UnknownServerError
+		if errors.As(err, &unknown) && b.announced {
+			b.announced = false
+			b.record.Sequence++
+			b.grant = 0
+		}
+		if err == nil {
+			b.announced, b.lastAnswer = true, n.now
+			b.grant = max(b.grant, answer.Grant)
+		}
+	})
+}
+
+func (n *network) changeState() {
+	b := n.server()
+	b.record.State = rapid.SampledFrom([]gossippb.ServerState{ready, cold, draining}).Draw(n.t, "state")
+	b.record.Sequence++
+}
+
+func (n *network) restartServer() {
+	b := n.server()
+	b.record.Incarnation++
+	b.record.Sequence, b.record.State = 1, cold
+	b.announced, b.grant, b.gone = false, 0, false
+	b.owner = n.gateway()
+	b.lastAnswer = n.now
+}
+
+func (n *network) leave() {
+	b := n.server()
+	if b.gone {
+		return
+	}
+	b.gone = true
+	b.record.Sequence++
+	record, g := proto.CloneOf(b.record), n.gateway()
+	n.mail = append(n.mail, func() { n.gateways[g].Leave(n.now, record) })
+}
+
+func (n *network) restartGateway() {
+	g := n.gateway()
+	n.starts[g]++
+	n.gateways[g] = New(gatewayName(g), n.starts[g])
+}
+
+func (n *network) exchange() { n.exchangeBetween(n.gateway(), n.gateway()) }
+
+func (n *network) exchangeBetween(from, to int) {
+	if from == to {
+		return
+	}
+	sender, sent := n.gateways[from], n.now
+	request := sender.Request(n.now)
+	n.mail = append(n.mail, func() {
+		answer := n.gateways[to].Handle(n.now, request)
+		n.mail = append(n.mail, func() {
+			if n.gateways[from] == sender {
+				sender.Merge(n.now, sent, answer)
+			}
+		})
+	})
+}
+
+func (n *network) fallback() {
+	b := n.server()
+	g := n.gateways[n.gateway()]
+	owner, request := g.FallbackReport(n.now, b.record.Address, b.record.Incarnation)
+	if request == nil {
+		return
+	}
+	n.mail = append(n.mail, func() {
+		for i := range n.gateways {
+			if gatewayName(i) == owner {
+				n.gateways[i].Handle(n.now, request)
+			}
+		}
+	})
+}
+
+// carry delivers one waiting message, in any order; it may stay to be delivered again, or be lost.
+func (n *network) carry() {
+	if len(n.mail) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(n.mail)-1).Draw(n.t, "message")
+	fate := rapid.IntRange(0, 5).Draw(n.t, "fate")
+	message := n.mail[i]
+	if fate != 0 {
+		n.mail = append(n.mail[:i:i], n.mail[i+1:]...)
+	}
+	if fate != 1 {
+		message()
+	}
+}
+
+func (n *network) pass() {
+	n.now += time.Duration(rapid.IntRange(1, 1500).Draw(n.t, "ms")) * time.Millisecond
+	for _, g := range n.gateways {
+		g.Tick(n.now)
+	}
+}
+
+// check asserts what must hold at any time.
+func (n *network) check() {
+	for _, b := range n.servers {
+		rights := 0
+		for _, g := range n.gateways {
+			s, ok := g.Server(b.record.Address)
+			if ok && s.Owned && n.now < s.SendUntil {
+				rights++
+			}
+			n.checkLeft(g, b.record.Address)
+		}
+		if rights > 1 {
+			n.t.Fatalf("%d gateways may send to the cold server %s", rights, b.record.Address)
+		}
+	}
+}
+
+// checkLeft asserts that a registry never again lists an incarnation that it knew to have left.
+func (n *network) checkLeft(g *Registry, address string) {
+	rec := g.records[address]
+	if n.left[g] == nil {
+		n.left[g] = map[string]uint64{}
+	}
+	if rec != nil && rec.left() {
+		n.left[g][address] = max(n.left[g][address], rec.server.Incarnation)
+	}
+	if s, ok := g.Server(address); ok && s.Record.Incarnation <= n.left[g][address] {
+		n.t.Fatalf("%s lists incarnation %d of %s, which left", g.self, s.Record.Incarnation, address)
+	}
+}
+
+// settle runs without faults until all know the same, and reports whether they do.
+func (n *network) settle() bool {
+	n.mail = nil
+	for _, b := range n.servers {
+		if b.gone {
+			n.gateways[b.owner].Leave(n.now, b.record)
+		}
+	}
+	n.operate(60, nil, false)
+	return n.agreed()
+}
+
+// operate runs for some rounds of half a second without faults, apart from gateways that are cut off and answers to
+// servers that are lost.
+func (n *network) operate(rounds int, cut map[int]bool, answersLost bool) {
+	for range rounds {
+		n.now += RenewInterval / 2
+		mail := n.mail
+		n.mail = nil
+		for _, b := range n.servers {
+			if !cut[b.owner] {
+				n.renewServer(b)
+			}
+		}
+		n.deliverAll(answersLost)
+		for i := range n.gateways {
+			if next := (i + 1) % len(n.gateways); !cut[i] && !cut[next] {
+				n.exchangeBetween(i, next)
+			}
+		}
+		n.deliverAll(false)
+		n.mail = append(n.mail, mail...)
+		for _, g := range n.gateways {
+			g.Tick(n.now)
+		}
+		n.check()
+	}
+}
+
+// deliverAll delivers what waits, and the answers to it unless they are lost.
+func (n *network) deliverAll(answersLost bool) {
+	for len(n.mail) > 0 {
+		messages := n.mail
+		n.mail = nil
+		for _, message := range messages {
+			message()
+			n.check()
+		}
+		if answersLost {
+			n.mail = nil
+		}
+	}
+}
+
+// operateWithFaults cuts gateways off or loses answers for up to 6 s.
+func (n *network) operateWithFaults() {
+	cut := map[int]bool{}
+	for i := range n.gateways {
+		cut[i] = rapid.IntRange(0, 3).Draw(n.t, "cut") == 0
+	}
+	n.operate(rapid.IntRange(1, 12).Draw(n.t, "rounds"), cut, rapid.IntRange(0, 2).Draw(n.t, "lost") == 0)
+}
+
+func (n *network) agreed() bool {
+	for _, b := range n.servers {
+		for _, g := range n.gateways {
+			s, ok := g.Server(b.record.Address)
+			leaving := b.record.State == draining
+			if ok == b.gone && !leaving {
+				n.t.Logf("%s: %s listed %v, gone %v", g.self, b.record.Address, ok, b.gone)
+				return false
+			}
+			if ok && (s.Record.Incarnation != b.record.Incarnation || s.Record.Sequence != b.record.Sequence) {
+				n.t.Logf("%s: %s has %v, server is at %v", g.self, b.record.Address, s.Record, b.record)
+				return false
+			}
+			fresh := ok && n.now-s.Evidence < EvidenceLifetime
+			if ok && fresh == leaving {
+				n.t.Logf("%s: %s evidence %v at %v", g.self, b.record.Address, s.Evidence, n.now)
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Guards against two owners' rights at once, resurrection of servers that left, and registries that stay different,
+// under loss, repetition, reordering and restarts.
+func TestRegistriesUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(t, 3, 3)
+		steps := []func(){
+			n.renew, n.renew, n.renew, n.carry, n.carry, n.carry, n.carry, n.carry, n.carry, n.exchange, n.exchange,
+			n.pass, n.pass, n.changeState, n.restartServer, n.leave, n.restartGateway, n.fallback,
+			n.operateWithFaults, n.operateWithFaults, n.operateWithFaults, n.operateWithFaults,
+		}
+		for _, s := range rapid.SliceOfN(rapid.IntRange(0, len(steps)-1), 1, 60).Draw(t, "steps") {
+			steps[s]()
+			n.check()
+		}
+		if !n.settle() {
+			t.Fatal("the registries differ after 30 s without faults")
+		}
+	})
+}
+
+// Guards against a server that comes back because a gateway that has not heard of its leaving took an announcement.
+func TestLeftIsFinal(t *testing.T) {
+	a, b := New("a", 1), New("b", 1)
+	s := &gossippb.Server{Service: "s", Address: "10.0.0.1:80", Incarnation: 1, Sequence: 3}
+	if err := a.Leave(time.Second, s); err != nil {
+		t.Fatal(err)
+	}
+	later := proto.CloneOf(s)
+	later.Sequence = 4
+	if _, err := b.Announce(time.Second, Announcement{Server: later}); err != nil {
+		t.Fatal(err)
+	}
+	b.Merge(time.Second, time.Second, a.Handle(time.Second, b.Request(time.Second)))
+	a.Merge(time.Second, time.Second, b.Handle(time.Second, a.Request(time.Second)))
+	if len(a.Servers())+len(b.Servers()) != 0 {
+		t.Fatalf("still listed: %v %v", a.Servers(), b.Servers())
+	}
+	var left *LeftError
+	if _, err := a.Announce(2*time.Second, Announcement{Server: later}); !errors.As(err, &left) {
+		t.Fatalf("got %v, want *LeftError", err)
+	}
+}
