Test raft under random faults

cause: the core had only tests of the ordinary case. change: rapid runs 3 and 5 replicas under loss, repetition, reordering, partitions, frozen replicas, crashes between any two effects, lost disks with repair, compaction; invariants and a porcupine history are checked. before: 6 tests.

--- a/raft/cluster_test.go
+++ b/raft/cluster_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"testing"
 
 	"heatherwall.example/api/raftpb"
 )
@@ -14,6 +13,13 @@
 	testHeartbeatTicks = 2
 )
 
+// tester is what testing.T, testing.B and rapid.T have in common.
+type tester interface {
+	Helper()
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // host is one replica of a cluster under test. A host that is down has no node.
 type host struct {
 	id      uint64
@@ -21,25 +27,39 @@
 	storage *MemoryStorage
 	applied []*raftpb.Entry
 	reads   []Read
+	// index and value are the state machine: a register that entries overwrite.
+	index uint64
+	value string
+}
+
+// unsyncedSaver leaves the sync to the test.
+type unsyncedSaver struct{ *MemoryStorage }
+
+func (s unsyncedSaver) Save(hs *raftpb.HardState, entries []*raftpb.Entry) error {
+	return s.SaveUnsynced(hs, entries)
 }
 
 // cluster runs replicas in one goroutine. Its network delivers messages in order unless a test interferes.
 type cluster struct {
-	t       testing.TB
+	t       tester
 	hosts   map[uint64]*host
 	network []*raftpb.Message
 	// isBlocked decides whether a message is lost.
 	isBlocked func(m *raftpb.Message) bool
-	random    func(n int) int
+	// crashes decides, between any two effects of a replica, whether it stops there; observe runs after each Ready.
+	crashes func(h *host) bool
+	observe func(h *host)
+	random  func(n int) int
 }
 
 func memberOf(id uint64) *raftpb.Member {
 	return &raftpb.Member{Id: id, Name: fmt.Sprintf("replica-%d", id)}
 }
 
-func newCluster(t testing.TB, size int) *cluster {
+func newCluster(t tester, size int) *cluster {
 	seed := uint32(1)
 	c := &cluster{t: t, hosts: map[uint64]*host{}, isBlocked: func(*raftpb.Message) bool { return false }}
+	c.crashes, c.observe = func(*host) bool { return false }, func(*host) {}
 	c.random = func(n int) int {
 		seed = seed*1664525 + 1013904223
 		return int(seed>>16) % n
@@ -70,6 +90,8 @@
 		c.t.Fatalf("start of %d: %v", h.id, err)
 	}
 	h.node, h.applied, h.reads = node, nil, nil
+	s, _ := h.storage.Snapshot()
+	h.index, h.value = s.Index, string(s.Data)
 }
 
 func (c *cluster) ids() []uint64 {
@@ -85,19 +107,50 @@
 func (c *cluster) run(h *host) {
 	for h.node != nil && h.node.HasReady() {
 		r := h.node.Ready()
-		if err := r.Save(h.storage); err != nil {
+		if err := r.Save(unsyncedSaver{h.storage}); err != nil {
 			c.t.Fatalf("save on %d: %v", h.id, err)
 		}
-		c.network = append(c.network, r.Messages...)
-		h.applied = append(h.applied, r.Committed...)
-		h.reads = append(h.reads, r.Reads...)
+		if c.crashes(h) {
+			c.stop(h)
+			return
+		}
+		h.storage.Sync()
+		for _, m := range r.Messages {
+			if c.crashes(h) {
+				c.stop(h)
+				return
+			}
+			c.network = append(c.network, m)
+		}
+		h.apply(r)
 		h.node.Advance(r)
+		c.observe(h)
 	}
 	if h.node != nil && h.node.Err() != nil {
 		c.t.Fatalf("replica %d: %v", h.id, h.node.Err())
 	}
 }
 
+func (h *host) apply(r Ready) {
+	if r.Snapshot != nil {
+		h.index, h.value = r.Snapshot.Index, string(r.Snapshot.Data)
+	}
+	for _, e := range r.Committed {
+		h.index = e.Index
+		if e.Type == raftpb.EntryType_ENTRY_DATA && len(e.Data) > 0 {
+			h.value = string(e.Data)
+		}
+	}
+	h.applied = append(h.applied, r.Committed...)
+	h.reads = append(h.reads, r.Reads...)
+}
+
+// stop ends a replica, which loses what it has not synced.
+func (c *cluster) stop(h *host) {
+	h.node = nil
+	h.storage.Crash()
+}
+
 // settle delivers messages until there are none.
 func (c *cluster) settle() {
 	for {
--- /dev/null
+++ b/raft/simulation_test.go
@@ -0,0 +1,400 @@
+package raft
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"heatherwall.example/api/raftpb"
+)
+
+// TestMain fixes the seed of rapid; flags of the command line take precedence.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// operation is a write or read of the register. returned is 0 until its outcome is known to the caller.
+type operation struct {
+	host             uint64
+	write            bool
+	value            string
+	position         int
+	called, returned int64
+}
+
+// simulation interferes with a cluster at random and checks the invariants after every step of a replica.
+type simulation struct {
+	*cluster
+	t      *rapid.T
+	random *rand.Rand
+	clock  int64
+	nextID uint64
+	// leaders holds the leader of each term, committed each entry that any replica has applied.
+	leaders   map[uint64]uint64
+	committed map[uint64]*raftpb.Entry
+	writes    map[string]*operation
+	reads     map[uint64]*operation
+	frozen    map[uint64]bool
+	cut       map[uint64]bool
+	// lost holds identities whose disk is gone, with the identity that replaces them.
+	lost map[uint64]uint64
+	// crashRate is the chance in 1,000 of a crash between two effects.
+	crashRate int
+}
+
+func newSimulation(t *rapid.T, size int) *simulation {
+	random := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
+	s := &simulation{
+		cluster: newCluster(t, size), t: t, random: random, nextID: 100,
+		leaders: map[uint64]uint64{}, committed: map[uint64]*raftpb.Entry{},
+		writes: map[string]*operation{}, reads: map[uint64]*operation{},
+		frozen: map[uint64]bool{}, cut: map[uint64]bool{}, lost: map[uint64]uint64{}, crashRate: random.Intn(20),
+	}
+	s.cluster.random = random.Intn
+	s.isBlocked = func(m *raftpb.Message) bool { return s.cut[m.From] != s.cut[m.To] || s.frozen[m.To] }
+	s.crashes = func(*host) bool { return random.Intn(1000) < s.crashRate }
+	s.observe = s.check
+	return s
+}
+
+// check asserts the invariants at one replica.
+func (s *simulation) check(h *host) {
+	s.clock++
+	if h.node.role == Leader {
+		s.checkLeader(h)
+	}
+	for _, e := range h.applied {
+		known, ok := s.committed[e.Index]
+		if ok && (known.Term != e.Term || string(known.Data) != string(e.Data)) {
+			s.t.Fatalf("state machine safety: index %d is %v and %v", e.Index, known, e)
+		}
+		s.committed[e.Index] = e
+		// A write counts as done when any replica has applied it; every later read must see it.
+		if w := s.writes[string(e.Data)]; w != nil && w.returned == 0 {
+			w.returned = s.clock
+		}
+	}
+	h.applied = nil
+	for _, r := range h.reads {
+		if o := s.reads[r.ID]; o.returned == 0 && h.index >= r.Index {
+			o.returned, o.value = s.clock, h.value
+		}
+	}
+	s.checkLogMatching(h)
+}
+
+func (s *simulation) checkLeader(h *host) {
+	n := h.node
+	if known, ok := s.leaders[n.term]; ok && known != h.id {
+		s.t.Fatalf("election safety: %d and %d lead in term %d", known, h.id, n.term)
+	}
+	if _, ok := s.leaders[n.term]; !ok {
+		s.leaders[n.term] = h.id
+		for index, e := range s.committed {
+			if index >= n.log.firstIndex() && !n.log.matches(index, e.Term) {
+				s.t.Fatalf("leader completeness: leader %d of term %d lacks %v", h.id, n.term, e)
+			}
+		}
+	}
+	pending := 0
+	for _, m := range n.memberships {
+		if m.index > n.log.committed {
+			pending++
+		}
+	}
+	if pending > 1 {
+		s.t.Fatalf("%d uncommitted membership changes on leader %d", pending, h.id)
+	}
+}
+
+// checkLogMatching compares a random index with the other replicas: an equal term there means equal logs before it.
+func (s *simulation) checkLogMatching(h *host) {
+	for _, id := range s.ids() {
+		other := s.hosts[id].node
+		if other == nil || other == h.node {
+			continue
+		}
+		last := min(other.log.lastIndex(), h.node.log.lastIndex())
+		lowest := max(other.log.firstIndex(), h.node.log.firstIndex(), last-min(last, 20))
+		same := false
+		for i := last; i >= lowest; i-- {
+			a, _ := h.node.log.term(i)
+			b, _ := other.log.term(i)
+			if same && a != b {
+				s.t.Fatalf("log matching: %d and %d differ at %d but not later", h.id, id, i)
+			}
+			same = same || a == b
+		}
+	}
+}
+
+func (s *simulation) anyHost() *host {
+	ids := s.ids()
+	return s.hosts[ids[s.random.Intn(len(ids))]]
+}
+
+// step does one thing at random.
+func (s *simulation) step() {
+	s.clock++
+	h := s.anyHost()
+	switch n := s.random.Intn(1000); {
+	case n < 350:
+		s.deliverOne()
+	case n < 450:
+		s.tickAlive(1)
+	case n < 550:
+		s.tickAlive(s.random.Intn(4))
+		for range s.random.Intn(40) {
+			s.deliverOne()
+		}
+	case n < 600:
+		s.tickAlive(1)
+		s.settle()
+	case n < 610:
+		s.cut = map[uint64]bool{h.id: true, s.anyHost().id: true}
+	case n < 630:
+		clear(s.cut)
+	case n < 635:
+		s.frozen[h.id] = true
+	case n < 650:
+		clear(s.frozen)
+	case n < 655:
+		s.loseDisk(h)
+	case n < 665:
+		if h.node != nil {
+			s.stop(h)
+		}
+	case n < 670:
+		s.compactAll()
+	case n < 750 && h.node == nil:
+		s.start(h)
+	default:
+		s.use(s.leaderOr(h))
+	}
+	s.run(s.anyHost())
+}
+
+// leaderOr mostly returns a replica that believes to lead, so that enough requests have an effect.
+func (s *simulation) leaderOr(h *host) *host {
+	for _, id := range s.ids() {
+		if l := s.hosts[id]; l.node != nil && l.node.role == Leader && s.random.Intn(3) > 0 {
+			return l
+		}
+	}
+	return h
+}
+
+// use calls one of the methods of a node that control daemons call.
+func (s *simulation) use(h *host) {
+	if h.node == nil {
+		return
+	}
+	switch n := s.random.Intn(20); {
+	case n < 8:
+		s.write(h)
+	case n < 14:
+		s.read(s.anyHost())
+	case n < 15:
+		ignoreRefusal(s.t, h.node.TransferLeadership(s.anyHost().id))
+	default:
+		s.repair(h)
+	}
+}
+
+// ignoreRefusal accepts the errors that say that a replica cannot do something at present.
+func ignoreRefusal(t *rapid.T, err error) {
+	var stopped *InvariantError
+	if errors.As(err, &stopped) {
+		t.Fatal(err)
+	}
+}
+
+// deliverOne delivers a random message, and sometimes loses or repeats it.
+func (s *simulation) deliverOne() {
+	if len(s.network) == 0 {
+		return
+	}
+	i := s.random.Intn(len(s.network))
+	m := s.network[i]
+	if s.random.Intn(10) > 0 {
+		s.network = slices.Delete(s.network, i, i+1)
+	}
+	if s.random.Intn(10) > 0 {
+		s.deliver(m)
+	}
+}
+
+func (s *simulation) tickAlive(n int) {
+	for range n {
+		for _, id := range s.ids() {
+			if h := s.hosts[id]; h.node != nil && !s.frozen[id] {
+				h.node.Tick()
+			}
+		}
+	}
+}
+
+func (s *simulation) write(h *host) {
+	s.nextID++
+	o := &operation{host: h.id, write: true, value: fmt.Sprint(s.nextID), called: s.clock}
+	err := h.node.Propose([]byte(o.value))
+	if err == nil {
+		s.writes[o.value] = o
+	}
+	ignoreRefusal(s.t, err)
+}
+
+func (s *simulation) read(h *host) {
+	if h.node == nil {
+		return
+	}
+	s.nextID++
+	s.reads[s.nextID] = &operation{host: h.id, called: s.clock}
+	ignoreRefusal(s.t, h.node.ReadIndex(s.nextID))
+}
+
+func (s *simulation) compactAll() {
+	for _, id := range s.ids() {
+		h := s.hosts[id]
+		if h.node == nil || s.random.Intn(2) == 0 {
+			continue
+		}
+		snapshot, err := h.node.NewSnapshot(h.index, []byte(h.value))
+		if err == nil {
+			err = h.storage.SaveSnapshot(snapshot)
+		}
+		ignoreRefusal(s.t, err)
+	}
+}
+
+// loseDisk destroys a replica, unless another repair is in progress, and starts a new identity in its place.
+func (s *simulation) loseDisk(h *host) {
+	if len(s.lost) > 0 {
+		return
+	}
+	s.nextID++
+	delete(s.hosts, h.id)
+	s.lost[h.id] = s.nextID
+	s.add(s.nextID, nil)
+}
+
+// repair takes the next step to replace a lost identity: remove, add as learner, promote.
+func (s *simulation) repair(h *host) {
+	for lost, replacement := range s.lost {
+		change := &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_REMOVE, Member: memberOf(lost)}
+		member := findMember(h.node.membership(), replacement)
+		switch {
+		case findMember(h.node.membership(), lost) != nil:
+		case member == nil:
+			change = &raftpb.MembershipChange{Member: memberOf(replacement)}
+		case member.Learner:
+			change = &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_PROMOTE, Member: member}
+		case h.node.role == Leader && h.node.hasCommittedInTerm() && h.node.memberships.latest().index <= h.node.log.committed:
+			delete(s.lost, lost) // a second failure can follow at once
+			return
+		}
+		ignoreRefusal(s.t, h.node.ProposeMembership(change))
+	}
+}
+
+// recover ends all interference and asserts that the cluster repairs itself and commits again.
+func (s *simulation) recover() {
+	s.crashRate = 0
+	clear(s.cut)
+	clear(s.frozen)
+	for range 1000 {
+		for _, id := range s.ids() {
+			if h := s.hosts[id]; h.node == nil {
+				s.start(h)
+			}
+			s.repair(s.hosts[id])
+		}
+		s.tick(1)
+		if len(s.lost) == 0 && s.isAgreed() {
+			return
+		}
+		s.write(s.anyHost())
+	}
+	s.t.Fatal("no progress 1,000 ticks after all faults had ended")
+}
+
+func (s *simulation) isAgreed() bool {
+	index := uint64(0)
+	for _, id := range s.ids() {
+		h := s.hosts[id]
+		if index == 0 {
+			index = h.index
+		}
+		if h.index != index || h.index != h.node.log.lastIndex() || !h.node.hasCommittedInTerm() {
+			return false
+		}
+	}
+	return true
+}
+
+// register is the sequential model of a register for porcupine. Its state is the number of writes so far; position is
+// the number of a write in the order of the log, so that the check takes linear time.
+var register = porcupine.Model{
+	Init: func() any { return 0 },
+	Step: func(state, input, _ any) (bool, any) {
+		o := input.(*operation)
+		if o.write {
+			return o.position == state.(int)+1, o.position
+		}
+		return o.position == state, state
+	},
+}
+
+func (s *simulation) checkLinearizable() {
+	var history []porcupine.Operation
+	positions := map[string]int{}
+	add := func(o *operation) {
+		o.position = positions[o.value]
+		history = append(history, porcupine.Operation{ClientId: len(history), Input: o, Call: o.called, Return: o.returned})
+	}
+	for _, index := range slices.Sorted(maps.Keys(s.committed)) {
+		if o := s.writes[string(s.committed[index].Data)]; o != nil {
+			positions[o.value] = len(positions) + 1
+			add(o)
+		}
+	}
+	for _, o := range s.reads {
+		if o.returned > 0 {
+			add(o)
+		}
+	}
+	if !porcupine.CheckOperations(register, history) {
+		s.t.Fatalf("history of %d operations is not linearizable", len(history))
+	}
+}
+
+// Guards against every loss of safety that loss, repetition, reordering, partitions, crashes between any two effects,
+// frozen replicas, lost disks and compaction can cause, and against a cluster that does not recover afterwards.
+func TestSafetyUnderFaults(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				s := newSimulation(t, size)
+				for range rapid.IntRange(100, 1500).Draw(t, "steps") {
+					s.step()
+				}
+				s.recover()
+				s.checkLinearizable()
+			})
+		})
+	}
+}
