--- /dev/null
+++ b/testbed/policybench/scenario.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"time"
+
+	"heatherwall.example/balance"
+)
+
+// scenario is one situation; prepare plans its faults.
+type scenario struct {
+	name   string
+	load   float64 // share of capacity
+	length time.Duration
+	// prepare plans the faults, which begin when the warm-up ends.
+	prepare func(s *simulation)
+}
+
+// Loads and lengths of the scenarios.
+const (
+	usualLoad  = 0.6
+	domainLoad = 0.3
+	usualTime  = 4 * time.Second
+	domainTime = 14 * time.Second
+	// noisySlowness is the factor of a noisy neighbour; stragglerSlowness that of a straggler.
+	noisySlowness     = 10
+	stragglerSlowness = 12
+)
+
+var scenarios = []scenario{
+	{"steady", usualLoad, usualTime, func(*simulation) {}},
+	{"noisy neighbours", usualLoad, usualTime, noise},
+	{"stragglers", usualLoad, usualTime, stragglers},
+	{"fast failers", usualLoad, usualTime, fastFailers},
+	{"cold start", usualLoad, usualTime, coldStarts},
+	{"cold fallback", usualLoad, usualTime, coldFallbacks},
+	{"steady, low load", domainLoad, usualTime, func(*simulation) {}},
+	{"domain out and back", domainLoad, domainTime, domainOut},
+	{"domain lost and back", domainLoad, domainTime, domainLost},
+	{"overload 1.5", 1.5, usualTime, func(*simulation) {}},
+	{"false reports", usualLoad, usualTime, falseReports},
+	{"flapping announcements", usualLoad, usualTime, flapping},
+	{"noise and cold fallback", usualLoad, usualTime, func(s *simulation) { noise(s); coldFallbacks(s) }},
+	{"domain out and stragglers", domainLoad, domainTime, func(s *simulation) { domainOut(s); stragglers(s) }},
+}
+
+func (s *simulation) begin() time.Duration { return start + warmUp }
+
+// noise slows one server at a time down; every 5 to 50 ms it shifts to another.
+func noise(s *simulation) {
+	var shift func()
+	last := 0
+	shift = func() {
+		s.servers[last].setSlowness(1)
+		last = s.faults.IntN(len(s.servers))
+		s.servers[last].setSlowness(noisySlowness)
+		s.clock.after(time.Duration(5+s.faults.IntN(46))*time.Millisecond, shift)
+	}
+	s.clock.at(s.begin(), shift)
+}
+
+// stragglers slows two servers in turn down for a second each, at a random time.
+func stragglers(s *simulation) {
+	for i := range 3 {
+		v := s.servers[s.faults.IntN(len(s.servers))]
+		at := s.begin() + time.Duration(i)*1300*time.Millisecond
+		s.clock.at(at, func() { v.setSlowness(stragglerSlowness) })
+		s.clock.at(at+time.Second, func() { v.setSlowness(1) })
+	}
+}
+
+// fastFailers lets two servers fail at once for 1.5 s.
+func fastFailers(s *simulation) {
+	for _, i := range []int{2, 7} {
+		v := s.servers[i]
+		s.clock.at(s.begin()+500*time.Millisecond, func() { v.failing = true })
+		s.clock.at(s.begin()+2*time.Second, func() { v.failing = false })
+	}
+}
+
+// coldStarts begins with two servers that have announced a cold start; what they bear counts from the beginning.
+func coldStarts(s *simulation) {
+	for _, i := range []int{2, 7} {
+		v := s.servers[i]
+		s.clock.at(start, func() {
+			v.fallBack(false, 0)
+			for _, g := range s.gateways {
+				if g.engine != nil {
+					g.engine.Apply(balance.ServerChanged{Server: s.record(g, v, balance.StateCold, 2)})
+				}
+			}
+		})
+		s.clock.at(s.end()-time.Second, func() {
+			v.warm()
+			s.announce(v, balance.StateReady, 3)
+		})
+	}
+}
+
+// fallbackGrace is the time in which requests already chosen may arrive at a server that has just fallen back.
+const fallbackGrace = 100 * time.Millisecond
+
+// coldFallbacks lets two servers fall back without warning: one tells so in its answers, the other never does.
+func coldFallbacks(s *simulation) {
+	for n, i := range []int{2, 7} {
+		v, silent := s.servers[i], n == 1
+		s.clock.at(s.begin()+500*time.Millisecond, func() { v.fallBack(silent, fallbackGrace) })
+		s.clock.at(s.begin()+3*time.Second, func() {
+			v.warm()
+			s.announce(v, balance.StateReady, 3)
+		})
+	}
+}
+
+func domainOut(s *simulation) {
+	out := s.servers[0].place.domain
+	s.clock.at(s.begin()+time.Second, func() { s.setDomains([]string{out}) })
+	s.clock.at(s.begin()+5*time.Second, func() { s.setDomains(nil) })
+}
+
+func domainLost(s *simulation) {
+	for _, v := range s.servers {
+		if v.place.domain != s.servers[0].place.domain {
+			continue
+		}
+		s.clock.at(s.begin()+time.Second, v.crash)
+		s.clock.at(s.begin()+5*time.Second, func() { v.down = false })
+	}
+}
+
+// falseReports: two servers claim to be idle and are slow, two claim to be full.
+func falseReports(s *simulation) {
+	for _, i := range []int{2, 7} {
+		s.servers[i].report = func(int) int { return 0 }
+		s.clock.at(s.begin(), func() { s.servers[i].setSlowness(3) })
+	}
+	for _, i := range []int{3, 8} {
+		s.servers[i].report = func(int) int { return 3 * s.deployment.slots }
+	}
+}
+
+// flapping lets two servers announce draining and ready in turn, five times a second.
+func flapping(s *simulation) {
+	for _, i := range []int{2, 7} {
+		sequence := uint64(1)
+		var flap func()
+		flap = func() {
+			sequence++
+			s.announce(s.servers[i], balance.State(sequence%2)*balance.StateDraining, sequence)
+			s.clock.after(200*time.Millisecond, flap)
+		}
+		s.clock.at(s.begin(), flap)
+	}
+}
