--- a/balance/eligible.go
+++ b/balance/eligible.go
@@ -111,14 +111,24 @@
 	if s.config.Switches.NoServerLimit {
 		return verdictYes
 	}
-	if s.total(v, c, q.Now, own) >= serverLimit*float64(c.slots) {
+	if s.known(v, c, q.Now, own) >= serverLimit*float64(c.slots) {
 		return verdictBusy
 	}
 	return verdictYes
 }
 
-// total estimates the requests at a server, of this gateway and of others.
+// total estimates the requests at a server, of this gateway and of others. Where the report has aged, the mean of the
+// service takes its place.
 func (s *Snapshot) total(v *serviceView, c *candidate, now time.Duration, own int64) float64 {
-	others := c.load.report.estimate(now, v.load.typicalOthers.load(), s.config.Switches)
+	others, weight := c.load.report.fresh(now, v.load.typical.load(), s.config.Switches)
+	if s.config.Switches.NoReports {
+		return float64(own)
+	}
+	return float64(own) + others + v.load.typicalOthers.load()*(1-weight)
+}
+
+// known counts only what is known of the requests at a server, so that a gateway without news tries the server again.
+func (s *Snapshot) known(v *serviceView, c *candidate, now time.Duration, own int64) float64 {
+	others, _ := c.load.report.fresh(now, v.load.typical.load(), s.config.Switches)
 	return float64(own) + others
 }
--- a/balance/report.go
+++ b/balance/report.go
@@ -4,8 +4,11 @@
 
 // Constants of the trust in reports.
 const (
-	// reportAge is the age at which half of a report has given way to the mean of the service.
-	reportAge = 60 * time.Millisecond
+	// reportAge is the age, in typical work times, at which half of a report counts: by then about half of the requests
+	// that it counted have ended.
+	reportAge = 3
+	// minReportAge applies while the typical work time is unknown or very short.
+	minReportAge = 2 * time.Millisecond
 	// trustLoss and trustGain move the trust at each answer.
 	trustLoss = 0.15
 	trustGain = 0.03
@@ -38,18 +41,17 @@
 	r.distrust.blend(0, trustGain)
 }
 
-// estimate is the number of requests of other gateways at the server.
-func (r *report) estimate(now time.Duration, typicalOthers float64, sw Switches) float64 {
-	if sw.NoReports {
-		return 0
-	}
+// fresh is the number of requests of other gateways at the server that the report still vouches for, and the weight of
+// the report between 0 and 1.
+func (r *report) fresh(now time.Duration, typical float64, sw Switches) (others, weight float64) {
 	at := r.at.load()
-	if at == 0 {
-		return typicalOthers
+	if sw.NoReports || at == 0 {
+		return 0, 0
 	}
-	w := float64(reportAge) / float64(reportAge+max(now-at, 0))
+	half := max(reportAge*typical, float64(minReportAge))
+	weight = half / (half + float64(max(now-at, 0)))
 	if !sw.NoDistrust {
-		w *= 1 - r.distrust.load()
+		weight *= 1 - r.distrust.load()
 	}
-	return r.others.load()*w + typicalOthers*(1-w)
+	return r.others.load() * weight, weight
 }
--- a/testbed/policybench/gateway.go
+++ b/testbed/policybench/gateway.go
@@ -104,7 +104,9 @@
 	r.start(&attempt{request: r, server: s})
 }
 
+var dbg [3][8]int
 func (r *request) refused(kind balance.AttemptKind, refusal balance.Refusal) {
+	dbg[kind][refusal.Reason]++
 	if kind == balance.AttemptHedge {
 		return
 	}
--- a/testbed/policybench/main.go
+++ b/testbed/policybench/main.go
@@ -22,7 +22,7 @@
 	flag.Parse()
 	results := runAll(selectRuns(*seed, *deployment, *scenario, *policy), *workers)
 	printTable(os.Stdout, results)
-	printGoals(os.Stdout, results)
+	printGoals(os.Stdout, results); fmt.Println(dbg)
 	if *plots == "" {
 		return
 	}
--- a/testbed/policybench/result.go
+++ b/testbed/policybench/result.go
@@ -68,21 +68,29 @@
 	if !r.counts(arrived) {
 		return
 	}
+	latency := now - arrived
 	switch kind {
 	case endFailed:
 		r.failed++
+		latency = deadlineAfter
 	case endRefused:
 		r.refused++
+		latency = deadlineAfter
 	default:
 		r.ok++
-		us := max((now - arrived).Microseconds(), 1)
-		_ = r.latencies.RecordValue(us)
-		i := int((arrived - r.from) / plotInterval)
-		for len(r.slices) <= i {
-			r.slices = append(r.slices, newHistogram())
-		}
-		_ = r.slices[i].RecordValue(us)
 	}
+	r.record(arrived, max(latency.Microseconds(), 1))
+}
+
+// record takes a latency; a request that failed or was refused counts with its deadline, or else policies that fail
+// slow requests would seem fast.
+func (r *result) record(arrived time.Duration, us int64) {
+	_ = r.latencies.RecordValue(us)
+	i := int((arrived - r.from) / plotInterval)
+	for len(r.slices) <= i {
+		r.slices = append(r.slices, newHistogram())
+	}
+	_ = r.slices[i].RecordValue(us)
 }
 
 func (r *result) finish(s *simulation) {
