--- a/balance/eligible.go
+++ b/balance/eligible.go
@@ -111,7 +111,7 @@
 	if s.config.Switches.NoServerLimit {
 		return verdictYes
 	}
-	if s.known(v, c, q.Now, own) >= serverLimit*float64(c.slots) {
+	if s.full(v, c, q.Now, own) {
 		return verdictBusy
 	}
 	return verdictYes
@@ -127,8 +127,16 @@
 	return float64(own) + others + v.load.typicalOthers.load()*(1-weight)
 }
 
-// known counts only what is known of the requests at a server, so that a gateway without news tries the server again.
-func (s *Snapshot) known(v *serviceView, c *candidate, now time.Duration, own int64) float64 {
-	others, _ := c.load.report.fresh(now, v.load.typical.load(), s.config.Switches)
-	return float64(own) + others
+// full reports whether a server is at its limit. A gateway whose report has aged may test a full server with a single
+// request, whose answer brings a new report.
+func (s *Snapshot) full(v *serviceView, c *candidate, now time.Duration, own int64) bool {
+	limit := serverLimit * float64(c.slots)
+	if float64(own) >= limit {
+		return true
+	}
+	if s.config.Switches.NoReports {
+		return false
+	}
+	_, weight := c.load.report.fresh(now, v.load.typical.load(), s.config.Switches)
+	return float64(own)+c.load.report.others.load() >= limit && (own > 0 || weight > 0.5)
 }
