--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -78,6 +78,7 @@
 	}
 	if o.Kind == OutcomeCanceled {
 		c.load.latency.atLeast(now, work)
+		c.load.cold.settled.raise(now + c.cost + cancelSettle)
 		return
 	}
 	if a.cold {
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -8,7 +8,7 @@
 // Constants of cold start and of the detection of a fallback.
 const (
 	// coldStep is the number of answers on time, per request of the limit, that raise the limit by one.
-	coldStep = 3
+	coldStep = 4
 	// lateFactor makes an answer of a cold server late, in times of its fastest answer since the start.
 	lateFactor = 2.5
 	// oddFactor makes an answer of a warm server odd, in times of its own history.
@@ -17,6 +17,8 @@
 	// neighbours shifts faster.
 	oddCount = 4
 	oddTime  = 150 * time.Millisecond
+	// cancelSettle is how long a cancelled request may still occupy a cold server, beyond the round trip.
+	cancelSettle = 5 * time.Millisecond
 	// suspicionTime is how long a gateway that does not own the server stops sending after it noticed a fallback.
 	suspicionTime = 2 * time.Second
 )
@@ -33,6 +35,9 @@
 	// told tells that the owner goroutine has passed the fallback on.
 	told atomic.Bool
 
+	// settled is when the newest cancelled request has certainly ended at the server.
+	settled atomicTime
+
 	odd      atomic.Int32
 	oddSince atomicTime
 }
--- a/balance/eligible.go
+++ b/balance/eligible.go
@@ -100,7 +100,7 @@
 func (s *Snapshot) judgeLoad(v *serviceView, c *candidate, q *Query) verdict {
 	own := c.load.inFlight.Load()
 	if s.isCold(c, q.Now) {
-		if own >= c.load.cold.limit() {
+		if own >= c.load.cold.limit() || q.Now < c.load.cold.settled.load() {
 			return verdictBusy
 		}
 		return verdictYes
--- a/balance/tick.go
+++ b/balance/tick.go
@@ -70,16 +70,18 @@
 	}
 }
 
-// passFallbacks reports fallbacks to the gateway once, and ends the owner's suspicion when its limit has risen.
+// passFallbacks reports fallbacks to the gateway once, and their end: the owner's limit has risen to the server's slots,
+// and the server itself does not report a cold start.
 func (e *Engine) passFallbacks(records []*record) {
 	for _, r := range records {
 		c := &r.load.cold
 		suspected := c.fallback.load() > 0
-		reported := State(r.load.reported.Load()) == StateCold && r.server.State == StateReady
-		if (suspected || reported) && !c.told.Swap(true) {
+		reported := State(r.load.reported.Load()) == StateCold
+		if r.server.State == StateReady && (suspected || reported) && !c.told.Swap(true) {
 			e.notice(NoticeFallback, r)
 		}
-		if suspected && r.server.Owned && c.limit() >= slots(r.server) {
+		cold := suspected || r.server.State == StateCold
+		if cold && !reported && r.server.Owned && c.limit() >= slots(r.server) {
 			c.fallback.store(0)
 			e.notice(NoticeWarm, r)
 		}
--- a/testbed/policybench/gateway.go
+++ b/testbed/policybench/gateway.go
@@ -105,6 +105,7 @@
 }
 
 var dbg [3][8]int
+
 func (r *request) refused(kind balance.AttemptKind, refusal balance.Refusal) {
 	dbg[kind][refusal.Reason]++
 	if kind == balance.AttemptHedge {
--- a/testbed/policybench/main.go
+++ b/testbed/policybench/main.go
@@ -22,7 +22,8 @@
 	flag.Parse()
 	results := runAll(selectRuns(*seed, *deployment, *scenario, *policy), *workers)
 	printTable(os.Stdout, results)
-	printGoals(os.Stdout, results); fmt.Println(dbg)
+	printGoals(os.Stdout, results)
+	fmt.Println(dbg)
 	if *plots == "" {
 		return
 	}
--- a/testbed/policybench/server.go
+++ b/testbed/policybench/server.go
@@ -38,7 +38,10 @@
 	finished int  // since the start of the cold start
 	// report falsifies the reported load; nil reports the truth.
 	report func(inFlight int) int
-	// watched counts requests admitted to a cold server from this time on.
+	// announced and sequence are what its owner last spread.
+	announced balance.State
+	sequence  uint64
+	// Requests at a cold server count from watchFrom on.
 	watchFrom time.Duration
 	overLimit int
 	peakRatio float64
@@ -173,16 +176,20 @@
 		return
 	}
 	j.ended = true
-	o := balance.Outcome{Kind: kind, Reported: true, InFlight: s.inFlight(), Slots: s.slots}
-	if s.cold && !s.silent {
-		o.State = balance.StateCold
-	}
+	o := balance.Outcome{Kind: kind, Reported: true, State: s.reportedState(), InFlight: s.inFlight(), Slots: s.slots}
 	if s.report != nil {
 		o.InFlight = s.report(o.InFlight)
 	}
 	j.end(o)
 }
 
+func (s *server) reportedState() balance.State {
+	if s.cold && !s.silent {
+		return balance.StateCold
+	}
+	return balance.StateReady
+}
+
 func (s *server) setSlowness(f float64) {
 	s.update()
 	s.slowness = f
