--- a/balance/eject.go
+++ b/balance/eject.go
@@ -106,12 +106,15 @@
 	return e.now-s.slowSince >= stragglerTime
 }
 
-// slow compares the newest answers and the age of what is outstanding with the typical work time.
+// slow compares the newest answers and the age of what is outstanding, less the wait for slots, with the typical work
+// time.
 func (e *Engine) slow(r *record, typical float64) bool {
 	if typical == 0 {
 		return false
 	}
-	age := float64(r.load.meanAge(e.now, r.load.inFlight.Load()))
+	own := r.load.inFlight.Load()
+	others, _ := r.load.report.fresh(e.now, typical, e.config.Switches)
+	age := float64(r.load.meanAge(e.now, own)) / stretch(float64(own)+others, slots(r.server))
 	work := age
 	if r.load.latency.samples.Load() >= oddCount {
 		work = max(age, r.load.latency.fast.load())
--- a/balance/latency.go
+++ b/balance/latency.go
@@ -13,6 +13,9 @@
 	fastAge = 40 * time.Millisecond
 	// slowAge is the age at which half of the slow estimate has given way to the typical work time.
 	slowAge = 4 * time.Second
+	// usualSpread is the factor up to which a work time counts as typical; below it, differences are mostly those of the
+	// requests and not of the servers.
+	usualSpread = 2
 	// minWork keeps estimates above zero.
 	minWork = 20 * time.Microsecond
 	// failurePenalty is the work time of a failure, in typical work times.
@@ -57,7 +60,11 @@
 		slow = slow*w + typical*(1-w)
 	}
 	w := float64(fastAge) / float64(fastAge+age)
-	return l.fast.load()*w + slow*(1-w)
+	work := l.fast.load()*w + slow*(1-w)
+	if work < typical*usualSpread && work*usualSpread > typical {
+		return typical
+	}
+	return work
 }
 
 // reset forgets what was learnt, so that the typical work time applies.
