--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -78,6 +78,7 @@
 	}
 	if o.Kind == OutcomeCanceled {
 		c.load.latency.atLeast(now, work)
+		a.watchCancelled(now, o)
 		c.load.cold.settled.raise(now + c.cost + cancelSettle)
 		return
 	}
@@ -94,6 +95,17 @@
 	c.load.strikes.answered(!counts(o, total, c.slots))
 }
 
+// watchCancelled counts an attempt that a hedge overtook; otherwise hedging would hide a fallback.
+func (a Attempt) watchCancelled(now time.Duration, o Outcome) {
+	after := a.view.load.hedgeAfter.load()
+	if a.cold || a.snapshot.config.Switches.NoFallbackDetection || after == 0 || o.Latency <= after {
+		return
+	}
+	if a.candidate.load.cold.watch(now, true) {
+		a.candidate.load.cold.suspect(now)
+	}
+}
+
 // counts tells which outcomes count for ejection. A busy server that sheds load is healthy.
 func counts(o Outcome, total float64, slots int64) bool {
 	if o.Kind == OutcomeNotRun {
@@ -105,7 +117,7 @@
 // watchFallback compares an answer with the server's own history.
 func (a Attempt) watchFallback(now time.Duration, o Outcome, seen, total float64) {
 	c := a.candidate
-	if a.cold || a.snapshot.config.Switches.NoFallbackDetection || c.load.latency.samples.Load() < oddCount {
+	if a.cold || a.snapshot.config.Switches.NoFallbackDetection || c.load.latency.samples.Load() < minAnswers {
 		return
 	}
 	slow := o.Kind == OutcomeOK && seen > oddFactor*max(c.load.latency.slow.load(), a.view.load.typical.load())
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -15,7 +15,7 @@
 	oddFactor = 4
 	// oddCount and oddTime are how many answers in a row, over how long, must be odd for a fallback. Noise of
 	// neighbours shifts faster.
-	oddCount = 4
+	oddCount = 8
 	oddTime  = 150 * time.Millisecond
 	// cancelSettle is how long a cancelled request may still occupy a cold server, beyond the round trip.
 	cancelSettle = 5 * time.Millisecond
--- a/balance/config.go
+++ b/balance/config.go
@@ -49,7 +49,7 @@
 	ReturnTime time.Duration
 	// RetryShare is the number of retries per first attempt; default 0.1.
 	RetryShare float64
-	// HedgeShare is the number of hedges per first attempt; default 0.05.
+	// HedgeShare is the number of hedges per first attempt; default 0.1.
 	HedgeShare float64
 }
 
@@ -60,7 +60,7 @@
 	DefaultEvidenceLifetime = 2500 * time.Millisecond
 	DefaultReturnTime       = 8 * time.Second
 	DefaultRetryShare       = 0.1
-	DefaultHedgeShare       = 0.05
+	DefaultHedgeShare       = 0.1
 )
 
 func (c Config) withDefaults() Config {
--- a/balance/eject.go
+++ b/balance/eject.go
@@ -10,13 +10,15 @@
 	// ejectedShare: at most one server in this many of a service is ejected.
 	ejectedShare = 3
 	// stragglerFactor makes a server a straggler, in typical work times.
-	stragglerFactor = 4
+	stragglerFactor = 6
 	// stragglerFloor keeps small differences from counting.
 	stragglerFloor = 4 * time.Millisecond
 	// stragglerTime is how long a server must be slow. Noise of neighbours shifts faster.
-	stragglerTime = 120 * time.Millisecond
+	stragglerTime = 600 * time.Millisecond
 	// failureShare is the share of failures above which a server is ejected.
 	failureShare = 0.5
+	// minAnswers is the number of answers below which a server is not judged.
+	minAnswers = 4
 	// failureWeight moves the share of failures at each answer.
 	failureWeight = 0.2
 	// ejectFirst and ejectMost bound the time of ejection, which doubles with each ejection in a row.
@@ -49,7 +51,7 @@
 
 // failing reports whether most of the recent answers were failures.
 func (s *strikes) failing() bool {
-	return s.answers.Load() >= oddCount && s.failures.load() > failureShare
+	return s.answers.Load() >= minAnswers && s.failures.load() > failureShare
 }
 
 // eject decides for one service which servers receive nothing for a while; records are in the order of addresses.
@@ -116,7 +118,7 @@
 	others, _ := r.load.report.fresh(e.now, typical, e.config.Switches)
 	age := float64(r.load.meanAge(e.now, own)) / stretch(float64(own)+others, slots(r.server))
 	work := age
-	if r.load.latency.samples.Load() >= oddCount {
+	if r.load.latency.samples.Load() >= minAnswers {
 		work = max(age, r.load.latency.fast.load())
 	}
 	return work > stragglerFactor*typical+float64(stragglerFloor)
--- a/balance/eligible.go
+++ b/balance/eligible.go
@@ -137,6 +137,7 @@
 	if s.config.Switches.NoReports {
 		return false
 	}
-	_, weight := c.load.report.fresh(now, v.load.typical.load(), s.config.Switches)
-	return float64(own)+c.load.report.others.load() >= limit && (own > 0 || weight > 0.5)
+	r := &c.load.report
+	others := r.others.load() * r.trust(s.config.Switches)
+	return float64(own)+others >= limit && (own > 0 || r.weight(now, v.load.typical.load()) > 0.5)
 }
--- a/balance/report.go
+++ b/balance/report.go
@@ -44,14 +44,23 @@
 // fresh is the number of requests of other gateways at the server that the report still vouches for, and the weight of
 // the report between 0 and 1.
 func (r *report) fresh(now time.Duration, typical float64, sw Switches) (others, weight float64) {
-	at := r.at.load()
-	if sw.NoReports || at == 0 {
+	if sw.NoReports || r.at.load() == 0 {
 		return 0, 0
 	}
+	weight = r.weight(now, typical) * r.trust(sw)
+	return r.others.load() * weight, weight
+}
+
+// weight falls from 1 to 0 with the age of the report.
+func (r *report) weight(now time.Duration, typical float64) float64 {
 	half := max(reportAge*typical, float64(minReportAge))
-	weight = half / (half + float64(max(now-at, 0)))
-	if !sw.NoDistrust {
-		weight *= 1 - r.distrust.load()
+	return half / (half + float64(max(now-r.at.load(), 0)))
+}
+
+// trust is 1 for a server whose reports agree with what is seen, and falls to 0.
+func (r *report) trust(sw Switches) float64 {
+	if sw.NoDistrust {
+		return 1
 	}
-	return r.others.load() * weight, weight
+	return 1 - r.distrust.load()
 }
--- a/balance/tick.go
+++ b/balance/tick.go
@@ -9,7 +9,7 @@
 // Constants of the periodic work.
 const (
 	// hedgeQuantile is the latency quantile after which a hedge is sent.
-	hedgeQuantile = 0.95
+	hedgeQuantile = 0.9
 	// fadeInterval is the time after which the weight of counted latencies is halved.
 	fadeInterval = 500 * time.Millisecond
 	// probeMargin is the time before the end of evidence at which a probe is wanted.
@@ -73,6 +73,7 @@
 // passFallbacks reports fallbacks to the gateway once, and their end: the owner's limit has risen to the server's slots,
 // and the server itself does not report a cold start.
 func (e *Engine) passFallbacks(records []*record) {
+	e.capSuspicions(records)
 	for _, r := range records {
 		c := &r.load.cold
 		suspected := c.fallback.load() > 0
@@ -88,6 +89,26 @@
 	}
 }
 
+// capSuspicions drops suspicions when too many servers of a service are cold: then the load is the likelier cause, and
+// limits would make it worse.
+func (e *Engine) capSuspicions(records []*record) {
+	cold := 0
+	for _, r := range records {
+		if r.server.State == StateCold {
+			cold++
+		}
+	}
+	for _, r := range records {
+		c := &r.load.cold
+		if r.server.State != StateReady || c.fallback.load() == 0 {
+			continue
+		}
+		if cold++; cold > len(records)/ejectedShare {
+			c.fallback.store(0)
+		}
+	}
+}
+
 // wantProbes asks for evidence of servers that requests may soon need.
 func (e *Engine) wantProbes(name string, records []*record, load *serviceLoad) {
 	use := e.uses[name]
