--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -9,6 +9,12 @@
 	unreachableSteps = 5
 )
 
+// The first pause of a server that asks for one, and how often it doubles at most.
+const (
+	pauseFirst = 20 * time.Millisecond
+	pauseSteps = 16
+)
+
 // Done ends the attempt: it releases its place and takes what the outcome teaches. It may be called by any goroutine.
 func (a Attempt) Done(o Outcome) {
 	if a.candidate == nil || !a.candidate.load.tickets.redeem(a.ticket) {
@@ -61,9 +67,16 @@
 	}
 }
 
+// learnPause takes Retry-After as an upper bound: its unit is a second, in which a server answers thousands of requests.
+// The pause starts short and doubles while the server goes on asking for it.
 func (a Attempt) learnPause(now time.Duration, o Outcome) {
-	if o.Pause > 0 {
-		a.candidate.load.pausedUntil.raise(now + o.Pause)
+	l := a.candidate.load
+	switch {
+	case o.Kind == OutcomeOK:
+		l.pauses.Store(0)
+	case o.Pause > 0 && now >= l.pausedUntil.load():
+		n := min(l.pauses.Add(1)-1, pauseSteps)
+		l.pausedUntil.raise(now + min(pauseFirst<<n, o.Pause))
 	}
 }
 
--- a/balance/load.go
+++ b/balance/load.go
@@ -21,6 +21,8 @@
 	returnStart atomicTime
 	// unreachable counts failed connections in a row.
 	unreachable atomic.Int32
+	// pauses counts the pauses since the last answer.
+	pauses atomic.Int32
 	// reported is the state of the newest answer, valid until the next announcement.
 	reported atomic.Uint32
 
