--- a/balance/latency.go
+++ b/balance/latency.go
@@ -8,9 +8,9 @@
 // Weights and time constants of the latency estimates.
 const (
 	fastWeight = 0.4
-	slowWeight = 0.06
+	slowWeight = 0.1
 	// fastAge is the age at which half of the fast estimate has given way to the slow one.
-	fastAge = 40 * time.Millisecond
+	fastAge = 15 * time.Millisecond
 	// slowAge is the age at which half of the slow estimate has given way to the typical work time.
 	slowAge = 4 * time.Second
 	// usualSpread is the factor up to which a work time counts as typical; below it, differences are mostly those of the
--- a/balance/tick.go
+++ b/balance/tick.go
@@ -9,7 +9,7 @@
 // Constants of the periodic work.
 const (
 	// hedgeQuantile is the latency quantile after which a hedge is sent.
-	hedgeQuantile = 0.9
+	hedgeQuantile = 0.92
 	// fadeInterval is the time after which the weight of counted latencies is halved.
 	fadeInterval = 500 * time.Millisecond
 	// probeMargin is the time before the end of evidence at which a probe is wanted.
