--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -9,6 +9,12 @@
 	unreachableSteps = 5
 )
 
+// The first pause of a server that asks for one, and how often it doubles at most.
+const (
+	pauseFirst = 20 * time.Millisecond
+	pauseSteps = 16
+)
+
 // Done ends the attempt: it releases its place and takes what the outcome teaches. It may be called by any goroutine.
 func (a Attempt) Done(o Outcome) {
 	if a.candidate == nil || !a.candidate.load.tickets.redeem(a.ticket) {
@@ -61,9 +67,16 @@
 	}
 }
 
+// learnPause takes Retry-After as an upper bound: its unit is a second, in which a server answers thousands of requests.
+// The pause starts short and doubles while the server goes on asking for it.
 func (a Attempt) learnPause(now time.Duration, o Outcome) {
-	if o.Pause > 0 {
-		a.candidate.load.pausedUntil.raise(now + o.Pause)
+	l := a.candidate.load
+	switch {
+	case o.Kind == OutcomeOK:
+		l.pauses.Store(0)
+	case o.Pause > 0 && now >= l.pausedUntil.load():
+		n := min(l.pauses.Add(1)-1, pauseSteps)
+		l.pausedUntil.raise(now + min(pauseFirst<<n, o.Pause))
 	}
 }
 
@@ -78,6 +91,8 @@
 	}
 	if o.Kind == OutcomeCanceled {
 		c.load.latency.atLeast(now, work)
+		a.watchCancelled(now, o)
+		c.load.cold.settled.raise(now + c.cost + cancelSettle)
 		return
 	}
 	if a.cold {
@@ -93,6 +108,17 @@
 	c.load.strikes.answered(!counts(o, total, c.slots))
 }
 
+// watchCancelled counts an attempt that a hedge overtook; otherwise hedging would hide a fallback.
+func (a Attempt) watchCancelled(now time.Duration, o Outcome) {
+	after := a.view.load.hedgeAfter.load()
+	if a.cold || a.snapshot.config.Switches.NoFallbackDetection || after == 0 || o.Latency <= after {
+		return
+	}
+	if a.candidate.load.cold.watch(now, true) {
+		a.candidate.load.cold.suspect(now)
+	}
+}
+
 // counts tells which outcomes count for ejection. A busy server that sheds load is healthy.
 func counts(o Outcome, total float64, slots int64) bool {
 	if o.Kind == OutcomeNotRun {
@@ -104,7 +130,7 @@
 // watchFallback compares an answer with the server's own history.
 func (a Attempt) watchFallback(now time.Duration, o Outcome, seen, total float64) {
 	c := a.candidate
-	if a.cold || a.snapshot.config.Switches.NoFallbackDetection || c.load.latency.samples.Load() < oddCount {
+	if a.cold || a.snapshot.config.Switches.NoFallbackDetection || c.load.latency.samples.Load() < minAnswers {
 		return
 	}
 	slow := o.Kind == OutcomeOK && seen > oddFactor*max(c.load.latency.slow.load(), a.view.load.typical.load())
