--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -71,12 +71,18 @@
   [ "$status" = 200 ]
 )
 
+# listens ADDRESS
+listens() (
+  exec 9<>"/dev/tcp/${1%%:*}/${1##*:}"
+)
+
 # secret DEPLOYMENT NAME prints a development token or credential.
 secret() {
   awk -v name="$2:" '$1 == name { print $2 }' "examples/$1/dev-tokens.yaml"
 }
 
 # Ports: a control replica takes two (peer, admin), a gateway four (callers, announce, peer, admin), in this order.
+control_peer() { echo "127.0.0.1:$(($1 + 2 * $2 - 2))"; }
 control_admin() { echo "127.0.0.1:$(($1 + 2 * $2 - 1))"; }
 gateway_callers() { echo "127.0.0.1:$(($1 + 6 + 4 * ($2 - 1)))"; }
 gateway_announce() { echo "127.0.0.1:$(($1 + 7 + 4 * ($2 - 1)))"; }
@@ -92,7 +98,7 @@
     set --
     if [ "$i" = 1 ]; then set -- -bootstrap; fi
     start "$name-control-$i" "$folder/control-$i.log" "$heatherwall" control -settings "$folder/control-$i.yaml" "$@"
-    until_true "$name control replica $i" answers "http://$(control_admin "$port" "$i")/healthz"
+    until_true "$name control replica $i" listens "$(control_peer "$port" "$i")"
   done
   for i in 1 2; do
     start "$name-gateway-$i" "$folder/gateway-$i.log" "$heatherwall" gateway -settings "$folder/gateway-$i.yaml"
--- a/testbed/harness/cluster.go
+++ b/testbed/harness/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -113,12 +114,21 @@
 	t.Helper()
 	for _, i := range c.Setup.Controls[1:] {
 		c.StartControl(t, i, false)
-		Eventually(t, StartLimit, i.Name+" alive", func() bool { return Status("http://"+i.Admin+"/healthz") == http.StatusOK })
+		Eventually(t, StartLimit, i.Name+" listening", func() bool { return listens(i.Peer) })
 	}
 	c.StartControl(t, c.Setup.Controls[0], true)
 	Eventually(t, StartLimit, "a full control group", func() bool { return c.Voters(t) == len(c.Setup.Controls) })
 }
 
+func listens(address string) bool {
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	connection.Close()
+	return true
+}
+
 // StartControl starts a control replica.
 func (c *Cluster) StartControl(t testing.TB, i localsetup.Instance, bootstrap bool) *Process {
 	t.Helper()
