--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -29,7 +29,7 @@
 }
 
 domain() {
-  "$heatherwall" domain "$1" -client "$base/kerdrean/client.yaml" -key "$platform_key" -wait finistere-b
+  "$heatherwall" domain -client "$base/kerdrean/client.yaml" -key "$platform_key" -wait "$1" finistere-b
 }
 
 echo "calling every service"
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -123,16 +123,26 @@
   done
 }
 
+server_ports=()
+
 # start_servers DEPLOYMENT SYSTEM-PORT SERVICE REGION DOMAIN PORT COUNT FLAGS...
 start_servers() {
-  local name=$1 system=$2 service=$3 region=$4 domain=$5 port=$6 count=$7
+  local name=$1 system=$2 service=$3 region=$4 domain=$5 port=$6 count=$7 i
   shift 7
+  for ((i = 0; i < count; i++)); do server_ports+=($((port + i))); done
   start "$name-servers-$service-$domain" "$base/$name/servers-$service-$domain.log" "$standin" serve \
     -service "$service" -region "$region" -failure-domain "$domain" -address "127.0.0.1:$port" -count "$count" \
     -announce "$(gateway_announce "$system" 1),$(gateway_announce "$system" 2)" \
     -credential "$(secret "$name" "$service")" -journal "$base/$name/servers-$service-$domain.journal" "$@"
 }
 
+registered_servers() {
+  local port
+  for port in "${server_ports[@]}"; do
+    until_true "server on port $port registered" answers "http://127.0.0.1:$port/.standin/registered"
+  done
+}
+
 kerdrean_port=18100
 wendover_port=18200
 
@@ -151,6 +161,7 @@
   start_servers kerdrean $kerdrean_port audit-archive finistere finistere-b 18450 3 -service-time 6ms
   start_servers kerdrean $kerdrean_port audit-archive ille ille-a 18460 3 -service-time 6ms
   start_servers kerdrean $kerdrean_port recipe-intake finistere finistere-a 18470 3 -service-time 6ms
+  registered_servers
 }
 
 start_wendover() {
@@ -166,6 +177,7 @@
   start_servers wendover $wendover_port drawing-vault ontario ontario-b 18550 3 -slots 2 -connections 260
   start_servers wendover $wendover_port ledger erie erie-a 18560 3 -slots 2 -connections 260
   start_servers wendover $wendover_port ledger erie erie-b 18570 3 -slots 2 -connections 260
+  registered_servers
 }
 
 print_next_commands() {
@@ -185,7 +197,7 @@
   curl -i -H "Authorization: Bearer $(secret kerdrean kerdrean/rennes/line-1)" http://$(gateway_callers $kerdrean_port 1)/recipes/42
   $standin load -gateways $(gateway_callers $kerdrean_port 1)@finistere,$(gateway_callers $kerdrean_port 2)@ille -rate 200 -requests 2000 \
     -target "GET /recipes token=$(secret kerdrean kerdrean/rennes/line-1) home=finistere+ille"
-  $heatherwall domain out -client $base/kerdrean/client.yaml -key examples/kerdrean/dev-key-kerdrean-platform.yaml -wait finistere-b
-  $heatherwall domain in -client $base/kerdrean/client.yaml -key examples/kerdrean/dev-key-kerdrean-platform.yaml -wait finistere-b
+  $heatherwall domain -client $base/kerdrean/client.yaml -key examples/kerdrean/dev-key-kerdrean-platform.yaml -wait out finistere-b
+  $heatherwall domain -client $base/kerdrean/client.yaml -key examples/kerdrean/dev-key-kerdrean-platform.yaml -wait in finistere-b
 TEXT
 }
--- a/testbed/backend/admin.go
+++ b/testbed/backend/admin.go
@@ -41,6 +41,13 @@
 	json.NewEncoder(w).Encode(s.Counts())
 }
 
+// serveRegistered succeeds while a gateway owns the server.
+func (s *Server) serveRegistered(w http.ResponseWriter, _ *http.Request) {
+	if s.announcer.ownerAddress() == "" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // serveFallback puts the server back into cold start without any notice to gateways.
 func (s *Server) serveFallback(w http.ResponseWriter, _ *http.Request) {
 	s.warmth.chill(time.Now())
--- a/testbed/backend/server.go
+++ b/testbed/backend/server.go
@@ -120,6 +120,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /.heatherwall/state", s.serveState)
 	mux.HandleFunc("GET /.standin/counts", s.serveCounts)
+	mux.HandleFunc("GET /.standin/registered", s.serveRegistered)
 	mux.HandleFunc("POST /.standin/fallback", s.serveFallback)
 	mux.HandleFunc("/", s.serveRequest)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
