Advertise the relay in front of control replicas as well

cause: the settings of control replicas named only the listen address, so replicas reached each other past the relays. change: localsetup writes advertise for control replicas. before: TestSilentCutsOfTheLeader failed after 60 s, because the cut leader still reached its group. after: it passes in 12 s. conclusion: kept.

--- a/testbed/localsetup/localsetup.go
+++ b/testbed/localsetup/localsetup.go
@@ -185,7 +185,7 @@
 func (o Options) ControlSettings(s *Setup, i Instance) settings.Control {
 	return settings.Control{
 		Instance:   o.instance(i),
-		Peer:       settings.Listener{Address: i.Peer, TLS: o.tls(i.Name)},
+		Peer:       settings.Listener{Address: i.Peer, Advertise: i.Advertised, TLS: o.tls(i.Name)},
 		Admin:      settings.Listener{Address: i.Admin},
 		DataFolder: i.DataFolder,
 		Peers:      s.Peers(),
