--- a/testbed/policybench/gateway.go
+++ b/testbed/policybench/gateway.go
@@ -104,10 +104,7 @@
 	r.start(&attempt{request: r, server: s})
 }
 
-var dbg [3][8]int
-
 func (r *request) refused(kind balance.AttemptKind, refusal balance.Refusal) {
-	dbg[kind][refusal.Reason]++
 	if kind == balance.AttemptHedge {
 		return
 	}
@@ -119,11 +116,11 @@
 		r.end(endRefused)
 		return
 	}
-	r.wait(kind)
+	r.wait()
 }
 
 // wait enters the queue of the gateway.
-func (r *request) wait(kind balance.AttemptKind) {
+func (r *request) wait() {
 	g := r.gateway
 	w, refusal := g.queue.Enter(g.sim.clock.now, r.deadline)
 	if refusal.Refused() {
@@ -138,7 +135,6 @@
 			r.end(endRefused)
 		}
 	})
-	_ = kind
 }
 
 func (g *gateway) release() {
--- a/testbed/policybench/main.go
+++ b/testbed/policybench/main.go
@@ -23,7 +23,6 @@
 	results := runAll(selectRuns(*seed, *deployment, *scenario, *policy), *workers)
 	printTable(os.Stdout, results)
 	printGoals(os.Stdout, results)
-	fmt.Println(dbg)
 	if *plots == "" {
 		return
 	}
--- a/testbed/policybench/simulation.go
+++ b/testbed/policybench/simulation.go
@@ -12,8 +12,6 @@
 // Times of a run.
 const (
 	warmUp = 1500 * time.Millisecond
-	// evidenceInterval is the time between two signs of life by gossip.
-	evidenceInterval = 500 * time.Millisecond
 	// spreadMost is the longest time that news takes to reach a gateway.
 	spreadMost = 1500 * time.Millisecond
 	// pushMost is the longest time that a pushed change takes.
