--- a/balance/eject.go
+++ b/balance/eject.go
@@ -116,7 +116,7 @@
 	}
 	own := r.load.inFlight.Load()
 	others, _ := r.load.report.fresh(e.now, typical, e.config.Switches)
-	age := float64(r.load.meanAge(e.now, own)) / stretch(float64(own)+others, slots(r.server))
+	age := float64(r.load.meanAge(e.now, own)-e.cost(r.server)) / stretch(float64(own)+others, slots(r.server))
 	work := age
 	if r.load.latency.samples.Load() >= minAnswers {
 		work = max(age, r.load.latency.fast.load())
--- a/balance/eligible.go
+++ b/balance/eligible.go
@@ -97,6 +97,8 @@
 // minReturnShare is the share at which a return begins.
 const minReturnShare = 0.05
 
+// judgeLoad holds the limits. A hedge goes only to a server without a queue: at high load it
+// would take the place of a first attempt.
 func (s *Snapshot) judgeLoad(v *serviceView, c *candidate, q *Query) verdict {
 	own := c.load.inFlight.Load()
 	if s.isCold(c, q.Now) {
@@ -108,6 +110,9 @@
 	if c.server.Connections > 0 && own >= int64(c.server.Connections) {
 		return verdictBusy
 	}
+	if q.Kind == AttemptHedge && s.total(v, c, q.Now, own) > float64(c.slots) {
+		return verdictBusy
+	}
 	if s.config.Switches.NoServerLimit {
 		return verdictYes
 	}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -88,6 +88,9 @@
 	if best.candidate != nil && best.wait <= spill {
 		return best
 	}
+	if q.Kind == AttemptHedge && (s.local(v) || best.candidate != nil) {
+		return best
+	}
 	if q.Remaining > 0 && q.Remaining < s.config.SpillCost {
 		return best
 	}
@@ -95,6 +98,11 @@
 	return best
 }
 
+// local reports whether the service has servers in the own region; a hedge to another one would come too late.
+func (s *Snapshot) local(v *serviceView) bool {
+	return len(v.tiers[tierDomain])+len(v.tiers[tierRegion]) > 0
+}
+
 // sample compares up to sampleSize eligible candidates, found from a random position on with a random stride.
 func (s *Snapshot) sample(v *serviceView, list []candidate, q *Query, cost float64, best *choice) {
 	n := uint64(len(list))
--- a/balance/score.go
+++ b/balance/score.go
@@ -11,7 +11,7 @@
 	own := c.load.inFlight.Load()
 	work := s.work(v, c, now)
 	if !s.config.Switches.NoInFlightAge {
-		work = max(work, float64(c.load.meanAge(now, own)))
+		work = max(work, float64(c.load.meanAge(now, own)-c.cost))
 	}
 	return work * stretch(s.total(v, c, now, own), c.slots)
 }
