--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -98,6 +98,10 @@
 	if a.cold {
 		c.load.cold.answered(ok, work, c.slots)
 	}
+	if o.Kind == OutcomeNotRun && o.Pause > 0 && !a.cold {
+		// The pause deals with a server that sheds load; its speed is not known to have changed.
+		return
+	}
 	total := a.snapshot.total(a.view, c, now, c.load.inFlight.Load())
 	seen := work / max(1, (total+1)/float64(c.slots))
 	a.watchFallback(now, o, seen, total)
--- a/balance/eligible.go
+++ b/balance/eligible.go
@@ -17,7 +17,10 @@
 )
 
 // serverLimit is the number of requests at a server, in times of its slots, above which it counts as busy.
-const serverLimit = 2.0
+const serverLimit = 2.5
+
+// hedgeLimit is the number of requests at a server, in times of its slots, above which it gets no hedge.
+const hedgeLimit = 1.5
 
 // judge checks a candidate against the rules that no load can override, then against those of its state and load.
 func (s *Snapshot) judge(v *serviceView, c *candidate, q *Query) verdict {
@@ -110,7 +113,7 @@
 	if c.server.Connections > 0 && own >= int64(c.server.Connections) {
 		return verdictBusy
 	}
-	if q.Kind == AttemptHedge && s.total(v, c, q.Now, own) > float64(c.slots) {
+	if q.Kind == AttemptHedge && s.total(v, c, q.Now, own) > hedgeLimit*float64(c.slots) {
 		return verdictBusy
 	}
 	if s.config.Switches.NoServerLimit {
