--- a/testbed/policybench/gateway.go
+++ b/testbed/policybench/gateway.go
@@ -18,6 +18,8 @@
 	// connectTime is the time in which opening a connection to a server that is down fails.
 	connectTime = 2 * time.Millisecond
 	probeBytes  = 400
+	// pushBytes is the size of a change pushed to one peer.
+	pushBytes = 200
 	// digestBytes is the size of an exchange with one peer, both ways, for each gateway.
 	digestBytes      = 60
 	exchangeInterval = 500 * time.Millisecond
--- a/testbed/policybench/simulation.go
+++ b/testbed/policybench/simulation.go
@@ -103,8 +103,10 @@
 	v.announced, v.sequence = state, sequence
 	for _, g := range s.gateways {
 		delay := time.Duration(s.faults.Int64N(int64(pushMost)))
-		if v.index%len(s.gateways) == g.index {
+		if owner := s.gateways[v.index%len(s.gateways)]; owner == g {
 			delay = 0
+		} else if !owner.mayPush(g) {
+			delay += exchangeInterval
 		}
 		s.clock.after(delay, func() {
 			g.hidden[v.index] = state > balance.StateCold
@@ -115,6 +117,11 @@
 	}
 }
 
+// mayPush charges a pushed change to the budget; one that is refused waits for an exchange.
+func (g *gateway) mayPush(to *gateway) bool {
+	return g.limiter == nil || g.limiter.Take(g.sim.clock.now, g.scope(to.place), pushBytes)
+}
+
 // setDomains takes failure domains out at each gateway, each after a time of its own.
 func (s *simulation) setDomains(out []string) {
 	for _, g := range s.gateways {
