--- a/balance/pick_test.go
+++ b/balance/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 )
@@ -208,3 +209,35 @@
 		})
 	}
 }
+
+// Guards against places that are lost or counted twice when requests, ticks and events run at the same time; run with
+// -race it also guards the counters.
+func TestConcurrentPicks(t *testing.T) {
+	e := engineWith(6, Config{})
+	var done sync.WaitGroup
+	for g := range 4 {
+		done.Go(func() {
+			for i := range 2000 {
+				q := Query{Now: time.Duration(i) * 10 * time.Microsecond, Service: "s", AnyRegion: true, Random: mix(uint64(g), uint64(i))}
+				if a, r := e.Current().Pick(q); !r.Refused() {
+					a.Done(Outcome{Kind: OutcomeKind(i % 3), Latency: time.Millisecond, Reported: true, Slots: 4})
+				}
+			}
+		})
+	}
+	for i := range 200 {
+		e.Tick(time.Duration(i) * time.Millisecond)
+		s := testServer(i % 6)
+		s.Sequence = uint64(i)
+		e.Apply(ServerChanged{s})
+	}
+	done.Wait()
+	for _, r := range e.servers {
+		if n := r.load.inFlight.Load(); n != 0 {
+			t.Errorf("%s: %d in flight after all have ended", r.server.Address, n)
+		}
+	}
+	if n := e.service("s").inFlight.Load(); n != 0 {
+		t.Errorf("service: %d in flight after all have ended", n)
+	}
+}
