Vouch for the servers of all owners in one pass; keep the sorted addresses

cause: each digest entry sorted and walked all records. change: one pass per exchange; the order of addresses is kept until a record is added or dropped. before: not measured. after: go test -run '^$' -bench Exchange ./membership: 85 µs for an exchange and a tick with 870 servers and 60 owners. conclusion: kept; go test ./membership -rapid.checks=1500 passes.

--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -29,12 +29,16 @@
 	r.changed(rec)
 }
 
-// vouch spreads the freshness of an owner's heartbeat to the servers for which it is evidence: those of the owner's
+// vouch spreads the freshness of owners' heartbeats to the servers for which they are evidence: those of the owner's
 // current table, provided that the table is known up to the version that came with the heartbeat.
-func (r *Registry) vouch(owner GatewayID, v *ownerView) {
+func (r *Registry) vouch(fresh map[GatewayID]*ownerView) {
+	if len(fresh) == 0 {
+		return
+	}
 	for _, address := range r.addresses() {
 		rec := r.records[address]
-		if rec.server.Owner != owner || rec.vouchIncarnation != v.incarnation || rec.server.Unrenewed {
+		v := fresh[rec.server.Owner]
+		if v == nil || rec.vouchIncarnation != v.incarnation || rec.server.Unrenewed {
 			continue
 		}
 		r.evidence(rec, v.freshAt)
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -135,9 +135,13 @@
 	r.now = max(r.now, now)
 	incarnations := r.learnIncarnations(a.Digest)
 	r.mergeServers(a.Servers, incarnations)
+	fresh := map[GatewayID]*ownerView{}
 	for _, d := range a.Digest {
-		r.mergeDigest(sent, d)
+		if v := r.mergeDigest(sent, d); v != nil {
+			fresh[d.Owner] = v
+		}
 	}
+	r.vouch(fresh)
 }
 
 // FallbackReport makes the request by which a gateway tells the owner that a server has fallen back into cold start.
@@ -210,20 +214,21 @@
 	}
 }
 
-func (r *Registry) mergeDigest(sent time.Duration, d *gossippb.OwnerDigest) {
+// mergeDigest raises the known version of an owner's table, and returns the owner if its heartbeat is fresher than before.
+func (r *Registry) mergeDigest(sent time.Duration, d *gossippb.OwnerDigest) *ownerView {
 	v := r.owners[d.Owner]
 	if v == nil || d.Incarnation != v.incarnation {
-		return
+		return nil
 	}
 	v.version = max(v.version, d.Version)
 	if d.AgeMs == unknownAge {
-		return
+		return nil
 	}
 	at := sent - time.Duration(d.AgeMs)*time.Millisecond
 	if v.fresh && at <= v.freshAt {
-		return
+		return nil
 	}
 	v.fresh, v.freshAt = true, at
 	v.heartbeat = max(v.heartbeat, d.Heartbeat)
-	r.vouch(d.Owner, v)
+	return v
 }
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -43,6 +43,8 @@
 	exchanges   uint64
 	events      []Event
 	pushes      map[string]bool
+	// sorted holds the addresses of records in order; nil after a change.
+	sorted []string
 }
 
 // ownerView is what is known of another owner's table.
@@ -99,12 +101,17 @@
 	return rec.view(), true
 }
 
+// addresses returns the addresses of all records in order. The caller must not change the list.
 func (r *Registry) addresses() []string {
+	if r.sorted != nil {
+		return r.sorted
+	}
 	list := make([]string, 0, len(r.records))
 	for a := range r.records {
 		list = append(list, a)
 	}
 	slices.Sort(list)
+	r.sorted = list
 	return list
 }
 
@@ -124,7 +131,9 @@
 		return false
 	}
 	rec := &record{server: s, vouchIncarnation: vouchIncarnation, changed: r.now}
-	if old != nil {
+	if old == nil {
+		r.sorted = nil
+	} else {
 		rec.formerOwners = old.formerOwners
 		rec.listed = old.listed
 		rec.evidence, rec.hasEvidence = old.evidence, old.hasEvidence
@@ -174,5 +183,6 @@
 	}
 	if !rec.listed && rec.held == nil && r.now-rec.changed > TombstoneLifetime {
 		delete(r.records, rec.server.Address)
+		r.sorted = nil
 	}
 }
--- a/membership/registry_test.go
+++ b/membership/registry_test.go
@@ -352,3 +352,23 @@
 		t.Fatalf("got %v, want *LeftError", err)
 	}
 }
+
+// BenchmarkExchange measures one exchange at the target sizes: 870 servers at 60 gateways.
+func BenchmarkExchange(b *testing.B) {
+	const gateways, servers = 60, 870
+	a, peer := New("a", 1), New("b", 1)
+	for i := range servers {
+		owner := New(gatewayName(i%gateways), 1)
+		s := &gossippb.Server{Service: "s", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Incarnation: 1, Sequence: 1}
+		if _, err := owner.Announce(time.Second, Announcement{Server: s}); err != nil {
+			b.Fatal(err)
+		}
+		peer.Merge(time.Second, time.Second, owner.Handle(time.Second, peer.Request(time.Second)))
+	}
+	now := time.Second
+	for b.Loop() {
+		now += time.Millisecond
+		a.Merge(now, now, peer.Handle(now, a.Request(now)))
+		a.Tick(now)
+	}
+}
