--- a/balance/engine.go
+++ b/balance/engine.go
@@ -116,6 +116,7 @@
 		r.load.cold.begin()
 	}
 	if r.server.State == StateReady && old.State == StateCold {
+		r.load.reported.Store(uint32(StateReady))
 		r.load.cold.told.Store(false)
 		r.load.cold.fallback.store(0)
 		r.load.latency.reset()
--- a/balance/pick_test.go
+++ b/balance/pick_test.go
@@ -241,3 +241,22 @@
 		t.Errorf("service: %d in flight after all have ended", n)
 	}
 }
+
+// Guards against a gateway that never sends again to a server whose fallback has ended without a new sequence.
+func TestFallbackEnds(t *testing.T) {
+	e := engineWith(1, Config{})
+	q := Query{Now: second, Service: "s", AnyRegion: true}
+	late, _ := e.Current().Pick(q)
+	s := testServer(0)
+	s.State = StateCold
+	e.Apply(ServerChanged{s})
+	late.Done(Outcome{Latency: time.Millisecond, Reported: true, State: StateCold})
+	if _, r := e.Current().Pick(q); r.Reason != ReasonNoServer {
+		t.Fatalf("cold server of another owner: got %v", r.Reason)
+	}
+	s.State = StateReady
+	e.Apply(ServerChanged{s})
+	if _, r := e.Current().Pick(q); r.Refused() {
+		t.Fatalf("refused after the end of the fallback: %v", r)
+	}
+}
--- a/balance/query.go
+++ b/balance/query.go
@@ -121,7 +121,8 @@
 	// Reported tells that State is the state header of the answer.
 	Reported bool
 	State    State
-	// InFlight and Slots are the load header of the answer; Slots is 0 when there was none.
+	// InFlight and Slots are the load header of the answer; Slots is 0 when there was none. InFlight leaves out the
+	// request that the answer ends.
 	InFlight int
 	Slots    int
 }
