--- a/balance/pick.go
+++ b/balance/pick.go
@@ -6,6 +6,8 @@
 const (
 	// sampleSize is the number of eligible candidates compared in each tier.
 	sampleSize = 4
+	// scanSize is the number of servers looked at in a tier once one that is eligible has been found.
+	scanSize = 24
 	// reserveTries bounds how often Pick starts again when another request took the last place at the chosen server.
 	reserveTries = 3
 	// spillMargin multiplies the cost of another region, because its bytes are billed.
@@ -111,7 +113,10 @@
 	}
 	i := mix(q.Random, n) % n
 	found := 0
-	for range n {
+	for scanned := range n {
+		if scanned >= scanSize && found > 0 {
+			return
+		}
 		c := &list[i]
 		i++
 		if i == n {
--- a/balance/pick_test.go
+++ b/balance/pick_test.go
@@ -194,11 +194,21 @@
 	}
 }
 
-// BenchmarkPick measures a decision together with its end.
+// BenchmarkPick measures a decision together with its end; in the last case nine of ten servers cannot be reached.
 func BenchmarkPick(b *testing.B) {
-	for _, n := range []int{12, 100, 870} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			s := engineWith(n, Config{}).Current()
+	cases := []struct {
+		name               string
+		servers, reachable int
+	}{{"12", 12, 1}, {"100", 100, 1}, {"870", 870, 1}, {"870-tenth", 870, 10}}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			e := engineWith(c.servers, Config{})
+			for i, r := range e.byService["s"] {
+				if i%c.reachable != 0 {
+					r.load.unreachableUntil.store(time.Hour)
+				}
+			}
+			s := e.Current()
 			q := Query{Service: "s", Regions: []string{"r"}, Idempotent: true, Remaining: second}
 			b.ReportAllocs()
 			for b.Loop() {
