--- /dev/null
+++ b/testbed/bench/restart_test.go
@@ -0,0 +1,64 @@
+package bench
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/testbed/harness"
+)
+
+const measuringSection = "measuring"
+
+var changeCounts = []int{10, 100, 1000, 10_000}
+
+// BenchmarkRestart reports the time from the start of a process to a replica that has applied every accepted change,
+// and its memory then. The numbers of changes grow in one cluster.
+func BenchmarkRestart(b *testing.B) {
+	o := harness.DefaultOptions()
+	o.WithoutGateways = true
+	c := harness.NewCluster(b, binaries, o)
+	c.Apply(b, harness.Document())
+	operator := c.Operator(b)
+	applied, revision := 0, sectionRevision(b, operator)
+	for _, total := range changeCounts {
+		b.Run(fmt.Sprintf("changes=%d", total), func(b *testing.B) {
+			for b.Loop() {
+				for ; applied < total; applied++ {
+					revision = changeMeasuring(b, operator, revision, applied)
+				}
+				follower := c.Others(c.Leader(b))[0]
+				c.Process(follower.Name).Terminate(b, limit)
+				started := time.Now()
+				process := c.StartControl(b, follower, false)
+				harness.Eventually(b, limit, "every change applied", func() bool {
+					return operator.Applied(follower.Name) >= revision
+				})
+				b.ReportMetric(milliseconds(time.Since(started)), "applied-ms")
+				b.ReportMetric(float64(process.Usage(b).Resident)/(1<<20), "MiB")
+			}
+		})
+	}
+}
+
+func sectionRevision(b *testing.B, o *harness.Operator) uint64 {
+	b.Helper()
+	for _, s := range o.Sections().GetSections() {
+		if s.Name == measuringSection {
+			return s.Revision
+		}
+	}
+	b.Fatal("the document has no section measuring")
+	return 0
+}
+
+func changeMeasuring(b *testing.B, o *harness.Operator, base uint64, n int) uint64 {
+	b.Helper()
+	text := fmt.Sprintf("owner: %s\nwithin_region: %dKiB\nacross_regions: 16KiB\n", harness.Member, 100+n)
+	outcome := o.Apply(o.NewChange(b, measuringSection, base, text), limit)
+	if outcome.GetResult() != controlpb.ChangeResult_CHANGE_ACCEPTED {
+		b.Fatalf("change %d: %v", n, outcome)
+	}
+	return outcome.Revision
+}
--- a/testbed/harness/operator.go
+++ b/testbed/harness/operator.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 
 	"heatherwall.example/api/controlpb"
@@ -25,6 +26,9 @@
 	applyPause   = 50 * time.Millisecond
 )
 
+// reconnectBackoff is short, so that the time of a restart is not that of the client's back-off.
+var reconnectBackoff = backoff.Config{BaseDelay: 20 * time.Millisecond, Multiplier: 1, MaxDelay: 20 * time.Millisecond}
+
 // Operator speaks to control replicas directly, for tests that need answers as messages or many changes.
 type Operator struct {
 	connections map[string]*grpc.ClientConn
@@ -46,7 +50,8 @@
 	}
 	for _, i := range c.Setup.Controls {
 		connection, err := grpc.NewClient("passthrough:///"+i.Peer,
-			grpc.WithTransportCredentials(credentials.NewTLS(config)), grpc.WithNoProxy())
+			grpc.WithTransportCredentials(credentials.NewTLS(config)), grpc.WithNoProxy(),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff, MinConnectTimeout: askTimeout}))
 		if err != nil {
 			t.Fatal(err)
 		}
