--- a/control/group.go
+++ b/control/group.go
@@ -18,14 +18,31 @@
 // finds the request that waits for it.
 const proposalHeader = 16
 
-// A snapshot is taken after this many entries, or at the latest after this many bytes, so that a restart replays little.
-// It waits until the log has grown as large as the last snapshot, so that writing snapshots at most doubles the bytes
-// written to the disk.
-const (
-	snapshotEntries = 5000
-	snapshotBytes   = 16 << 20
+// snapshotPolicy tells when the state of a group is saved and its log compacted, so that a restart replays little.
+type snapshotPolicy struct {
+	// entries since the last snapshot that make one due.
+	entries int
+	// bytes since the last snapshot that make one due.
+	bytes int
+	// proportional waits until the log has grown as large as the last snapshot, so that writing snapshots at most
+	// doubles the bytes written to the disk.
+	proportional bool
+}
+
+var (
+	// Replaying a change costs as much as checking the whole document, and changes are rare.
+	configurationSnapshots = snapshotPolicy{entries: 100, bytes: 4 << 20}
+	// Replaying claims is cheap, and their state is large.
+	claimSnapshots = snapshotPolicy{entries: 5000, bytes: 16 << 20, proportional: true}
 )
 
+func (p snapshotPolicy) isDue(entries, bytes, lastSize int) bool {
+	if p.proportional && bytes < lastSize {
+		return false
+	}
+	return entries >= p.entries || bytes >= p.bytes
+}
+
 // stateMachine is what a group applies its entries to.
 type stateMachine interface {
 	Apply(index uint64, entry []byte) any
@@ -51,6 +68,7 @@
 	node    *raft.Node
 	log     groupLog
 	machine stateMachine
+	policy  snapshotPolicy
 	self    uint64
 
 	applied      uint64
@@ -79,13 +97,20 @@
 
 func newGroup(id uint64, region string, self uint64, node *raft.Node, log groupLog, machine stateMachine) *group {
 	return &group{
-		id: id, region: region, self: self, node: node, log: log, machine: machine,
+		id: id, region: region, self: self, node: node, log: log, machine: machine, policy: policyOf(id),
 		proposals:    map[uint64]proposalResult{},
 		nextProposal: randomNumber(),
 		nextID:       randomNumber(),
 	}
 }
 
+func policyOf(id uint64) snapshotPolicy {
+	if id == configurationGroup {
+		return configurationSnapshots
+	}
+	return claimSnapshots
+}
+
 // randomNumber starts the numbering of a process at a random place, because entries and messages of an earlier process
 // with the same identity may still be around.
 func randomNumber() uint64 {
@@ -245,15 +270,8 @@
 	}
 }
 
-func (g *group) isSnapshotDue() bool {
-	if g.bytesSince < g.snapshotSize {
-		return false
-	}
-	return g.appliedSince >= snapshotEntries || g.bytesSince >= snapshotBytes
-}
-
 func (g *group) compact(l *loop) error {
-	if !g.isSnapshotDue() {
+	if !g.policy.isDue(g.appliedSince, g.bytesSince, g.snapshotSize) {
 		return nil
 	}
 	data, err := g.machine.Snapshot()
