document: bound accepted documents, parse each section once

cause: changes could add sections until the document could not be read again as one file, and a member could have any number of tenants, which made the check of claim regions slow. Each section was parsed twice. change: Compile refuses documents above the size limit of a file; mappings have at most 1000 fields; one YAML decoder reads a section and finds a second document.

--- a/document/check.go
+++ b/document/check.go
@@ -175,7 +175,8 @@
 
 func (s *ruleSpec) admits(member, tenant string) bool {
 	return slices.ContainsFunc(s.callers, func(c ref) bool {
-		return c.name == member+"/*" || c.name == member+"/"+tenant
+		callerMember, callerTenant, _ := strings.Cut(c.name, "/")
+		return callerMember == member && (callerTenant == "*" || callerTenant == tenant)
 	})
 }
 
--- a/document/compile.go
+++ b/document/compile.go
@@ -1,8 +1,10 @@
 package document
 
 import (
+	"bytes"
 	"cmp"
 	"crypto/ed25519"
+	"io"
 	"slices"
 
 	"go.yaml.in/yaml/v3"
@@ -12,6 +14,10 @@
 // a section. The Config is nil if there are problems.
 func Compile(sections []Section) (*Config, Problems) {
 	r := &reader{}
+	if size := renderedSize(sections); size > MaxDocumentBytes {
+		r.add(spot{file: "document", line: 1, col: 1}, ReasonTooLarge, "expected at most %d bytes, not %d", MaxDocumentBytes, size)
+		return nil, r.problems
+	}
 	s := &spec{}
 	seen := map[string]bool{}
 	for _, section := range sections {
@@ -122,16 +128,18 @@
 
 // parseYAML returns the only document of a YAML text, or nil after it reported a problem.
 func (r *reader) parseYAML(file string, text []byte) *yaml.Node {
-	var root yaml.Node
-	if err := yaml.Unmarshal(text, &root); err != nil {
-		r.add(spot{file, syntaxLine(err), 1, wholeFile}, ReasonSyntax, "expected YAML: %s", err.Error())
+	var root, more yaml.Node
+	d := yaml.NewDecoder(bytes.NewReader(text))
+	err := d.Decode(&root)
+	if err == io.EOF || err == nil && len(root.Content) == 0 {
+		r.add(spot{file, 1, 1, wholeFile}, ReasonSyntax, "expected a mapping of fields")
 		return nil
 	}
-	if len(root.Content) == 0 {
-		r.add(spot{file, 1, 1, wholeFile}, ReasonSyntax, "expected a mapping of fields")
+	if err != nil {
+		r.add(spot{file, syntaxLine(err), 1, wholeFile}, ReasonSyntax, "expected YAML: %s", err.Error())
 		return nil
 	}
-	if hasMoreDocuments(text) {
+	if d.Decode(&more) != io.EOF {
 		r.add(spot{file, 1, 1, wholeFile}, ReasonSyntax, "expected one YAML document")
 		return nil
 	}
--- a/document/limits.go
+++ b/document/limits.go
@@ -5,11 +5,10 @@
 // Format is the only supported value of the field format.
 const Format = 1
 
-// Limits of a document.
+// Limits of a document. MaxListItems also limits the fields of a mapping, such as the tenants of a member.
 const (
 	MaxDocumentBytes = 1 << 20
 	MaxSectionBytes  = 128 << 10
-	MaxSections      = 1000
 	MaxNameBytes     = 63
 	MaxListItems     = 1000
 	MaxPathBytes     = 512
--- a/document/node.go
+++ b/document/node.go
@@ -73,6 +73,10 @@
 		r.add(f.at, ReasonType, "expected a mapping")
 		return nil
 	}
+	if len(f.node.Content)/2 > MaxListItems {
+		r.add(f.at, ReasonTooLarge, "expected at most %d fields", MaxListItems)
+		return nil
+	}
 	var list []entry
 	seen := map[string]bool{}
 	for i := 0; i+1 < len(f.node.Content); i += 2 {
--- a/document/parse.go
+++ b/document/parse.go
@@ -1,8 +1,6 @@
 package document
 
 import (
-	"bytes"
-	"io"
 	"regexp"
 	"strconv"
 
@@ -82,12 +80,7 @@
 	if f.node == nil {
 		return
 	}
-	entries := p.entries(f)
-	if len(entries) > MaxSections {
-		p.add(f.at, ReasonTooLarge, "expected at most %d sections", MaxSections)
-		return
-	}
-	for _, e := range entries {
+	for _, e := range p.entries(f) {
 		p.checkName(e.key)
 		p.section(group+"/"+e.key.name, group, e.key, e.value)
 	}
@@ -176,12 +169,3 @@
 	}
 	return n
 }
-
-func hasMoreDocuments(text []byte) bool {
-	d := yaml.NewDecoder(bytes.NewReader(text))
-	var n yaml.Node
-	if d.Decode(&n) != nil {
-		return false
-	}
-	return d.Decode(&n) != io.EOF
-}
--- a/document/render.go
+++ b/document/render.go
@@ -8,6 +8,9 @@
 
 const indent = "  "
 
+// maxHeadingBytes bounds the first lines of a document, and the headings of a section.
+const maxHeadingBytes = 128
+
 // Render writes a whole document from its sections in a stable order. A revision other than 0 becomes the field
 // revision, which tells apply what the text was made from.
 func Render(list []Section, revision uint64) []byte {
@@ -35,6 +38,16 @@
 	return []byte(b.String())
 }
 
+// renderedSize bounds the size in bytes of a rendered document from above, without its revision. A document that cannot
+// be read again must not be accepted.
+func renderedSize(list []Section) int {
+	size := maxHeadingBytes
+	for _, s := range list {
+		size += maxHeadingBytes + len(s.Text) + strings.Count(s.Text, "\n")*2*len(indent)
+	}
+	return size
+}
+
 func writeIndented(b *strings.Builder, text, by string) {
 	for line := range strings.Lines(text) {
 		if line != "\n" {
