--- a/cmd/heatherwall/internal/operator/output.go
+++ b/cmd/heatherwall/internal/operator/output.go
@@ -50,6 +50,13 @@
 	Conflicts  []sectionResult `json:"conflicts,omitempty"`
 }
 
+// Values of the field result that have a text of their own.
+const (
+	resultAccepted = "accepted"
+	resultPending  = "pending"
+	resultNothing  = "nothing"
+)
+
 // resultName gives accepted, pending, conflict, invalid, unauthorized or nothing.
 func resultName(r controlpb.ChangeResult) string {
 	return strings.ToLower(strings.TrimPrefix(r.String(), "CHANGE_"))
@@ -91,11 +98,11 @@
 		return c.writeJSON(result)
 	}
 	switch result.Result {
-	case "accepted":
+	case resultAccepted:
 		fmt.Fprintf(c.stdout, "accepted as revision %d (change %s)\n", result.Revision, result.ID)
-	case "nothing":
+	case resultNothing:
 		fmt.Fprintf(c.stdout, "nothing to change; revision %d is in place\n", result.Revision)
-	case "pending":
+	case resultPending:
 		fmt.Fprintf(c.stdout, "pending; waiting for the approval of: %s\n", strings.Join(result.WaitingFor, ", "))
 	default:
 		fmt.Fprintf(c.stdout, "%s at revision %d (change %s)\n", result.Result, result.Revision, result.ID)
@@ -114,9 +121,9 @@
 // writeUnsent writes what a file without changes means.
 func (c *call) writeUnsent(p plan, revision uint64) error {
 	if p.waiting != nil {
-		return c.writeResult(changeResult{Result: "pending", Revision: revision, WaitingFor: p.waiting.GetWaitingFor()}, noPlace)
+		return c.writeResult(changeResult{Result: resultPending, Revision: revision, WaitingFor: p.waiting.GetWaitingFor()}, noPlace)
 	}
-	return c.writeResult(changeResult{Result: "nothing", Revision: revision}, noPlace)
+	return c.writeResult(changeResult{Result: resultNothing, Revision: revision}, noPlace)
 }
 
 // writeConflict writes the three versions of the sections in conflict.
@@ -131,7 +138,7 @@
 	}
 	other := func(s document.Section) bool { return !slices.Contains(names, s.Name) }
 	differences := document.Diff(slices.DeleteFunc(base, other), slices.DeleteFunc(slices.Clone(mine), other), theirs)
-	refusal := &RefusedError{Fault: "conflict with revision " + fmt.Sprint(o.GetRevision()) + "; get the newest document and make the change again"}
+	refusal := &RefusedError{Fault: fmt.Sprintf("conflict with revision %d; get the newest document and make the change again", o.GetRevision())}
 	if c.options.json {
 		result := changeResult{ID: id, Result: resultName(o.GetResult()), Revision: o.GetRevision(), Conflicts: sectionResults(differences)}
 		if err := c.writeJSON(result); err != nil {
