--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -108,6 +108,7 @@
 	controlpb.UnimplementedConfigurationsServer
 	controlpb.UnimplementedClaimsServer
 	address string
+	server  *grpc.Server
 
 	mu     sync.Mutex
 	answer *controlpb.RenewAnswer
@@ -115,6 +116,12 @@
 	holder map[string]*controlpb.ClaimRequest
 }
 
+func (s *controlStub) set(change func(a *controlpb.RenewAnswer)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.answer)
+}
+
 func (s *controlStub) Watch(stream grpc.BidiStreamingServer[controlpb.RenewRequest, controlpb.RenewAnswer]) error {
 	for {
 		request, err := stream.Recv()
@@ -181,11 +188,11 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
 	s.address = l.Addr().String()
-	server := grpc.NewServer(grpc.Creds(credentials.NewTLS(id.serverConfig())))
-	controlpb.RegisterConfigurationsServer(server, s)
-	controlpb.RegisterClaimsServer(server, s)
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(server.Stop)
+	s.server = grpc.NewServer(grpc.Creds(credentials.NewTLS(id.serverConfig())))
+	controlpb.RegisterConfigurationsServer(s.server, s)
+	controlpb.RegisterClaimsServer(s.server, s)
+	go func() { _ = s.server.Serve(l) }()
+	t.Cleanup(s.server.Stop)
 	return s
 }
 
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -157,6 +157,7 @@
 	s.limiter.SetRates(budget.Rates{WithinRegion: l.config.MeasuringWithin, AcrossRegions: l.config.MeasuringAcross})
 	s.do(func(time.Duration) {
 		s.registry.SetPeers(peers)
+		s.counters.Gauge("peers").Update(int64(len(s.registry.Peers())))
 		s.engine.Apply(engineConfiguration(l.config))
 	})
 }
