--- a/control/group.go
+++ b/control/group.go
@@ -8,7 +8,6 @@
 
 	"heatherwall.example/api/raftpb"
 	"heatherwall.example/raft"
-	"heatherwall.example/raft/wal"
 	"heatherwall.example/telemetry"
 )
 
@@ -19,7 +18,9 @@
 // finds the request that waits for it.
 const proposalHeader = 16
 
-// A snapshot is taken after this many entries or bytes, whichever comes first, so that a restart replays little.
+// A snapshot is taken after this many entries, or at the latest after this many bytes, so that a restart replays little.
+// It waits until the log has grown as large as the last snapshot, so that writing snapshots at most doubles the bytes
+// written to the disk.
 const (
 	snapshotEntries = 5000
 	snapshotBytes   = 16 << 20
@@ -32,6 +33,13 @@
 	Restore(data []byte) error
 }
 
+// groupLog is where a group keeps its log; *wal.Log in production.
+type groupLog interface {
+	raft.Storage
+	Save(hs *raftpb.HardState, entries []*raftpb.Entry) error
+	SaveSnapshot(s *raftpb.Snapshot) error
+}
+
 type proposalResult func(result any, err error)
 
 type reader func(err error)
@@ -41,13 +49,14 @@
 	id      uint64
 	region  string
 	node    *raft.Node
-	log     *wal.Log
+	log     groupLog
 	machine stateMachine
 	self    uint64
 
 	applied      uint64
 	appliedSince int
 	bytesSince   int
+	snapshotSize int
 	leading      bool
 
 	proposals    map[uint64]proposalResult
@@ -68,7 +77,7 @@
 	index uint64
 }
 
-func newGroup(id uint64, region string, self uint64, node *raft.Node, log *wal.Log, machine stateMachine) *group {
+func newGroup(id uint64, region string, self uint64, node *raft.Node, log groupLog, machine stateMachine) *group {
 	return &group{
 		id: id, region: region, self: self, node: node, log: log, machine: machine,
 		proposals:    map[uint64]proposalResult{},
@@ -236,8 +245,15 @@
 	}
 }
 
+func (g *group) isSnapshotDue() bool {
+	if g.bytesSince < g.snapshotSize {
+		return false
+	}
+	return g.appliedSince >= snapshotEntries || g.bytesSince >= snapshotBytes
+}
+
 func (g *group) compact(l *loop) error {
-	if g.appliedSince < snapshotEntries && g.bytesSince < snapshotBytes {
+	if !g.isSnapshotDue() {
 		return nil
 	}
 	data, err := g.machine.Snapshot()
@@ -251,7 +267,7 @@
 	if err := g.log.SaveSnapshot(s); err != nil {
 		return err
 	}
-	g.appliedSince, g.bytesSince = 0, 0
+	g.appliedSince, g.bytesSince, g.snapshotSize = 0, 0, len(data)
 	l.log.Log(eventSnapshot, telemetry.F("group", g.id), telemetry.F("index", s.Index), telemetry.F("bytes", len(data)))
 	return nil
 }
--- a/testbed/harness/cluster.go
+++ b/testbed/harness/cluster.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -108,15 +108,26 @@
 	}
 }
 
-// startControls bootstraps the group at the first replica once all of them listen.
+// startControls bootstraps the group at the first replica once all others listen.
 func (c *Cluster) startControls(t testing.TB) {
 	t.Helper()
-	for i, control := range c.Setup.Controls {
-		c.StartControl(t, control, i == 0)
+	for _, i := range c.Setup.Controls[1:] {
+		c.StartControl(t, i, false)
+		Eventually(t, StartLimit, i.Name+" listening", func() bool { return listens(i.Peer) })
 	}
+	c.StartControl(t, c.Setup.Controls[0], true)
 	Eventually(t, StartLimit, "a full control group", func() bool { return c.Voters(t) == len(c.Setup.Controls) })
 }
 
+func listens(address string) bool {
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	connection.Close()
+	return true
+}
+
 // StartControl starts a control replica.
 func (c *Cluster) StartControl(t testing.TB, i localsetup.Instance, bootstrap bool) *Process {
 	t.Helper()
@@ -172,10 +183,30 @@
 	return response.StatusCode
 }
 
+// Get makes a call with the token of the test caller and further headers, and returns the status, or 0 without one.
+func Get(t testing.TB, url string, header http.Header) int {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+Token)
+	client := http.Client{Timeout: CallLimit}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
 // Client runs the operators' client with a command, its flags and the client file.
 func (c *Cluster) Client(t testing.TB, command string, arguments ...string) Result {
 	t.Helper()
-	all := append(strings.Fields(command), "-client", c.Setup.ClientFile)
+	all := []string{command, "-client", c.Setup.ClientFile}
 	return Run(t, CallLimit, c.Binaries.Heatherwall, append(all, arguments...)...)
 }
 
@@ -203,5 +234,6 @@
 // Domain takes a failure domain out or in; verb is "out" or "in".
 func (c *Cluster) Domain(t testing.TB, verb, domain string, flags ...string) Result {
 	t.Helper()
-	return c.Client(t, "domain "+verb, append(append([]string{"-key", c.key}, flags...), domain)...)
+	arguments := append([]string{"-key", c.key}, flags...)
+	return c.Client(t, "domain", append(arguments, verb, domain)...)
 }
