--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -16,11 +16,14 @@
 }
 
 # start NAME LOG COMMAND...
+# Each process gets a process group of its own, so that Ctrl-C reaches only the script, which stops them in order.
 start() {
   local name=$1 log=$2
   shift 2
+  set -m
   "$@" >>"$log" 2>&1 &
   pid_of[$name]=$!
+  set +m
 }
 
 # end NAME SIGNAL
@@ -143,8 +146,8 @@
   done
 }
 
-kerdrean_port=18100
-wendover_port=18200
+kerdrean_port=10100
+wendover_port=10200
 
 # All control replicas of this deployment are in the region that keeps its claims, so that one of them may fail.
 start_kerdrean() {
@@ -153,14 +156,14 @@
     finistere/finistere-a,finistere/finistere-b,finistere/finistere-a finistere/finistere-a,ille/ille-a
   apply_document kerdrean kerdrean kerdrean-platform kerdrean-labels tregor
   ready_gateways kerdrean $kerdrean_port
-  start_servers kerdrean $kerdrean_port recipe-store finistere finistere-a 18400 3 -service-time 4ms
-  start_servers kerdrean $kerdrean_port recipe-store finistere finistere-b 18410 3 -service-time 4ms
-  start_servers kerdrean $kerdrean_port recipe-store ille ille-a 18420 3 -service-time 4ms
-  start_servers kerdrean $kerdrean_port label-issuer finistere finistere-a 18430 3 -service-time 8ms -cold 2s -cold-requests 24
-  start_servers kerdrean $kerdrean_port label-issuer finistere finistere-b 18440 3 -service-time 8ms -cold 2s -cold-requests 24
-  start_servers kerdrean $kerdrean_port audit-archive finistere finistere-b 18450 3 -service-time 6ms
-  start_servers kerdrean $kerdrean_port audit-archive ille ille-a 18460 3 -service-time 6ms
-  start_servers kerdrean $kerdrean_port recipe-intake finistere finistere-a 18470 3 -service-time 6ms
+  start_servers kerdrean $kerdrean_port recipe-store finistere finistere-a 10400 3 -service-time 4ms
+  start_servers kerdrean $kerdrean_port recipe-store finistere finistere-b 10410 3 -service-time 4ms
+  start_servers kerdrean $kerdrean_port recipe-store ille ille-a 10420 3 -service-time 4ms
+  start_servers kerdrean $kerdrean_port label-issuer finistere finistere-a 10430 3 -service-time 8ms -cold 2s -cold-requests 24
+  start_servers kerdrean $kerdrean_port label-issuer finistere finistere-b 10440 3 -service-time 8ms -cold 2s -cold-requests 24
+  start_servers kerdrean $kerdrean_port audit-archive finistere finistere-b 10450 3 -service-time 6ms
+  start_servers kerdrean $kerdrean_port audit-archive ille ille-a 10460 3 -service-time 6ms
+  start_servers kerdrean $kerdrean_port recipe-intake finistere finistere-a 10470 3 -service-time 6ms
   registered_servers
 }
 
@@ -169,14 +172,14 @@
   start_system wendover $wendover_port erie/erie-a,erie/erie-b,ontario/ontario-a erie/erie-a,ontario/ontario-a
   apply_document wendover wendover wendover-platform wendover-kilns saltmarsh
   ready_gateways wendover $wendover_port
-  start_servers wendover $wendover_port catalogue erie erie-a 18500 3 -slots 2 -connections 260
-  start_servers wendover $wendover_port catalogue ontario ontario-a 18510 3 -slots 2 -connections 260
-  start_servers wendover $wendover_port kilnbook erie erie-a 18520 3 -slots 2 -connections 260 -cold 2s -cold-requests 8
-  start_servers wendover $wendover_port kilnbook erie erie-b 18530 3 -slots 2 -connections 260 -cold 2s -cold-requests 8
-  start_servers wendover $wendover_port drawing-vault ontario ontario-a 18540 3 -slots 2 -connections 260
-  start_servers wendover $wendover_port drawing-vault ontario ontario-b 18550 3 -slots 2 -connections 260
-  start_servers wendover $wendover_port ledger erie erie-a 18560 3 -slots 2 -connections 260
-  start_servers wendover $wendover_port ledger erie erie-b 18570 3 -slots 2 -connections 260
+  start_servers wendover $wendover_port catalogue erie erie-a 10500 3 -slots 2 -connections 260
+  start_servers wendover $wendover_port catalogue ontario ontario-a 10510 3 -slots 2 -connections 260
+  start_servers wendover $wendover_port kilnbook erie erie-a 10520 3 -slots 2 -connections 260 -cold 2s -cold-requests 8
+  start_servers wendover $wendover_port kilnbook erie erie-b 10530 3 -slots 2 -connections 260 -cold 2s -cold-requests 8
+  start_servers wendover $wendover_port drawing-vault ontario ontario-a 10540 3 -slots 2 -connections 260
+  start_servers wendover $wendover_port drawing-vault ontario ontario-b 10550 3 -slots 2 -connections 260
+  start_servers wendover $wendover_port ledger erie erie-a 10560 3 -slots 2 -connections 260
+  start_servers wendover $wendover_port ledger erie erie-b 10570 3 -slots 2 -connections 260
   registered_servers
 }
 
