--- a/testbed/load/send.go
+++ b/testbed/load/send.go
@@ -9,7 +9,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"heatherwall.example/testbed/answer"
@@ -42,6 +44,10 @@
 func (l *generator) exchange(ctx context.Context, r *request, c *journal.Call) {
 	ctx, cancel := context.WithTimeout(ctx, l.options.Timeout)
 	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	request, err := http.NewRequestWithContext(ctx, r.target.Method, r.url(c.Gateway), bodyOf(r))
 	if err != nil {
 		c.Told, c.Failure = journal.Cut, err.Error()
@@ -50,7 +56,7 @@
 	setHeaders(request, r.target, c)
 	response, err := l.client.Do(request)
 	if err != nil {
-		c.Told, c.Failure = toldByFailure(err), err.Error()
+		c.Told, c.Failure = toldByFailure(err, connected.Load()), err.Error()
 		return
 	}
 	defer response.Body.Close()
@@ -62,10 +68,11 @@
 	classify(c, response, text, answer.Digest(r.body))
 }
 
-// toldByFailure tells a connection that could not be opened, so that nothing was sent, from one that broke.
-func toldByFailure(err error) journal.Told {
+// toldByFailure tells a connection that could not be opened, so that nothing was sent, from one that broke. net/http
+// sends a request without a body again by itself, so a failed dial proves nothing once there was a connection.
+func toldByFailure(err error, connected bool) journal.Told {
 	var failed *net.OpError
-	if errors.As(err, &failed) && failed.Op == "dial" {
+	if !connected && errors.As(err, &failed) && failed.Op == "dial" {
 		return journal.Unreached
 	}
 	return journal.Cut
@@ -73,7 +80,7 @@
 
 // bodyOf hides the reader's type, so that net/http has no GetBody and never sends a request twice by itself.
 func bodyOf(r *request) io.Reader {
-	if len(r.body) == 0 {
+	if len(r.body) == 0 && !r.target.Once {
 		return nil
 	}
 	return struct{ io.Reader }{bytes.NewReader(r.body)}
@@ -84,7 +91,9 @@
 }
 
 func setHeaders(request *http.Request, t *Target, c *journal.Call) {
-	request.ContentLength = int64(t.BodyBytes)
+	if t.BodyBytes > 0 {
+		request.ContentLength = int64(t.BodyBytes)
+	}
 	request.Header.Set(answer.RequestHeader, c.Request)
 	request.Header.Set(answer.SendingHeader, c.Sending)
 	if t.Token != "" {
--- a/testbed/process/main_test.go
+++ b/testbed/process/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,17 +64,18 @@
 	return c
 }
 
-// startServers starts servers of every service and waits until each has an owner.
-func startServers(t *testing.T, c *harness.Cluster) []*harness.ServerGroup {
+// startServers starts servers of every service and waits until each has an owner. Further flags win over the usual ones.
+func startServers(t *testing.T, c *harness.Cluster, flags ...string) []*harness.ServerGroup {
 	t.Helper()
+	flags = append(slices.Clone(serverFlags), flags...)
 	groups := []*harness.ServerGroup{
-		c.StartServers(t, harness.Catalogue, nearFirst, 3, serverFlags...),
-		c.StartServers(t, harness.Catalogue, nearSecond, 3, serverFlags...),
-		c.StartServers(t, harness.Catalogue, farFirst, 3, serverFlags...),
-		c.StartServers(t, harness.Ledger, nearFirst, 3, serverFlags...),
-		c.StartServers(t, harness.Ledger, nearSecond, 3, serverFlags...),
-		c.StartServers(t, harness.Vault, nearFirst, 2, serverFlags...),
-		c.StartServers(t, harness.Vault, farFirst, 2, serverFlags...),
+		c.StartServers(t, harness.Catalogue, nearFirst, 3, flags...),
+		c.StartServers(t, harness.Catalogue, nearSecond, 3, flags...),
+		c.StartServers(t, harness.Catalogue, farFirst, 3, flags...),
+		c.StartServers(t, harness.Ledger, nearFirst, 3, flags...),
+		c.StartServers(t, harness.Ledger, nearSecond, 3, flags...),
+		c.StartServers(t, harness.Vault, nearFirst, 2, flags...),
+		c.StartServers(t, harness.Vault, farFirst, 2, flags...),
 	}
 	for _, g := range groups {
 		harness.Eventually(t, limit, g.Name+" registered", g.Registered)
--- a/testbed/process/service_test.go
+++ b/testbed/process/service_test.go
@@ -58,8 +58,9 @@
 // while requests are under way.
 func TestPlannedStopsCutNoRequest(t *testing.T) {
 	c := serving(t, false)
-	groups := startServers(t, c)
-	o, calls := c.NewLoad(t, "stops", 200, endless, seed)
+	// Long runs keep many requests under way at every moment.
+	groups := startServers(t, c, "-service-time", "150ms", "-shift-every", "0")
+	o, calls := c.NewLoad(t, "stops", 120, endless, seed)
 	o.FollowReadiness = true
 	s := during(t, o, func() {
 		time.Sleep(time.Second)
