--- a/control/operators.go
+++ b/control/operators.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
+	"heatherwall.example/controlstate"
 	"heatherwall.example/telemetry"
 
 	"google.golang.org/grpc/codes"
@@ -71,10 +73,19 @@
 			finish(f())
 		})
 	})
-	if err != nil {
-		return value, status.Error(codes.Unavailable, err.Error())
+	return value, readStatus(err)
+}
+
+// readStatus tells a request that can never be answered from one that another replica, or a later try, may answer.
+func readStatus(err error) error {
+	var notKept *controlstate.RevisionError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &notKept):
+		return status.Error(codes.OutOfRange, err.Error())
 	}
-	return value, nil
+	return status.Error(codes.Unavailable, err.Error())
 }
 
 // Get returns the newest document, or that of a revision that is still kept.
