--- a/membership/registry_test.go
+++ b/membership/registry_test.go
@@ -26,6 +26,8 @@
 	lastAnswer time.Duration
 	announced  bool
 	gone       bool
+	// drainedAt is when a gateway learnt that the server drains; 0 if it does not drain or nobody knows.
+	drainedAt time.Duration
 }
 
 // network carries messages that are lost, repeated and reordered.
@@ -87,6 +89,10 @@
 		call = n.gateways[owner].Announce
 	}
 	answer, err := call(n.now, a)
+	newest := a.Server.Incarnation == b.record.Incarnation && a.Server.Sequence == b.record.Sequence
+	if err == nil && newest && a.Server.State == draining && b.drainedAt == 0 {
+		b.drainedAt = n.now
+	}
 	n.mail = append(n.mail, func() {
 		if b.gone || b.owner != owner || b.record.Incarnation != a.Server.Incarnation || b.record.Sequence != a.Server.Sequence {
 			return
@@ -108,10 +114,12 @@
 	b := n.server()
 	b.record.State = rapid.SampledFrom([]gossippb.ServerState{ready, cold, draining}).Draw(n.t, "state")
 	b.record.Sequence++
+	b.drainedAt = 0
 }
 
 func (n *network) restartServer() {
 	b := n.server()
+	b.drainedAt = 0
 	b.record.Incarnation++
 	b.record.Sequence, b.record.State = 1, cold
 	b.announced, b.grant, b.gone = false, 0, false
@@ -203,6 +211,7 @@
 				rights++
 			}
 			n.checkLeft(g, b.record.Address)
+			n.checkDrained(g, b)
 		}
 		if rights > 1 {
 			n.t.Fatalf("%d gateways may send to the cold server %s", rights, b.record.Address)
@@ -224,6 +233,15 @@
 	}
 }
 
+// checkDrained asserts that no evidence is younger than the time at which a gateway learnt that the server drains, so
+// each gateway stops within EvidenceLifetime of it.
+func (n *network) checkDrained(g *Registry, b *backend) {
+	rec := g.records[b.record.Address]
+	if b.drainedAt > 0 && rec != nil && rec.hasEvidence && rec.evidence > b.drainedAt {
+		n.t.Fatalf("%s has evidence of %v for %s, which drains since %v", g.self, rec.evidence, b.record.Address, b.drainedAt)
+	}
+}
+
 // settle runs without faults until all know the same, and reports whether they do.
 func (n *network) settle() bool {
 	n.mail = nil
@@ -372,3 +390,63 @@
 		a.Tick(now)
 	}
 }
+
+// ask lets one registry ask another; the answer arrives after a delay.
+func ask(from, to *Registry, sent, delay time.Duration) {
+	answer := to.Handle(sent, from.Request(sent))
+	from.Merge(sent+delay, sent, answer)
+}
+
+// announceAt announces a ready server at a registry.
+func announceAt(t *testing.T, r *Registry, now time.Duration, sequence uint64) {
+	t.Helper()
+	s := &gossippb.Server{Service: "s", Address: "10.0.0.1:80", Incarnation: 1, Sequence: sequence}
+	if _, err := r.Announce(now, Announcement{Server: s}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against evidence that seems younger than the owner's heartbeat: because an answer was under way, or because
+// another gateway passed the heartbeat on.
+func TestEvidenceKeepsItsAge(t *testing.T) {
+	a, b, c := New("a", 1), New("b", 1), New("c", 1)
+	announceAt(t, a, time.Second, 1)
+	ask(b, a, time.Second, 300*time.Millisecond)
+	ask(c, b, 2*time.Second, 400*time.Millisecond)
+	for _, r := range []*Registry{b, c} {
+		if s, ok := r.Server("10.0.0.1:80"); !ok || s.Evidence != time.Second {
+			t.Errorf("%s: evidence %v, want 1s", r.self, s.Evidence)
+		}
+	}
+}
+
+// Guards against the heartbeat of an owner that has restarted vouching for servers that it no longer knows.
+func TestRestartedOwnerDoesNotVouch(t *testing.T) {
+	a, b, c := New("a", 1), New("b", 1), New("c", 1)
+	announceAt(t, a, time.Second, 1)
+	ask(b, a, time.Second, 0)
+	a = New("a", 2)
+	ask(b, a, 2*time.Second, 0)
+	ask(c, b, 3*time.Second, 0)
+	if s, _ := b.Server("10.0.0.1:80"); s.Evidence != time.Second {
+		t.Errorf("b: evidence %v, want 1s", s.Evidence)
+	}
+	if s, ok := c.Server("10.0.0.1:80"); ok {
+		t.Errorf("c lists the server with evidence %v", s.Evidence)
+	}
+}
+
+// Guards against an old record that seems current because its owner's table no longer lists the server.
+func TestMovedServerReplacesOldRecord(t *testing.T) {
+	a, b, c := New("a", 1), New("b", 1), New("c", 1)
+	announceAt(t, a, time.Second, 1)
+	ask(b, a, time.Second, 0)
+	ask(c, a, time.Second, 0)
+	announceAt(t, b, 2*time.Second, 2)
+	ask(c, b, 2*time.Second, 0)
+	ask(a, b, 2*time.Second, 0)
+	delta := c.Delta([]*gossippb.OwnerDigest{{Owner: "b", Incarnation: 1, Version: 1}, {Owner: "a", Incarnation: 1}})
+	if len(delta) != 1 || delta[0].Owner != "b" {
+		t.Fatalf("delta %v, want the record of owner b", delta)
+	}
+}
