--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/document"
 	"heatherwall.example/settings"
@@ -17,8 +18,8 @@
 
 // Timing of the configuration lease, see section 5.2 of docs/design.md.
 const (
-	renewInterval  = 600 * time.Millisecond
-	leaseDuration  = 3 * time.Second
+	renewInterval  = api.RenewInterval
+	leaseDuration  = api.ConfigurationLease
 	replicaSilence = time.Second
 	// replicaBackoff separates attempts when replicas refuse connections at once.
 	replicaBackoff = 100 * time.Millisecond
