--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -189,11 +189,10 @@
 }
 
 func (a *announcement) check(c *document.Config) error {
-	address, err := netip.ParseAddrPort(a.Address)
 	region, known := c.RegionOf(a.FailureDomain)
 	switch {
-	case err != nil || address.Port() == 0 || !address.Addr().IsValid() || address.Addr().IsUnspecified():
-		return invalidField("address", "an IP number with a port")
+	case !usableAddress(a.Address):
+		return invalidField("address", "an IP number with a port, in its canonical form and without zone")
 	case !known:
 		return invalidField("failure_domain", "a failure domain of the topology")
 	case a.Region != region:
@@ -212,6 +211,16 @@
 	return nil
 }
 
+// usableAddress accepts one spelling of each address, because the text identifies the server.
+func usableAddress(text string) bool {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || a.Port() == 0 || a.String() != text {
+		return false
+	}
+	ip := a.Addr()
+	return ip.Zone() == "" && !ip.Is4In6() && !ip.IsUnspecified() && !ip.IsMulticast()
+}
+
 func invalidField(field, expected string) error {
 	return &AnnounceError{http.StatusBadRequest, announceInvalid, fmt.Sprintf("%s: expected %s", field, expected)}
 }
--- /dev/null
+++ b/gateway/claims_test.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/gossippb"
+	"heatherwall.example/settings"
+)
+
+func quantile(times []time.Duration, percent int) time.Duration {
+	slices.Sort(times)
+	return times[(len(times)-1)*percent/100]
+}
+
+// followerStub leads nobody and names the leader.
+type followerStub struct {
+	*controlStub
+	leader string
+}
+
+func (s *followerStub) Claim(context.Context, *controlpb.ClaimRequest) (*controlpb.ClaimAnswer, error) {
+	return &controlpb.ClaimAnswer{Result: controlpb.ClaimResult_CLAIM_NOT_LEADER, LeaderAddress: s.leader}, nil
+}
+
+// Guards against claims that stop at a follower, and against a claim that counts as sent though no replica took it.
+func TestClaimClientFollowsTheLeader(t *testing.T) {
+	c := newCertificates(t)
+	leader := startControl(t, c, "control-1", nil)
+	follower := &followerStub{controlStub: &controlStub{}, leader: leader.address}
+	followerAddress := serveControl(t, c, "control-2", follower, follower)
+	id, err := loadIdentity(c.issue(t, "gw-1"))
+	must(t, err)
+	newClient := func(replicas ...settings.Peer) *claimClient {
+		open := newConnections(dialPeers(id))
+		t.Cleanup(open.close)
+		return newClaimClient(replicas, func() map[string]string { return nil }, open)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testPatience)
+	defer cancel()
+	request := &controlpb.ClaimRequest{Region: "north", Key: []byte("key"), Holder: "gw-1/1/1"}
+	first := settings.Peer{Name: "control-2", Region: "north", Address: followerAddress}
+	for range 2 {
+		a, _, err := newClient(first).Claim(ctx, request)
+		if err != nil || a.GetResult() != controlpb.ClaimResult_CLAIM_GRANTED {
+			t.Fatalf("claim: %v %v", a, err)
+		}
+	}
+	follower.leader = ""
+	wrongName := settings.Peer{Name: "control-3", Region: "north", Address: leader.address}
+	unreachable := settings.Peer{Name: "control-4", Region: "north", Address: "127.0.0.1:1"}
+	short, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer cancel()
+	if _, lost, err := newClient(first, wrongName, unreachable).Claim(short, request); err == nil || lost {
+		t.Errorf("no leader: lost %v, error %v", lost, err)
+	}
+}
+
+// Guards against marks of a request that leave its home regions, and against counting one crash twice.
+func TestCrashMarksStayInHomeRegions(t *testing.T) {
+	f := fingerprint{1}
+	north, other := newPoisonMarks("gw-1"), newPoisonMarks("gw-2")
+	north.Suspect(0, f, []string{"north"})
+	if own := north.Own(0, "south"); len(own) != 0 || len(marksFor("south", north.takeNews())) != 0 {
+		t.Fatal("a mark left its home regions")
+	}
+	own := north.Own(0, "north")
+	other.Merge(0, "gw-1", "south", own)
+	if other.Suspect(0, f, nil) {
+		t.Fatal("a foreign mark was taken over")
+	}
+	second := newPoisonMarks("gw-3")
+	for range 3 {
+		second.Merge(0, "gw-1", "north", own)
+	}
+	if second.Remaining(0, f) != 0 {
+		t.Fatal("one crash was counted more than once")
+	}
+	if !second.Suspect(0, f, []string{"north"}) || second.Remaining(0, f) != markLifetime || second.Remaining(markLifetime, f) != 0 {
+		t.Fatal("crashes seen by two gateways do not add up, or last too long")
+	}
+	second.Merge(0, "gw-1", "north", []*gossippb.CrashMark{{Fingerprint: f[:], Regions: []string{"north"}}})
+	if second.Remaining(0, f) != 0 {
+		t.Fatal("a success did not withdraw the marks")
+	}
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -183,17 +183,26 @@
 func startControl(t *testing.T, c *certificates, name string, sections []*controlpb.Section) *controlStub {
 	t.Helper()
 	s := &controlStub{claims: map[string]*controlpb.CompleteRequest{}, holder: map[string]*controlpb.ClaimRequest{}, answer: &controlpb.RenewAnswer{Revision: 1, Sections: sections}}
+	s.address = serveControl(t, c, name, s, s)
+	return s
+}
+
+// serveControl serves a replica until the test ends and returns its address.
+func serveControl(t *testing.T, c *certificates, name string, configurations controlpb.ConfigurationsServer, claims controlpb.ClaimsServer) string {
+	t.Helper()
 	id, err := loadIdentity(c.issue(t, name))
 	must(t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
-	s.address = l.Addr().String()
-	s.server = grpc.NewServer(grpc.Creds(credentials.NewTLS(id.serverConfig())))
-	controlpb.RegisterConfigurationsServer(s.server, s)
-	controlpb.RegisterClaimsServer(s.server, s)
-	go func() { _ = s.server.Serve(l) }()
-	t.Cleanup(s.server.Stop)
-	return s
+	server := grpc.NewServer(grpc.Creds(credentials.NewTLS(id.serverConfig())))
+	controlpb.RegisterConfigurationsServer(server, configurations)
+	controlpb.RegisterClaimsServer(server, claims)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+	if s, ok := configurations.(*controlStub); ok {
+		s.server = server
+	}
+	return l.Addr().String()
 }
 
 // testGateway is a gateway started by Run.
