--- a/balance/pick_test.go
+++ b/balance/pick_test.go
@@ -194,8 +194,22 @@
 	}
 }
 
-// BenchmarkPick measures a decision together with its end; in the last case nine of ten servers cannot be reached.
+// BenchmarkPick measures a decision and the release of its place.
 func BenchmarkPick(b *testing.B) {
+	benchmarkPick(b, func(a Attempt) {
+		a.candidate.load.tickets.redeem(a.ticket)
+		a.candidate.load.closed(a.start)
+		a.snapshot.release(a.view, a.member)
+	})
+}
+
+// BenchmarkPickDone measures a decision together with what its outcome teaches.
+func BenchmarkPickDone(b *testing.B) {
+	benchmarkPick(b, func(a Attempt) { a.Done(Outcome{Latency: time.Millisecond, Reported: true, Slots: 4}) })
+}
+
+// benchmarkPick runs picks among some numbers of servers; in the last case nine of ten cannot be reached.
+func benchmarkPick(b *testing.B, end func(Attempt)) {
 	cases := []struct {
 		name               string
 		servers, reachable int
@@ -214,7 +228,7 @@
 			for b.Loop() {
 				q.Random = mix(q.Random, 3)
 				a, _ := s.Pick(q)
-				a.Done(Outcome{Latency: time.Millisecond, Reported: true, Slots: 4})
+				end(a)
 			}
 		})
 	}
