--- /dev/null
+++ b/raft/rules_test.go
@@ -0,0 +1,131 @@
+package raft
+
+import (
+	"testing"
+
+	"heatherwall.example/api/raftpb"
+)
+
+// lastMessage returns the last message that was sent, and clears the network.
+func (c *cluster) lastMessage() *raftpb.Message {
+	m := c.network[len(c.network)-1]
+	c.network = nil
+	return m
+}
+
+func (c *cluster) voteAnswer(from, term, logIndex uint64) *raftpb.Message {
+	c.deliver(&raftpb.Message{
+		Type: raftpb.MessageType_MESSAGE_VOTE, Group: 1, From: from, To: 1, Term: term, LogIndex: logIndex, LogTerm: logIndex,
+	})
+	return c.lastMessage()
+}
+
+// Guards against a second vote in a term after a restart; the vote is given later than the term is adopted.
+func TestVoteSurvivesRestart(t *testing.T) {
+	c := newCluster(t, 3)
+	if !c.voteAnswer(2, 5, 0).Reject {
+		t.Fatal("voted for a log that is behind")
+	}
+	if c.voteAnswer(3, 5, 1).Reject {
+		t.Fatal("no vote for a log that is up to date")
+	}
+	c.stop(c.hosts[1])
+	c.start(c.hosts[1])
+	if !c.voteAnswer(2, 5, 1).Reject {
+		t.Fatal("voted twice in a term")
+	}
+}
+
+// Guards against entries of an earlier term that are committed by counting: a later leader may still replace them.
+func TestEntryOfEarlierTermIsNotCommittedAlone(t *testing.T) {
+	c := newCluster(t, 3)
+	h := c.hosts[1]
+	h.storage.Save(&raftpb.HardState{Term: 2, Commit: 1}, []*raftpb.Entry{{Index: 2, Term: 2, Data: []byte("a")}})
+	c.start(h)
+	for h.node.role != PreCandidate {
+		h.node.Tick()
+	}
+	for _, kind := range []raftpb.MessageType{raftpb.MessageType_MESSAGE_PRE_VOTE_ANSWER, raftpb.MessageType_MESSAGE_VOTE_ANSWER} {
+		c.deliver(&raftpb.Message{Type: kind, Group: 1, From: 2, To: 1, Term: 3})
+	}
+	c.deliver(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_APPEND_ANSWER, Group: 1, From: 2, To: 1, Term: 3, LogIndex: 2})
+	if h.node.role != Leader || h.node.log.committed != 1 {
+		t.Fatalf("%v committed %d", h.node.role, h.node.log.committed)
+	}
+	c.deliver(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_APPEND_ANSWER, Group: 1, From: 2, To: 1, Term: 3, LogIndex: 3})
+	if h.node.log.committed != 3 {
+		t.Fatalf("committed %d after an entry of the own term", h.node.log.committed)
+	}
+}
+
+// Guards against a follower that commits entries of its own which the leader has not confirmed.
+func TestFollowerCommitsOnlyWhatTheAppendCovers(t *testing.T) {
+	c := newCluster(t, 3)
+	h := c.hosts[1]
+	old := []*raftpb.Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}}
+	h.storage.Save(&raftpb.HardState{Term: 2, Commit: 1}, old)
+	c.start(h)
+	c.deliver(&raftpb.Message{
+		Type: raftpb.MessageType_MESSAGE_APPEND, Group: 1, From: 2, To: 1, Term: 3,
+		LogIndex: 1, LogTerm: 1, Entries: old[:1], Commit: 3,
+	})
+	if h.node.log.committed != 2 {
+		t.Fatalf("committed %d", h.node.log.committed)
+	}
+}
+
+// Guards against half of an even number of replicas that counts as a majority.
+func TestHalfIsNoMajority(t *testing.T) {
+	for _, size := range []int{2, 4} {
+		c := newCluster(t, size)
+		l := c.leader()
+		before := l.node.log.committed
+		var others []uint64
+		for _, id := range c.ids() {
+			if id != l.id && len(others) < size/2 {
+				others = append(others, id)
+			}
+		}
+		c.cutOff(others...)
+		c.propose(l, "a")
+		if l.node.log.committed != before {
+			t.Errorf("%d of %d replicas committed", size-size/2, size)
+		}
+	}
+}
+
+// Guards against a leader that counts an entry of its own as synced before Advance.
+func TestLeaderCountsOnlyWhatItHasSynced(t *testing.T) {
+	c := newCluster(t, 1)
+	l := c.leader().node
+	before := l.log.committed
+	if err := l.Propose([]byte("a")); err != nil {
+		t.Fatal(err)
+	}
+	r := l.Ready()
+	if err := l.Propose([]byte("b")); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Save(c.hosts[1].storage); err != nil {
+		t.Fatal(err)
+	}
+	l.Advance(r)
+	if l.log.committed != before+1 {
+		t.Fatalf("committed %d, synced %d", l.log.committed, before+1)
+	}
+}
+
+// Proposal to commit on three replicas in memory, one at a time.
+func BenchmarkProposeToCommit(b *testing.B) {
+	c := newCluster(b, 3)
+	l := c.leader()
+	for b.Loop() {
+		if err := l.node.Propose([]byte("0123456789abcdef")); err != nil {
+			b.Fatal(err)
+		}
+		c.settle()
+		for _, h := range c.hosts {
+			h.applied = nil
+		}
+	}
+}
