Test that outsiders never vote and that membership changes wait for a commit

cause: both rules could be removed without a failing test. change: two tests; the WAL tests use one description of the stored state instead of two. before: go test ./raft passed with either rule removed. after: go test ./raft/... passes; with a rule removed the matching test fails. conclusion: kept.

--- a/raft/rules_test.go
+++ b/raft/rules_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"errors"
 	"testing"
 
 	"heatherwall.example/api/raftpb"
@@ -74,6 +75,36 @@
 	}
 }
 
+// Guards against replicas outside the membership, and learners, that vote for a log which shows no promotion, or
+// campaign.
+func TestOutsidersNeitherVoteNorCampaign(t *testing.T) {
+	learner := &raftpb.Member{Id: 1, Learner: true}
+	for _, s := range []*raftpb.Snapshot{nil, BootstrapSnapshot([]*raftpb.Member{memberOf(2), learner}, nil)} {
+		c := newCluster(t, 0)
+		h := c.add(1, s)
+		if !c.voteAnswer(2, 5, 1).Reject {
+			t.Errorf("voted with membership %v", h.node.membership())
+		}
+		c.tick(4 * testElectionTicks)
+		if h.node.role != Follower || h.node.term != 5 {
+			t.Errorf("%v in term %d with membership %v", h.node.role, h.node.term, h.node.membership())
+		}
+	}
+}
+
+// Guards against a membership change before the leader knows which earlier changes are committed.
+func TestMembershipChangeNeedsCommitInTerm(t *testing.T) {
+	c := newCluster(t, 2)
+	l := c.leader()
+	c.propose(l, "a")
+	l.node.term++ // as if newly elected: nothing of this term is committed
+	err := l.node.ProposeMembership(&raftpb.MembershipChange{Member: memberOf(9)})
+	var early *NoCommitInTermError
+	if !errors.As(err, &early) {
+		t.Fatalf("got %v", err)
+	}
+}
+
 // Guards against half of an even number of replicas that counts as a majority.
 func TestHalfIsNoMajority(t *testing.T) {
 	for _, size := range []int{2, 4} {
--- a/raft/wal/wal_test.go
+++ b/raft/wal/wal_test.go
@@ -35,19 +35,6 @@
 	return all
 }
 
-// contents describes everything that a storage holds.
-func contents(t testing.TB, s raft.Storage) string {
-	hs, membership, _ := s.InitialState()
-	first, _ := s.FirstIndex()
-	last, _ := s.LastIndex()
-	snapshot, _ := s.Snapshot()
-	all, err := s.Entries(first, last+1, 1<<40)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return fmt.Sprint(hs, membership, snapshot, first, last, all)
-}
-
 func check(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
@@ -176,7 +163,7 @@
 	l, err := OpenWith(fs, "d")
 	check(t, err)
 	check(t, l.Save(&raftpb.HardState{Term: 1}, entries(1, 2, 1)))
-	want, size := contents(t, l), l.size
+	want, size := storedText(l), l.size
 	check(t, l.Save(&raftpb.HardState{Term: 2}, entries(3, 9, 2)))
 	file := fs.names[filepath.Join("d", segmentName(1))]
 	whole := bytes.Clone(file.content)
@@ -184,7 +171,7 @@
 		file.content = bytes.Clone(whole[:cut])
 		reopened, err := OpenWith(fs, "d")
 		check(t, err)
-		if got := contents(t, reopened); got != want {
+		if got := storedText(reopened); got != want {
 			t.Fatalf("cut at %d: got %s", cut, got)
 		}
 		check(t, reopened.Save(nil, entries(3, 3, 2)))
@@ -221,11 +208,11 @@
 	if len(l.segments) >= before {
 		t.Fatalf("%d segments, %d before", len(l.segments), before)
 	}
-	want := contents(t, l)
+	want := storedText(l)
 	check(t, l.Close())
 	reopened, err := Open(dir)
 	check(t, err)
-	if got := contents(t, reopened); got != want {
+	if got := storedText(reopened); got != want {
 		t.Fatal("state differs after compaction and restart")
 	}
 }
