--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -45,15 +45,17 @@
 // startAttempt prepares an attempt; send runs it.
 func (p *requestPath) startAttempt(c *call, s selection) *attempt {
 	a := &attempt{selection: s, target: s.Server()}
+	selected := p.clock.now()
 	a.ctx, a.cancel = context.WithCancel(c.ctx)
 	p.byDomain.add(a.target.domain, 1)
 	a.release = func() { p.byDomain.add(a.target.domain, -1) }
-	a.gate = &sendGate{check: func() error { return p.checkSend(a.target) }}
+	a.gate = &sendGate{check: func() error { return p.checkSend(a.target, selected) }}
 	return a
 }
 
-// checkSend repeats the checks that may have changed since the selection: the lease and the failure domains out.
-func (p *requestPath) checkSend(t target) error {
+// checkSend repeats the checks that may have changed since the selection: the lease, the failure domains out, and the
+// age of the evidence on which the server was selected.
+func (p *requestPath) checkSend(t target, selected time.Duration) error {
 	l, ok := p.configuration.Valid()
 	if !ok {
 		return &SendForbiddenError{Reason: sendStale}
@@ -61,6 +63,9 @@
 	if l.config.DomainOut(t.domain) {
 		return &SendForbiddenError{Reason: sendDomainOut}
 	}
+	if p.clock.now()-selected >= maxSelectionAge {
+		return &SendForbiddenError{Reason: sendOutdated}
+	}
 	return nil
 }
 
@@ -68,8 +73,13 @@
 const (
 	sendStale     = "the configuration lease ran out"
 	sendDomainOut = "the failure domain was taken out"
+	sendOutdated  = "the selection of the server is out of date"
 )
 
+// maxSelectionAge is the time from the selection of a server to the first byte. Evidence is at most 2.5 s old at the
+// selection, so a server that leaves receives no new work after 3 s, even if the connection opens slowly.
+const maxSelectionAge = 500 * time.Millisecond
+
 // send runs the attempt up to the header of the answer.
 func (p *requestPath) send(c *call, a *attempt, retriesLeft int) {
 	started := time.Now()
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -461,6 +461,14 @@
 	}
 }
 
+// Guards against a slow connection that carries a request beyond the life of the evidence for its server.
+func TestOutdatedSelectionIsNotSent(t *testing.T) {
+	f := newPathFixture(t)
+	if now := f.clock.now(); f.checkSend(target{}, now) != nil || f.checkSend(target{}, now-maxSelectionAge) == nil {
+		t.Error("the age of the selection does not decide")
+	}
+}
+
 // Guards against a key that runs twice, a kept answer that is not replayed, and a reused key that is accepted.
 func TestClaimsDecideWhetherARequestRuns(t *testing.T) {
 	var ran atomic.Int64
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -152,12 +152,15 @@
 		}
 	case resultNotSent:
 		var forbidden *SendForbiddenError
-		if errors.As(a.err, &forbidden) && forbidden.Reason == sendDomainOut {
-			return "domain_out"
-		}
 		if !errors.As(a.err, &forbidden) {
 			return "not_sent"
 		}
+		switch forbidden.Reason {
+		case sendDomainOut:
+			return "domain_out"
+		case sendOutdated:
+			return "selection_outdated"
+		}
 	}
 	return ""
 }
--- /dev/null
+++ b/gateway/selector.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"heatherwall.example/balance"
+)
+
+// engineSelector adapts the engine to the request path.
+type engineSelector struct {
+	state  *state
+	queues queues
+}
+
+// Pick implements selector. When every server is at its limit, the request waits for a short time in a queue that is
+// ordered by deadline.
+func (e *engineSelector) Pick(ctx context.Context, q *query) (selection, *Refusal) {
+	s, refusal := e.pick(q)
+	if refusal.Reason != balance.ReasonOverloaded || q.hedge || q.retry {
+		return s, pickRefusal(refusal)
+	}
+	queue := e.queues.get(q.service)
+	waiter, refusal := queue.Enter(e.state.clock.now(), q.deadline)
+	if refusal.Refused() {
+		return nil, pickRefusal(refusal)
+	}
+	defer queue.Leave(waiter)
+	limit := time.NewTimer(min(queueMaxWait, q.deadline-e.state.clock.now()))
+	defer limit.Stop()
+	select {
+	case <-waiter.Woken:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+	s, refusal = e.pick(q)
+	return s, pickRefusal(refusal)
+}
+
+// HedgeAfter implements selector.
+func (e *engineSelector) HedgeAfter(service string) (time.Duration, bool) {
+	return e.state.engine.Current().HedgeAfter(service)
+}
+
+func (e *engineSelector) pick(q *query) (selection, balance.Refusal) {
+	now := e.state.clock.now()
+	query := balance.Query{
+		Now: now, Service: q.service, Member: q.member, Regions: q.regions, AnyRegion: q.allRegions,
+		Idempotent: q.idempotent, Remaining: max(q.deadline-now, 1), Random: rand.Uint64(), Kind: attemptKind(q),
+	}
+	last := q.tried[max(0, len(q.tried)-balance.MaxExcluded):]
+	copy(query.Excluded[:], last)
+	a, refusal := e.state.engine.Current().Pick(query)
+	if refusal.Refused() {
+		return nil, refusal
+	}
+	return &engineSelection{selector: e, attempt: a, service: q.service, started: now}, refusal
+}
+
+func attemptKind(q *query) balance.AttemptKind {
+	switch {
+	case q.hedge:
+		return balance.AttemptHedge
+	case q.retry:
+		return balance.AttemptRetry
+	}
+	return balance.AttemptFirst
+}
+
+// pickRefusal maps refusals of the engine; nil means that the engine did not refuse.
+func pickRefusal(r balance.Refusal) *Refusal {
+	switch r.Reason {
+	case balance.ReasonNone:
+		return nil
+	case balance.ReasonNoServer:
+		return refuse(NoServer, "no backend server of the service may receive the request").after(r.RetryAfter)
+	case balance.ReasonServiceLimit:
+		return refuse(LimitService, "the service is at its limit at this gateway").after(r.RetryAfter)
+	case balance.ReasonMemberLimit:
+		return refuse(LimitMember, "the member is at its limit at this gateway").after(r.RetryAfter)
+	case balance.ReasonDeadline:
+		return refuse(DeadlineTooShort, "the remaining time is shorter than any answer takes")
+	case balance.ReasonBudget:
+		return refuse(Overloaded, "the budget of further attempts is spent").after(max(r.RetryAfter, time.Second))
+	}
+	return refuse(Overloaded, "every permitted backend server is at its limit").after(max(r.RetryAfter, time.Second))
+}
+
+// engineSelection is an attempt that the engine permitted.
+type engineSelection struct {
+	selector *engineSelector
+	attempt  balance.Attempt
+	service  string
+	started  time.Duration
+}
+
+// Server implements selection.
+func (s *engineSelection) Server() target {
+	return target{service: s.service, address: s.attempt.Address, region: s.attempt.Region, domain: s.attempt.FailureDomain}
+}
+
+// Done implements selection.
+func (s *engineSelection) Done(r result) {
+	o := balance.Outcome{Kind: outcomeKind(r.kind), Latency: r.latency, Pause: r.retryAfter, InFlight: r.inflight, Slots: r.slots}
+	o.State, o.Reported = reportedState(r.state)
+	s.attempt.Done(o)
+	if o.Reported && o.State != balance.StateDraining {
+		s.selector.state.evidence.add(s.attempt.Address, s.started)
+	}
+	s.selector.queues.get(s.service).Release(s.selector.state.clock.now())
+}
+
+func reportedState(text string) (balance.State, bool) {
+	switch text {
+	case stateReady:
+		return balance.StateReady, true
+	case stateCold:
+		return balance.StateCold, true
+	case stateDraining:
+		return balance.StateDraining, true
+	}
+	return balance.StateReady, false
+}
+
+func outcomeKind(k resultKind) balance.OutcomeKind {
+	switch k {
+	case resultAnswered:
+		return balance.OutcomeOK
+	case resultShed:
+		return balance.OutcomeNotRun
+	case resultUnreachable:
+		return balance.OutcomeNotConnected
+	case resultBroken:
+		return balance.OutcomeCrashed
+	case resultCanceled, resultNotSent:
+		return balance.OutcomeCanceled
+	}
+	return balance.OutcomeFailed
+}
+
+// Limits of the queue in front of servers that are at their limits.
+const (
+	queueMaxLength = 64
+	queueMaxWait   = 100 * time.Millisecond
+)
+
+// queues holds one queue for each service.
+type queues struct {
+	byService sync.Map // service name to *balance.Queue
+}
+
+func (q *queues) get(service string) *balance.Queue {
+	if found, ok := q.byService.Load(service); ok {
+		return found.(*balance.Queue)
+	}
+	made := balance.NewQueue(balance.QueueConfig{MaxLength: queueMaxLength, MaxWait: queueMaxWait})
+	stored, _ := q.byService.LoadOrStore(service, made)
+	return stored.(*balance.Queue)
+}
