--- a/gateway/claims_test.go
+++ b/gateway/claims_test.go
@@ -32,7 +32,7 @@
 	leader := startControl(t, c, "control-1", nil)
 	follower := &followerStub{controlStub: &controlStub{}, leader: leader.address}
 	followerAddress := serveControl(t, c, "control-2", follower, follower)
-	id, err := loadIdentity(c.issue(t, "gw-1"))
+	id, err := loadIdentity(c.issue("gw-1"))
 	must(t, err)
 	newClient := func(replicas ...settings.Peer) *claimClient {
 		open := newConnections(dialPeers(id))
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -3,21 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/sha256"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"encoding/hex"
 	"encoding/json"
-	"encoding/pem"
 	"fmt"
 	"io"
-	"math/big"
 	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -30,6 +22,7 @@
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/settings"
 	"heatherwall.example/telemetry"
+	"heatherwall.example/testbed/devcerts"
 )
 
 const (
@@ -45,44 +38,19 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// certificates writes a key and certificate for name, signed by a common authority, into a folder of the test.
-type certificates struct {
-	folder string
-	key    *ecdsa.PrivateKey
-	ca     *x509.Certificate
-}
+// certificates is a folder with the certificates of all instances of the tests.
+type certificates struct{ folder string }
 
 func newCertificates(t *testing.T) *certificates {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	must(t, err)
-	c := &certificates{folder: t.TempDir(), key: key}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	must(t, err)
-	c.ca, err = x509.ParseCertificate(der)
-	must(t, err)
-	c.write(t, "ca.pem", "CERTIFICATE", der)
+	c := &certificates{folder: t.TempDir()}
+	must(t, devcerts.Write(c.folder, []string{"gw-1", "gw-2", "control-1", "control-2"}))
 	return c
 }
 
-func (c *certificates) write(t *testing.T, name, kind string, der []byte) string {
-	t.Helper()
-	path := filepath.Join(c.folder, name)
-	must(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
-	return path
-}
-
-func (c *certificates) issue(t *testing.T, name string) *settings.TLS {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	must(t, err)
-	template := &x509.Certificate{SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour), ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
-	der, err := x509.CreateCertificate(rand.Reader, template, c.ca, &key.PublicKey, c.key)
-	must(t, err)
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	must(t, err)
-	return &settings.TLS{Certificate: c.write(t, name+".pem", "CERTIFICATE", der), Key: c.write(t, name+".key", "EC PRIVATE KEY", keyDER), Authority: filepath.Join(c.folder, "ca.pem")}
+func (c *certificates) issue(name string) *settings.TLS {
+	path := func(file string) string { return filepath.Join(c.folder, file) }
+	return &settings.TLS{Certificate: path(name + ".pem"), Key: path(name + ".key"), Authority: path(devcerts.AuthorityName + ".pem")}
 }
 
 func must(t testing.TB, err error) {
@@ -190,7 +158,7 @@
 // serveControl serves a replica until the test ends and returns its address.
 func serveControl(t *testing.T, c *certificates, name string, configurations controlpb.ConfigurationsServer, claims controlpb.ClaimsServer) string {
 	t.Helper()
-	id, err := loadIdentity(c.issue(t, name))
+	id, err := loadIdentity(c.issue(name))
 	must(t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
@@ -218,7 +186,7 @@
 	any := settings.Listener{Address: "127.0.0.1:0"}
 	s := &settings.Gateway{
 		Instance: settings.Instance{Name: name, Region: "north", FailureDomain: "north-a", LogLevel: "info"},
-		Callers:  any, Announce: any, Admin: any, Peer: settings.Listener{Address: "127.0.0.1:0", TLS: c.issue(t, name)},
+		Callers:  any, Announce: any, Admin: any, Peer: settings.Listener{Address: "127.0.0.1:0", TLS: c.issue(name)},
 		MaxRequests: 100, DrainSeconds: 20,
 	}
 	for i, r := range replicas {
