--- a/balance/pick_test.go
+++ b/balance/pick_test.go
@@ -194,11 +194,21 @@
 	}
 }
 
-// BenchmarkPick measures a decision together with its end.
+// BenchmarkPick measures a decision together with its end; in the last case nine of ten servers cannot be reached.
 func BenchmarkPick(b *testing.B) {
-	for _, n := range []int{12, 100, 870} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			s := engineWith(n, Config{}).Current()
+	cases := []struct {
+		name               string
+		servers, reachable int
+	}{{"12", 12, 1}, {"100", 100, 1}, {"870", 870, 1}, {"870-tenth", 870, 10}}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			e := engineWith(c.servers, Config{})
+			for i, r := range e.byService["s"] {
+				if i%c.reachable != 0 {
+					r.load.unreachableUntil.store(time.Hour)
+				}
+			}
+			s := e.Current()
 			q := Query{Service: "s", Regions: []string{"r"}, Idempotent: true, Remaining: second}
 			b.ReportAllocs()
 			for b.Loop() {
@@ -241,3 +251,22 @@
 		t.Errorf("service: %d in flight after all have ended", n)
 	}
 }
+
+// Guards against a gateway that never sends again to a server whose fallback has ended without a new sequence.
+func TestFallbackEnds(t *testing.T) {
+	e := engineWith(1, Config{})
+	q := Query{Now: second, Service: "s", AnyRegion: true}
+	late, _ := e.Current().Pick(q)
+	s := testServer(0)
+	s.State = StateCold
+	e.Apply(ServerChanged{s})
+	late.Done(Outcome{Latency: time.Millisecond, Reported: true, State: StateCold})
+	if _, r := e.Current().Pick(q); r.Reason != ReasonNoServer {
+		t.Fatalf("cold server of another owner: got %v", r.Reason)
+	}
+	s.State = StateReady
+	e.Apply(ServerChanged{s})
+	if _, r := e.Current().Pick(q); r.Refused() {
+		t.Fatalf("refused after the end of the fallback: %v", r)
+	}
+}
