--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -96,14 +96,19 @@
 	return budget.AcrossRegions
 }
 
+// budgetSpentError reports that the budget of measuring permits no answer now.
+type budgetSpentError struct{}
+
+func (e *budgetSpentError) Error() string { return "the budget of measuring is spent" }
+
 // gossipService answers exchanges of other gateways.
 type gossipService struct {
 	gossippb.UnimplementedGossipServer
 	state *state
 }
 
-// Exchange implements gossippb.GossipServer. When the budget is spent, the answer carries the digest only; it is the
-// evidence that lets other gateways use the servers registered here.
+// Exchange implements gossippb.GossipServer. When the budget is spent, the answer is ResourceExhausted without content;
+// what the request told is taken in all the same.
 func (g *gossipService) Exchange(ctx context.Context, request *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error) {
 	if name := peerName(ctx); name != request.GetFrom() {
 		return nil, status.Error(codes.PermissionDenied, fmt.Sprintf("certificate of %q, request of %q", name, request.GetFrom()))
@@ -122,7 +127,7 @@
 	}
 	if !s.limiter.Take(s.clock.now(), s.scope(region), proto.Size(answer)+frameOverheadBytes) {
 		s.counters.Counter("measuring_denied", "kind", "gossip_answer").Inc(1)
-		answer.Servers, answer.Marks = nil, nil
+		return nil, status.Error(codes.ResourceExhausted, (&budgetSpentError{}).Error())
 	}
 	return answer, nil
 }
