--- a/raft/leader.go
+++ b/raft/leader.go
@@ -96,8 +96,11 @@
 	if c.Type != raftpb.MembershipChangeType_MEMBERSHIP_PROMOTE {
 		return nil
 	}
-	if p := n.progress[c.Member.Id]; p.match < n.promotable {
-		return &NotCaughtUpError{ID: c.Member.Id, Match: p.match, Needed: n.promotable}
+	// The entry that added the learner is among what it needs: a replica that does not know itself as a member cannot
+	// vote, and its vote is needed if the leader is lost right after the promotion.
+	needed := max(n.promotable, n.memberships.latest().index)
+	if p := n.progress[c.Member.Id]; p.match < needed {
+		return &NotCaughtUpError{ID: c.Member.Id, Match: p.match, Needed: needed}
 	}
 	return nil
 }
--- a/raft/rules_test.go
+++ b/raft/rules_test.go
@@ -92,6 +92,23 @@
 	}
 }
 
+// Guards against the promotion of a learner that lacks the entry which added it: it could not vote after the loss of
+// the leader, and the group would have no majority.
+func TestPromotionNeedsEntryThatAddedTheLearner(t *testing.T) {
+	c := newCluster(t, 3)
+	l := c.leader()
+	c.propose(l, "a")
+	c.change(l, raftpb.MembershipChangeType_MEMBERSHIP_ADD_LEARNER, 4)
+	l.node.progress[4].match = l.node.promotable // as if a snapshot of the time of the last heartbeat had arrived
+	err := l.node.ProposeMembership(&raftpb.MembershipChange{
+		Type: raftpb.MembershipChangeType_MEMBERSHIP_PROMOTE, Member: memberOf(4),
+	})
+	var behind *NotCaughtUpError
+	if !errors.As(err, &behind) {
+		t.Fatalf("got %v", err)
+	}
+}
+
 // Guards against a membership change before the leader knows which earlier changes are committed.
 func TestMembershipChangeNeedsCommitInTerm(t *testing.T) {
 	c := newCluster(t, 2)
