Replace connections of a gateway that a silent cut left without answers

cause: connections to gateways and claim leaders were kept for good; after a silent cut the old TCP connection waits for a retransmission whose back-off grows with the length of the cut, so gossip and claims would stay broken for about as long again.

--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -281,10 +281,12 @@
 	if err != nil {
 		return "", err
 	}
-	if !waitReady(ctx, conn) {
+	if !waitReady(ctx, conn.ClientConn) {
 		return "", &NotConnectedError{Address: address}
 	}
-	return call(ctx, address, controlpb.NewClaimsClient(conn))
+	leader, err := call(ctx, address, controlpb.NewClaimsClient(conn))
+	c.connections.report(conn, err)
+	return leader, err
 }
 
 // waitReady waits for an open connection, so that a request to an unreachable replica counts as not sent.
@@ -334,7 +336,7 @@
 	c.learned[region] = address
 }
 
-func (c *claimClient) connection(address string) (*grpc.ClientConn, error) {
+func (c *claimClient) connection(address string) (*connection, error) {
 	name := ""
 	for _, r := range c.replicas {
 		if r.Address == address {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -40,7 +40,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return gossippb.NewGossipClient(conn).Exchange(ctx, request)
+	answer, err := gossippb.NewGossipClient(conn).Exchange(ctx, request)
+	g.connections.report(conn, err)
+	return answer, err
 }
 
 // exchange sends the digest to one random peer, one time in four in another region.
