Start at most one read round of the leader in a tick

cause: the leader of three replicas passed the 12 KB/s of a node at 6 gateways: each renewal of each gateway started a round of heartbeats to both followers.

--- a/control/identity.go
+++ b/control/identity.go
@@ -253,6 +253,8 @@
 		ID: r.loop.self.Id, Group: id,
 		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		Storage: log, Rand: randomBelow,
+		// A round for each renewal would cost the leader more bytes than everything else it sends.
+		BatchReads: true,
 	})
 	if err != nil {
 		return nil, err
