--- a/control/replica.go
+++ b/control/replica.go
@@ -83,7 +83,11 @@
 		return err
 	}
 	defer admin.Close()
-	return r.run(ctx, peers, admin, bootstrap)
+	lock, err := wal.LockFolder(s.DataFolder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(r.run(ctx, peers, admin, bootstrap), lock.Unlock())
 }
 
 func (r *replica) run(ctx context.Context, peers *net.TCPListener, admin net.Listener, bootstrap bool) error {
