End a fallback that its owner has no use for

Frozen servers look like a fallback into cold start; their record turns cold, only the owner may send, and an owner in another failure domain prefers its own servers, so the limit never rises and the fallback never ends.

--- a/balance/cold.go
+++ b/balance/cold.go
@@ -21,6 +21,9 @@
 	cancelSettle = 5 * time.Millisecond
 	// suspicionTime is how long a gateway that does not own the server stops sending after it noticed a fallback.
 	suspicionTime = 2 * time.Second
+	// unusedFallback is how long the owner may leave a server that fell back without requests. An owner in another
+	// failure domain prefers its own servers; without this limit, nobody would ever send to such a server again.
+	unusedFallback = 5 * time.Second
 )
 
 // coldStart limits the requests at a server in cold start; only its owner sends any.
@@ -35,6 +38,11 @@
 	// told tells that the owner goroutine has passed the fallback on.
 	told atomic.Bool
 
+	// usedAt is when the owner last had an answer of the server while it was cold.
+	usedAt atomicTime
+	// noticedAt is when the owner learned of a fallback by behaviour; 0 for none. It belongs to the owner goroutine.
+	noticedAt time.Duration
+
 	// settled is when the newest cancelled request has certainly ended at the server.
 	settled atomicTime
 
@@ -51,8 +59,14 @@
 	c.fastest.store(0)
 }
 
+// isUnused reports whether the owner has left a server alone for long since its behaviour showed a fallback.
+func (c *coldStart) isUnused(now time.Duration) bool {
+	return c.noticedAt > 0 && now-max(c.noticedAt, c.usedAt.load()) > unusedFallback
+}
+
 // answered raises the limit after enough answers on time, and halves it after a late answer or a failure.
-func (c *coldStart) answered(ok bool, work float64, most int64) {
+func (c *coldStart) answered(now time.Duration, ok bool, work float64, most int64) {
+	c.usedAt.raise(now)
 	fastest := c.fastest.load()
 	if ok && (fastest == 0 || work < fastest) {
 		c.fastest.store(work)
--- a/balance/engine.go
+++ b/balance/engine.go
@@ -114,6 +114,10 @@
 	}
 	if r.server.State == StateCold && old.State != StateCold {
 		r.load.cold.begin()
+		r.load.cold.noticedAt = 0
+		if r.server.Sequence == old.Sequence { // a fallback by behaviour; the server itself raises its sequence
+			r.load.cold.noticedAt = e.now
+		}
 	}
 	if r.server.State == StateReady && old.State == StateCold {
 		r.load.reported.Store(uint32(StateReady))
--- a/balance/pick_test.go
+++ b/balance/pick_test.go
@@ -284,3 +284,33 @@
 		t.Fatalf("refused after the end of the fallback: %v", r)
 	}
 }
+
+// Guards against a server that stays cold for ever because its owner, in another failure domain, has no use for it; and
+// against a cold start announced by the server that ends by itself.
+func TestUnusedFallbackEnds(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		sequence uint64
+		ends     bool
+	}{{"fallback by behaviour", 1, true}, {"announced cold start", 2, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			e := New(Config{Region: "r", FailureDomain: "d0"})
+			s := testServer(0)
+			s.Owned, s.Sequence = true, 1
+			e.Tick(second)
+			e.Apply(ServerChanged{s})
+			s.State, s.Sequence = StateCold, tt.sequence
+			e.Apply(ServerChanged{s})
+			e.Tick(second + unusedFallback)
+			e.Notices()
+			e.Tick(second + unusedFallback + 100*time.Millisecond)
+			ended := false
+			for _, n := range e.Notices() {
+				ended = ended || n.Kind == NoticeWarm
+			}
+			if ended != tt.ends {
+				t.Errorf("cold start ended: %v, want %v", ended, tt.ends)
+			}
+		})
+	}
+}
--- a/balance/tick.go
+++ b/balance/tick.go
@@ -71,7 +71,7 @@
 }
 
 // passFallbacks reports fallbacks to the gateway once, and their end: the owner's limit has risen to the server's slots,
-// and the server itself does not report a cold start.
+// or the owner has no use for the server, and the server itself does not report a cold start.
 func (e *Engine) passFallbacks(records []*record) {
 	e.capSuspicions(records)
 	for _, r := range records {
@@ -82,7 +82,8 @@
 			e.notice(NoticeFallback, r)
 		}
 		cold := suspected || r.server.State == StateCold
-		if cold && !reported && r.server.Owned && c.limit() >= slots(r.server) {
+		ended := c.limit() >= slots(r.server) || c.isUnused(e.now)
+		if cold && !reported && r.server.Owned && ended {
 			c.fallback.store(0)
 			e.notice(NoticeWarm, r)
 		}
