Stop a request after it has crashed two servers

Retries within one gateway did not look at the crash marks (3 crashes in one call), and a refusal could reach the caller before the marks reached the other gateways.

--- a/gateway/claims_test.go
+++ b/gateway/claims_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"testing"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/gossippb"
 	"heatherwall.example/settings"
@@ -52,11 +56,31 @@
 	follower.leader = ""
 	wrongName := settings.Peer{Name: "control-3", Region: "north", Address: leader.address}
 	unreachable := settings.Peer{Name: "control-4", Region: "north", Address: "127.0.0.1:1"}
-	short, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
-	defer cancel()
-	if _, lost, err := newClient(first, wrongName, unreachable).Claim(short, request); err == nil || lost {
-		t.Errorf("no leader: lost %v, error %v", lost, err)
+	checkClaimWithoutLeader(t, newClient(first, wrongName, unreachable), request)
+}
+
+// claimsWithoutLeader is how often a claim without a leader is tried. Its deadline may cut a call that is under way, and
+// then the claim is rightly reported as lost; a client that reports every claim as lost fails all tries.
+const claimsWithoutLeader = 50
+
+func checkClaimWithoutLeader(t *testing.T, client *claimClient, request *controlpb.ClaimRequest) {
+	t.Helper()
+	for range claimsWithoutLeader {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_, lost, err := client.Claim(ctx, request)
+		cancel()
+		if err == nil {
+			t.Fatal("a claim without a leader was granted")
+		}
+		if !lost {
+			return
+		}
+		var failed *ClaimGroupError
+		if !errors.As(err, &failed) || status.Code(failed.Last) != codes.DeadlineExceeded {
+			t.Fatalf("claim reported as lost although no call was cut: %v", err)
+		}
 	}
+	t.Fatalf("%d claims that no replica took were all reported as lost", claimsWithoutLeader)
 }
 
 // Guards against marks of a request that leave its home regions, and against counting one crash twice.
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -21,6 +22,9 @@
 // exchangeTimeout bounds one exchange; evidence older than that is of little use.
 const exchangeTimeout = time.Second
 
+// spreadTimeout bounds how long a refusal waits for crash marks to reach the other gateways.
+const spreadTimeout = 300 * time.Millisecond
+
 // frameOverheadBytes is charged for each message beside its content: HTTP/2 frames, headers, TLS records and TCP.
 const frameOverheadBytes = 200
 
@@ -55,7 +59,7 @@
 	s.send(ctx, now, p, request)
 }
 
-// push sends changes of servers owned here, and new crash marks, to every peer.
+// push sends changes of servers owned here, and new crash marks, to every peer. The exchanges are kept in underway.
 func (s *state) push(ctx context.Context, now time.Duration) {
 	marks := s.poison.takeNews()
 	if !s.registry.HasPushes() && len(marks) == 0 {
@@ -66,18 +70,53 @@
 		own := proto.CloneOf(request)
 		own.Marks = marksFor(p.Region, marks)
 		if len(own.Servers) > 0 || len(own.Marks) > 0 {
-			s.send(ctx, now, p, own)
+			s.underway = append(s.underway, s.send(ctx, now, p, own))
+		}
+	}
+}
+
+// spreadMarks pushes new crash marks at once and waits until the peers have taken them, at most for spreadTimeout. A
+// caller that is told of a broken connection sends its request again at once, perhaps through another gateway; that one
+// must know the mark by then.
+func (s *state) spreadMarks() {
+	var waits []<-chan struct{}
+	s.do(func(now time.Duration) {
+		s.push(context.Background(), now)
+		waits = slices.Clone(s.underway)
+	})
+	timeout := time.NewTimer(spreadTimeout)
+	defer timeout.Stop()
+	for _, done := range waits {
+		select {
+		case <-done:
+		case <-timeout.C:
+			return
 		}
 	}
 }
 
-// send starts an exchange if the budget of measuring permits it.
-func (s *state) send(ctx context.Context, now time.Duration, p membership.Peer, request *gossippb.ExchangeRequest) {
+// forgetEnded drops the pushes that have ended.
+func (s *state) forgetEnded() {
+	s.underway = slices.DeleteFunc(s.underway, func(done <-chan struct{}) bool {
+		select {
+		case <-done:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+// send starts an exchange if the budget of measuring permits it. The channel is closed when the exchange has ended.
+func (s *state) send(ctx context.Context, now time.Duration, p membership.Peer, request *gossippb.ExchangeRequest) <-chan struct{} {
+	done := make(chan struct{})
 	if !s.limiter.Take(now, s.scope(p.Region), proto.Size(request)+frameOverheadBytes) {
 		s.counters.Counter("measuring_denied", "kind", "gossip").Inc(1)
-		return
+		close(done)
+		return done
 	}
 	s.outgoing.Go(func() {
+		defer close(done)
 		ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		defer cancel()
 		answer, err := s.peers.Exchange(ctx, p, request)
@@ -89,6 +128,7 @@
 		s.poison.Merge(s.clock.now(), p.ID, s.region, answer.GetMarks())
 		s.do(func(at time.Duration) { s.registry.Merge(at, now, answer) })
 	})
+	return done
 }
 
 func (s *state) scope(region string) budget.Scope {
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -113,7 +113,7 @@
 	transport := newTransport()
 	f.requestPath = &requestPath{
 		region: "north", maxRequests: 100, clock: newClock(), configuration: f.configuration, selector: f.servers, claims: f.claims,
-		holders: newHolderNames("gw-1", 1), poison: newPoisonMarks("gw-1"), transport: transport,
+		holders: newHolderNames("gw-1", 1), poison: newPoisonMarks("gw-1"), spreadMarks: func() {}, transport: transport,
 		log: telemetry.NewLogger(io.Discard, telemetry.Info), counters: telemetry.NewCounters(),
 	}
 	server := httptest.NewServer(f.requestPath)
@@ -510,3 +510,22 @@
 		t.Errorf("arrived %d times", count.Load())
 	}
 }
+
+// Guards against retries that carry a request on to further servers after it has crashed two.
+func TestRetriesStopAtPoison(t *testing.T) {
+	var addresses []string
+	var arrived []*atomic.Int64
+	for range 3 {
+		address, count := rawServer(t, func(c net.Conn, _ *http.Request) { reset(c) })
+		addresses, arrived = append(addresses, address), append(arrived, count)
+	}
+	f := newPathFixture(t, addresses...)
+	f.expect(t, f.request(t, "GET", "/read", ""), 502, `"ran":"unknown"`)
+	total := int64(0)
+	for _, count := range arrived {
+		total += count.Load()
+	}
+	if total != poisonThreshold {
+		t.Errorf("the request arrived at %d servers, want %d", total, poisonThreshold)
+	}
+}
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -34,9 +34,11 @@
 	claims        claimer
 	holders       *holderNames
 	poison        *poisonMarks
-	transport     http.RoundTripper
-	log           *telemetry.Logger
-	counters      *telemetry.Counters
+	// spreadMarks makes new crash marks known to the other gateways; it may take a moment.
+	spreadMarks func()
+	transport   http.RoundTripper
+	log         *telemetry.Logger
+	counters    *telemetry.Counters
 
 	// stopping fails /readyz; requests are still served, with Connection: close.
 	stopping atomic.Bool
@@ -90,6 +92,9 @@
 	r := &runner{p: p, c: c}
 	a, refusal := r.run()
 	if refusal != nil {
+		if refusal.Reason == BackendFailed {
+			p.spreadMarks()
+		}
 		p.complete(c, outcomeOf(r.maybeRan), nil)
 		p.answerRefusal(c, refusal)
 		return
@@ -108,6 +113,7 @@
 	}
 	if a.result.kind = interruptedKind(c); a.result.kind == resultBroken {
 		p.suspect(c)
+		p.spreadMarks()
 	}
 	p.complete(c, outcomeUnknown, nil)
 	a.done()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -106,7 +106,7 @@
 	d.claims = newClaimClient(s.Control, func() map[string]string { return d.lease.Current().claimLeaders }, d.toControl)
 	d.path = &requestPath{
 		region: s.Region, maxRequests: int64(s.MaxRequests), clock: d.clock, configuration: d.lease, selector: &engineSelector{state: d.state},
-		claims: d.claims, holders: newHolderNames(s.Name, incarnation), poison: poison,
+		claims: d.claims, holders: newHolderNames(s.Name, incarnation), poison: poison, spreadMarks: d.state.spreadMarks,
 		transport: newTransport(), log: log, counters: d.counters,
 	}
 	return d, nil
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -122,7 +122,7 @@
 // retry selects a server for another attempt if the outcome of a permits one.
 func (r *runner) retry(a *attempt) (selection, bool) {
 	reason := r.retryReason(a)
-	if reason == "" || r.retriesLeft == 0 || r.c.ctx.Err() != nil {
+	if reason == "" || r.retriesLeft == 0 || r.c.ctx.Err() != nil || r.isPoison() {
 		return nil, false
 	}
 	s, refusal := r.pick(&query{retry: true})
@@ -134,6 +134,11 @@
 	return s, true
 }
 
+// isPoison tells whether the attempts so far have made the request one that crashes backend servers.
+func (r *runner) isPoison() bool {
+	return r.p.poison.Remaining(r.p.clock.now(), r.c.fingerprint) > 0
+}
+
 // retryReason is empty when the request must not be sent again: it may have run and is not idempotent.
 func (r *runner) retryReason(a *attempt) string {
 	if a.mayHaveRun() && !r.c.rule.Idempotent {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -34,8 +34,10 @@
 	log      *telemetry.Logger
 	counters *telemetry.Counters
 
-	commands     chan func(now time.Duration)
-	stopped      chan struct{}
+	commands chan func(now time.Duration)
+	stopped  chan struct{}
+	// underway holds the pushes that have not ended; it belongs to the owner goroutine.
+	underway     []<-chan struct{}
 	outgoing     sync.WaitGroup // exchanges and probes under way
 	probing      map[string]bool
 	lastRegistry time.Duration
@@ -109,6 +111,7 @@
 			s.registry.Evidence(address, at)
 		}
 		s.applyRegistry(now)
+		s.forgetEnded()
 		s.push(ctx, now)
 	}
 	if now >= s.nextExchange {
