--- /dev/null
+++ b/testbed/bench/capacity_test.go
@@ -0,0 +1,74 @@
+package bench
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"heatherwall.example/testbed/harness"
+	"heatherwall.example/testbed/load"
+	"heatherwall.example/testbed/localsetup"
+)
+
+const rateTime = 8 * time.Second
+
+var (
+	callRates     = []float64{500, 1000, 2000, 4000}
+	workerCounts  = []int{12, 100, 400, 870}
+	replicaCounts = []int{3, 5, 9}
+)
+
+// BenchmarkCalls reports the processor time of one gateway for a call, at several rates.
+func BenchmarkCalls(b *testing.B) {
+	c, _ := serving(b, 1)
+	gateway := c.Process(c.Setup.Gateways[0].Name)
+	for _, rate := range callRates {
+		b.Run(fmt.Sprintf("rate=%.0f", rate), func(b *testing.B) {
+			for b.Loop() {
+				before := gateway.Usage(b)
+				s := runLoad(b, load.Options{
+					Gateways: c.Callers(), Targets: harness.Targets()[:1], Rate: rate,
+					Requests: int(rate * rateTime.Seconds()), Timeout: 10 * time.Second, Seed: seed,
+				})
+				used := gateway.Usage(b)
+				b.ReportMetric(float64((used.CPU-before.CPU).Microseconds())/float64(s.Requests), "cpu-us/call")
+				b.ReportMetric(used.Since(before).CPUShare*100, "gateway-cpu-%")
+				b.ReportMetric(float64(used.Resident)/(1<<20), "gateway-MiB")
+				b.ReportMetric(s.P99, "p99-us")
+			}
+		})
+	}
+}
+
+// BenchmarkWorkers reports what gateways without calls use as the number of backend servers grows.
+func BenchmarkWorkers(b *testing.B) {
+	for _, workers := range workerCounts {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			c := harness.NewCluster(b, binaries, harness.DefaultOptions())
+			c.Apply(b, harness.Document())
+			c.Ready(b)
+			place := localsetup.Place{Region: harness.Near, FailureDomain: harness.NearFirst}
+			servers := c.StartServers(b, harness.Catalogue, place, workers, "-journal", "")
+			harness.Eventually(b, limit, "registration", servers.Registered)
+			for b.Loop() {
+				report(b, c, "idle", func() { time.Sleep(measuringTime) })
+			}
+		})
+	}
+}
+
+// BenchmarkReplicas reports what the leader uses as the number of control replicas grows, with six gateways.
+func BenchmarkReplicas(b *testing.B) {
+	for _, replicas := range replicaCounts {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			o := harness.DefaultOptions()
+			o.Controls, o.Gateways = replicas, 6
+			c := harness.NewCluster(b, binaries, o)
+			c.Apply(b, harness.Document())
+			c.Ready(b)
+			for b.Loop() {
+				report(b, c, "idle", func() { time.Sleep(measuringTime) })
+			}
+		})
+	}
+}
