--- a/cmd/heatherwall/internal/operator/read.go
+++ b/cmd/heatherwall/internal/operator/read.go
@@ -115,6 +115,9 @@
 	}
 	fmt.Fprintf(c.stdout, "revision %d, answered by %s, cluster %x\n", answer.GetRevision(), answer.GetAnsweredBy(), answer.GetClusterId())
 	fmt.Fprintf(c.stdout, "failure domains out: %s\n", orNone(answer.GetDomainsOut()))
+	for _, domain := range answer.GetDomainsOut() {
+		fmt.Fprintln(c.stdout, domainLine(domain, answer.GetGateways()))
+	}
 	for _, g := range answer.GetGroups() {
 		fmt.Fprintln(c.stdout, groupLine(g))
 	}
@@ -131,6 +134,27 @@
 	return strings.Join(names, ", ")
 }
 
+// domainLine tells what is still in flight in a failure domain that is out. A gateway that does not report the domain
+// has not learned yet that it is out.
+func domainLine(domain string, gateways []*controlpb.GatewayStatus) string {
+	var inFlight uint32
+	var silent []string
+	for _, g := range gateways {
+		n, ok := g.GetInFlight()[domain]
+		if !ok {
+			silent = append(silent, g.GetName())
+		}
+		inFlight += n
+	}
+	switch {
+	case len(silent) > 0:
+		return fmt.Sprintf("failure domain %s: no report yet from %s", domain, strings.Join(silent, ", "))
+	case inFlight > 0:
+		return fmt.Sprintf("failure domain %s: %d requests in flight", domain, inFlight)
+	}
+	return fmt.Sprintf("failure domain %s: empty", domain)
+}
+
 func groupLine(g *controlpb.GroupStatus) string {
 	name := "configuration"
 	if g.GetRegion() != "" {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -113,6 +113,7 @@
 		s.applyRegistry(now)
 		s.forgetEnded()
 		s.push(ctx, now)
+		s.exportSpending()
 	}
 	if now >= s.nextExchange {
 		s.nextExchange = now + membership.ExchangeInterval
@@ -123,6 +124,12 @@
 	}
 }
 
+// exportSpending publishes the bytes of measuring since the start, those between regions apart because they are billed.
+func (s *state) exportSpending() {
+	s.counters.Gauge("measuring_bytes_within_region").Update(int64(s.limiter.Totals(budget.WithinRegion).Spent))
+	s.counters.Gauge("measuring_bytes_across_regions").Update(int64(s.limiter.Totals(budget.AcrossRegions).Spent))
+}
+
 // applyRegistry passes the changes of the registry on to the engine.
 func (s *state) applyRegistry(now time.Duration) {
 	for _, e := range s.registry.Tick(now) {
