--- /dev/null
+++ b/gateway/claimclient.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/settings"
+)
+
+// Timing of one call to a replica.
+const (
+	claimTryTimeout    = 500 * time.Millisecond
+	claimRetryInterval = 20 * time.Millisecond
+)
+
+// ClaimGroupError reports that the claim group of a region gave no answer.
+type ClaimGroupError struct {
+	Region string
+	Last   error // nil when no leader is known
+}
+
+func (e *ClaimGroupError) Error() string {
+	if e.Last == nil {
+		return fmt.Sprintf("claim group of %s: no leader is known", e.Region)
+	}
+	return fmt.Sprintf("claim group of %s: %v", e.Region, e.Last)
+}
+
+func (e *ClaimGroupError) Unwrap() error { return e.Last }
+
+// NotLeaderError reports a replica that answered without leading the group; it recorded nothing.
+type NotLeaderError struct {
+	Address string
+}
+
+func (e *NotLeaderError) Error() string {
+	return "replica " + e.Address + " does not lead the claim group"
+}
+
+// NotConnectedError reports that no connection to a replica was open; nothing was sent.
+type NotConnectedError struct {
+	Address string
+}
+
+func (e *NotConnectedError) Error() string { return "no connection to replica " + e.Address }
+
+// claimClient talks to the leaders of claim groups. It keeps one connection for each replica.
+type claimClient struct {
+	replicas    []settings.Peer
+	leaders     func() map[string]string // leader addresses by region, from the lease
+	connections *connections
+
+	mu      sync.Mutex
+	learned map[string]string // newer than leaders: taken from answers
+}
+
+func newClaimClient(replicas []settings.Peer, leaders func() map[string]string, connections *connections) *claimClient {
+	return &claimClient{replicas: replicas, leaders: leaders, connections: connections, learned: map[string]string{}}
+}
+
+// Claim implements claimer. It retries with the same holder, so a claim granted to a lost answer is granted again.
+func (c *claimClient) Claim(ctx context.Context, request *controlpb.ClaimRequest) (*controlpb.ClaimAnswer, bool, error) {
+	lost := false
+	var answer *controlpb.ClaimAnswer
+	err := c.each(ctx, request.Region, func(ctx context.Context, address string, client controlpb.ClaimsClient) (string, error) {
+		a, err := client.Claim(ctx, request)
+		if err != nil {
+			lost = true
+			return "", err
+		}
+		switch a.GetResult() {
+		case controlpb.ClaimResult_CLAIM_NOT_LEADER:
+			return a.GetLeaderAddress(), &NotLeaderError{Address: address}
+		case controlpb.ClaimResult_CLAIM_UNSPECIFIED:
+			lost = true
+			return a.GetLeaderAddress(), &NotLeaderError{Address: address}
+		}
+		answer = a
+		return "", nil
+	})
+	return answer, lost, err
+}
+
+// Complete implements claimer.
+func (c *claimClient) Complete(ctx context.Context, request *controlpb.CompleteRequest) error {
+	return c.each(ctx, request.Region, func(ctx context.Context, address string, client controlpb.ClaimsClient) (string, error) {
+		a, err := client.Complete(ctx, request)
+		if err != nil {
+			return "", err
+		}
+		if !a.GetAccepted() && a.GetLeaderAddress() != "" {
+			return a.GetLeaderAddress(), &NotLeaderError{Address: address}
+		}
+		if !a.GetAccepted() {
+			return "", &NotLeaderError{Address: address}
+		}
+		return "", nil
+	})
+}
+
+// claimCall asks one replica; leader is the address that its answer names.
+type claimCall func(ctx context.Context, address string, client controlpb.ClaimsClient) (leader string, err error)
+
+// each calls replicas, the known leader first, until one succeeds or ctx ends.
+func (c *claimClient) each(ctx context.Context, region string, call claimCall) error {
+	failed := &ClaimGroupError{Region: region}
+	for i := 0; ctx.Err() == nil; i++ {
+		address := c.candidate(region, i)
+		if address == "" {
+			return failed
+		}
+		leader, err := c.try(ctx, address, call)
+		if err == nil {
+			c.learn(region, address)
+			return nil
+		}
+		failed.Last = err
+		c.learn(region, leader)
+		if leader == "" || leader == address {
+			sleep(ctx, claimRetryInterval)
+		}
+	}
+	return failed
+}
+
+func (c *claimClient) try(ctx context.Context, address string, call claimCall) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTryTimeout)
+	defer cancel()
+	conn, err := c.connection(address)
+	if err != nil {
+		return "", err
+	}
+	if !waitReady(ctx, conn.ClientConn) {
+		return "", &NotConnectedError{Address: address}
+	}
+	leader, err := call(ctx, address, controlpb.NewClaimsClient(conn))
+	c.connections.report(conn, err)
+	return leader, err
+}
+
+// waitReady waits for an open connection, so that a request to an unreachable replica counts as not sent.
+func waitReady(ctx context.Context, conn *grpc.ClientConn) bool {
+	for {
+		state := conn.GetState()
+		if state == connectivity.Ready {
+			return true
+		}
+		if state == connectivity.TransientFailure || state == connectivity.Shutdown {
+			conn.ResetConnectBackoff()
+			return false
+		}
+		conn.Connect()
+		if !conn.WaitForStateChange(ctx, state) {
+			return false
+		}
+	}
+}
+
+// candidate returns the learned leader, then the one from the lease, then the replicas of the region in turn.
+func (c *claimClient) candidate(region string, try int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if learned := c.learned[region]; learned != "" {
+		return learned
+	}
+	if leader := c.leaders()[region]; leader != "" && try == 0 {
+		return leader
+	}
+	var local []string
+	for _, r := range c.replicas {
+		if r.Region == region {
+			local = append(local, r.Address)
+		}
+	}
+	if len(local) == 0 {
+		return c.leaders()[region]
+	}
+	return local[try%len(local)]
+}
+
+// learn remembers the leader of a region; "" forgets it.
+func (c *claimClient) learn(region, address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.learned[region] = address
+}
+
+func (c *claimClient) connection(address string) (*connection, error) {
+	name := ""
+	for _, r := range c.replicas {
+		if r.Address == address {
+			name = r.Name
+		}
+	}
+	return c.connections.get(name, address)
+}
