--- a/control/group.go
+++ b/control/group.go
@@ -4,7 +4,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
-	"time"
 
 	"heatherwall.example/api/raftpb"
 	"heatherwall.example/raft"
@@ -18,31 +17,6 @@
 // finds the request that waits for it.
 const proposalHeader = 16
 
-// snapshotPolicy tells when the state of a group is saved and its log compacted, so that a restart replays little.
-type snapshotPolicy struct {
-	// entries since the last snapshot that make one due.
-	entries int
-	// bytes since the last snapshot that make one due.
-	bytes int
-	// proportional waits until the log has grown as large as the last snapshot, so that writing snapshots at most
-	// doubles the bytes written to the disk.
-	proportional bool
-}
-
-var (
-	// Replaying a change costs as much as checking the whole document, and changes are rare.
-	configurationSnapshots = snapshotPolicy{entries: 100, bytes: 4 << 20}
-	// Replaying claims is cheap, and their state is large.
-	claimSnapshots = snapshotPolicy{entries: 5000, bytes: 16 << 20, proportional: true}
-)
-
-func (p snapshotPolicy) isDue(entries, bytes, lastSize int) bool {
-	if p.proportional && bytes < lastSize {
-		return false
-	}
-	return entries >= p.entries || bytes >= p.bytes
-}
-
 // stateMachine is what a group applies its entries to.
 type stateMachine interface {
 	Apply(index uint64, entry []byte) any
@@ -59,8 +33,6 @@
 
 type proposalResult func(result any, err error)
 
-type reader func(err error)
-
 // group is one raft group on this replica: its node, log and state machine.
 type group struct {
 	id      uint64
@@ -87,14 +59,6 @@
 	nextID  uint64
 }
 
-type readRound struct {
-	id      uint64
-	started time.Time
-	readers []reader
-	// index is zero until a quorum has confirmed the round.
-	index uint64
-}
-
 func newGroup(id uint64, region string, self uint64, node *raft.Node, log groupLog, machine stateMachine) *group {
 	return &group{
 		id: id, region: region, self: self, node: node, log: log, machine: machine, policy: policyOf(id),
@@ -104,13 +68,6 @@
 	}
 }
 
-func policyOf(id uint64) snapshotPolicy {
-	if id == configurationGroup {
-		return configurationSnapshots
-	}
-	return claimSnapshots
-}
-
 // randomNumber starts the numbering of a process at a random place, because entries and messages of an earlier process
 // with the same identity may still be around.
 func randomNumber() uint64 {
@@ -134,49 +91,6 @@
 	g.proposals[number] = done
 }
 
-// read calls done once a quorum has confirmed, after this call, that the applied state is current.
-func (g *group) read(done reader) {
-	g.waiting = append(g.waiting, done)
-	g.startRead()
-}
-
-func (g *group) startRead() {
-	if g.running != nil || len(g.waiting) == 0 {
-		return
-	}
-	round := &readRound{id: g.nextID, started: time.Now(), readers: g.waiting}
-	g.nextID++
-	g.waiting = nil
-	if err := g.node.ReadIndex(round.id); err != nil {
-		round.finish(&StaleError{Group: g.id})
-		return
-	}
-	g.running = round
-}
-
-func (r *readRound) finish(err error) {
-	for _, done := range r.readers {
-		done(err)
-	}
-}
-
-func (g *group) expireRead(now time.Time) {
-	if g.running != nil && now.Sub(g.running.started) > readTimeout {
-		g.running.finish(&StaleError{Group: g.id})
-		g.running = nil
-	}
-	g.startRead()
-}
-
-func (g *group) finishRead() {
-	if g.running == nil || g.running.index == 0 || g.applied < g.running.index {
-		return
-	}
-	g.running.finish(nil)
-	g.running = nil
-	g.startRead()
-}
-
 // advance handles one Ready of the node: sync, then send, then apply.
 func (g *group) advance(l *loop) (bool, error) {
 	if err := g.node.Err(); err != nil {
@@ -270,26 +184,6 @@
 	}
 }
 
-func (g *group) compact(l *loop) error {
-	if !g.policy.isDue(g.appliedSince, g.bytesSince, g.snapshotSize) {
-		return nil
-	}
-	data, err := g.machine.Snapshot()
-	if err != nil {
-		return err
-	}
-	s, err := g.node.NewSnapshot(g.applied, data)
-	if err != nil {
-		return err
-	}
-	if err := g.log.SaveSnapshot(s); err != nil {
-		return err
-	}
-	g.appliedSince, g.bytesSince, g.snapshotSize = 0, 0, len(data)
-	l.log.Log(eventSnapshot, telemetry.F("group", g.id), telemetry.F("index", s.Index), telemetry.F("bytes", len(data)))
-	return nil
-}
-
 // leaderAddress returns the address of the leader as far as this replica knows, or an empty string, also for no group.
 func (g *group) leaderAddress() string {
 	if g == nil {
--- /dev/null
+++ b/control/readround.go
@@ -0,0 +1,58 @@
+package control
+
+import "time"
+
+// reader is called once, when its round was confirmed or given up.
+type reader func(err error)
+
+// readRound is a read index under way, with the readers that arrived before it started.
+type readRound struct {
+	id      uint64
+	started time.Time
+	readers []reader
+	// index is zero until a quorum has confirmed the round.
+	index uint64
+}
+
+// read calls done once a quorum has confirmed, after this call, that the applied state is current.
+func (g *group) read(done reader) {
+	g.waiting = append(g.waiting, done)
+	g.startRead()
+}
+
+func (g *group) startRead() {
+	if g.running != nil || len(g.waiting) == 0 {
+		return
+	}
+	round := &readRound{id: g.nextID, started: time.Now(), readers: g.waiting}
+	g.nextID++
+	g.waiting = nil
+	if err := g.node.ReadIndex(round.id); err != nil {
+		round.finish(&StaleError{Group: g.id})
+		return
+	}
+	g.running = round
+}
+
+func (r *readRound) finish(err error) {
+	for _, done := range r.readers {
+		done(err)
+	}
+}
+
+func (g *group) expireRead(now time.Time) {
+	if g.running != nil && now.Sub(g.running.started) > readTimeout {
+		g.running.finish(&StaleError{Group: g.id})
+		g.running = nil
+	}
+	g.startRead()
+}
+
+func (g *group) finishRead() {
+	if g.running == nil || g.running.index == 0 || g.applied < g.running.index {
+		return
+	}
+	g.running.finish(nil)
+	g.running = nil
+	g.startRead()
+}
--- /dev/null
+++ b/control/snapshot.go
@@ -0,0 +1,56 @@
+package control
+
+import "heatherwall.example/telemetry"
+
+// snapshotPolicy tells when the state of a group is saved and its log compacted, so that a restart replays little.
+type snapshotPolicy struct {
+	// entries since the last snapshot that make one due.
+	entries int
+	// bytes since the last snapshot that make one due.
+	bytes int
+	// proportional waits until the log has grown as large as the last snapshot, so that writing snapshots at most
+	// doubles the bytes written to the disk.
+	proportional bool
+}
+
+var (
+	// Replaying a change costs as much as checking the whole document, and changes are rare.
+	configurationSnapshots = snapshotPolicy{entries: 100, bytes: 4 << 20}
+	// Replaying claims is cheap, and their state is large.
+	claimSnapshots = snapshotPolicy{entries: 5000, bytes: 16 << 20, proportional: true}
+)
+
+func (p snapshotPolicy) isDue(entries, bytes, lastSize int) bool {
+	if p.proportional && bytes < lastSize {
+		return false
+	}
+	return entries >= p.entries || bytes >= p.bytes
+}
+
+func policyOf(id uint64) snapshotPolicy {
+	if id == configurationGroup {
+		return configurationSnapshots
+	}
+	return claimSnapshots
+}
+
+// compact saves the state of the group when its policy says so, and with it shortens the log.
+func (g *group) compact(l *loop) error {
+	if !g.policy.isDue(g.appliedSince, g.bytesSince, g.snapshotSize) {
+		return nil
+	}
+	data, err := g.machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	s, err := g.node.NewSnapshot(g.applied, data)
+	if err != nil {
+		return err
+	}
+	if err := g.log.SaveSnapshot(s); err != nil {
+		return err
+	}
+	g.appliedSince, g.bytesSince, g.snapshotSize = 0, 0, len(data)
+	l.log.Log(eventSnapshot, telemetry.F("group", g.id), telemetry.F("index", s.Index), telemetry.F("bytes", len(data)))
+	return nil
+}
