Forget slow answers of a server by half-lives

The servers, frozen for seconds, had returned from ejection; gateway-1, in their failure domain, sent elsewhere: an estimate of seconds aged as 4 s/(4 s + age), which after a minute is still 30 times the typical work time.

--- a/balance/latency.go
+++ b/balance/latency.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -11,8 +12,9 @@
 	slowWeight = 0.1
 	// fastAge is the age at which half of the fast estimate has given way to the slow one.
 	fastAge = 15 * time.Millisecond
-	// slowAge is the age at which half of the slow estimate has given way to the typical work time.
-	slowAge = 4 * time.Second
+	// slowHalfLife is the time in which half of what the slow estimate exceeds the typical work time by is forgotten. It
+	// halves again and again: servers that were frozen for seconds must not be avoided for minutes.
+	slowHalfLife = 2 * time.Second
 	// usualSpread is the factor up to which a work time counts as typical; below it, differences are mostly those of the
 	// requests and not of the servers.
 	usualSpread = 2
@@ -56,7 +58,7 @@
 	age := max(now-l.last.load(), 0)
 	slow := l.slow.load()
 	if typical > 0 {
-		w := float64(slowAge) / float64(slowAge+age)
+		w := math.Exp2(-float64(age) / float64(slowHalfLife))
 		slow = slow*w + typical*(1-w)
 	}
 	w := float64(fastAge) / float64(fastAge+age)
--- a/balance/pick_test.go
+++ b/balance/pick_test.go
@@ -314,3 +314,18 @@
 		})
 	}
 }
+
+// Guards against servers that are avoided for minutes because their last answers, before a freeze ended, took seconds.
+func TestSlowAnswersAreForgotten(t *testing.T) {
+	const typical = float64(3 * time.Millisecond)
+	var l latency
+	for range 10 {
+		l.add(second, float64(3*second))
+	}
+	if got := l.estimate(second+100*time.Millisecond, typical); got < 10*typical {
+		t.Errorf("estimate after 100 ms is %v, forgotten too soon", time.Duration(got))
+	}
+	if got := l.estimate(31*second, typical); got > usualSpread*typical {
+		t.Errorf("estimate after 30 s is %v, want at most %v", time.Duration(got), time.Duration(usualSpread*typical))
+	}
+}
