--- a/testbed/bench/capacity_test.go
+++ b/testbed/bench/capacity_test.go
@@ -10,7 +10,11 @@
 	"heatherwall.example/testbed/localsetup"
 )
 
-const rateTime = 8 * time.Second
+const (
+	rateTime = 8 * time.Second
+	// workersPerProcess stays below the number of ports that the harness gives out at once.
+	workersPerProcess = 174
+)
 
 var (
 	callRates     = []float64{500, 1000, 2000, 4000}
@@ -48,8 +52,10 @@
 			c.Apply(b, harness.Document())
 			c.Ready(b)
 			place := localsetup.Place{Region: harness.Near, FailureDomain: harness.NearFirst}
-			servers := c.StartServers(b, harness.Catalogue, place, workers, "-journal", "")
-			harness.Eventually(b, limit, "registration", servers.Registered)
+			for left := workers; left > 0; left -= workersPerProcess {
+				servers := c.StartServers(b, harness.Catalogue, place, min(left, workersPerProcess), "-journal", "")
+				harness.Eventually(b, limit, "registration", servers.Registered)
+			}
 			for b.Loop() {
 				report(b, c, "idle", func() { time.Sleep(measuringTime) })
 			}
