--- a/testbed/bench/capacity_test.go
+++ b/testbed/bench/capacity_test.go
@@ -78,3 +78,23 @@
 		})
 	}
 }
+
+// BenchmarkClaimedCalls compares calls that take a claim with calls of the same size that do not, through one gateway in
+// one cluster.
+func BenchmarkClaimedCalls(b *testing.B) {
+	c, _ := serving(b, 1)
+	place := localsetup.Place{Region: harness.Near, FailureDomain: harness.NearFirst}
+	ledger := c.StartServers(b, harness.Ledger, place, 12, "-service-time", "1ms", "-journal", "")
+	harness.Eventually(b, limit, "registration", ledger.Registered)
+	o := load.Options{Gateways: c.Callers(), Rate: callRate, Requests: callRequests, Timeout: 10 * time.Second, Seed: seed}
+	unclaimed, claimed := o, o
+	unclaimed.Targets, claimed.Targets = harness.Targets()[:1], harness.Targets()[1:2]
+	runLoad(b, claimed) // opens the connections
+	for b.Loop() {
+		base, with := runLoad(b, unclaimed), runLoad(b, claimed)
+		b.ReportMetric(base.P50, "unclaimed-p50-us")
+		b.ReportMetric(base.P99, "unclaimed-p99-us")
+		b.ReportMetric(with.P50-base.P50, "claim-adds-p50-us")
+		b.ReportMetric(with.P99-base.P99, "claim-adds-p99-us")
+	}
+}
