--- a/gateway/peertls.go
+++ b/gateway/peertls.go
@@ -4,7 +4,6 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
-	"os"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
@@ -12,15 +11,6 @@
 	"heatherwall.example/settings"
 )
 
-// CertificateError reports a certificate, key or authority file that cannot be used.
-type CertificateError struct {
-	File string
-	Err  error
-}
-
-func (e *CertificateError) Error() string { return fmt.Sprintf("certificate %s: %v", e.File, e.Err) }
-func (e *CertificateError) Unwrap() error { return e.Err }
-
 // PeerNameError reports a peer whose certificate carries another instance name than expected.
 type PeerNameError struct {
 	Expected string
@@ -31,31 +21,19 @@
 	return fmt.Sprintf("peer certificate is for %q, expected %q", e.Got, e.Expected)
 }
 
-// NoAuthorityError reports an authority file without a certificate.
-type NoAuthorityError struct{}
-
-func (e *NoAuthorityError) Error() string { return "expected at least one PEM certificate" }
-
 // identity is the certificate of this instance and the authority that signs those of its peers.
 type identity struct {
 	certificate tls.Certificate
 	roots       *x509.CertPool
 }
 
+// loadIdentity reads the files of a peer listener. A file that cannot be used gives *settings.FileError.
 func loadIdentity(t *settings.TLS) (*identity, error) {
-	certificate, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
-	if err != nil {
-		return nil, &CertificateError{File: t.Certificate, Err: err}
-	}
-	text, err := os.ReadFile(t.Authority)
+	c, err := t.Load()
 	if err != nil {
-		return nil, &CertificateError{File: t.Authority, Err: err}
-	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(text) {
-		return nil, &CertificateError{File: t.Authority, Err: &NoAuthorityError{}}
+		return nil, err
 	}
-	return &identity{certificate: certificate, roots: roots}, nil
+	return &identity{certificate: c.Certificates[0], roots: c.RootCAs}, nil
 }
 
 func (i *identity) serverConfig() *tls.Config {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -46,7 +46,7 @@
 func (e *ListenError) Unwrap() error { return e.Err }
 
 // Run serves until ctx ends, then drains and returns. ready is called once when all listeners are open; it may be nil.
-// Failures before that are *ListenError or *CertificateError; a drain that ran out of time is no failure.
+// Failures before that are *ListenError or *settings.FileError; a drain that ran out of time is no failure.
 func Run(ctx context.Context, s *settings.Gateway, log *telemetry.Logger, ready func(Addresses)) error {
 	d, err := newDaemon(s, log)
 	if err != nil {
@@ -167,20 +167,17 @@
 	return nil
 }
 
-// listenerTLS needs client certificates only where an authority is set.
+// listenerTLS needs client certificates only where an authority is set; callers and backend servers without one may use
+// TLS 1.2.
 func listenerTLS(t *settings.TLS) (*tls.Config, error) {
-	if t.Authority != "" {
-		id, err := loadIdentity(t)
-		if err != nil {
-			return nil, err
-		}
-		return id.serverConfig(), nil
-	}
-	certificate, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
+	c, err := t.Load()
 	if err != nil {
-		return nil, &CertificateError{File: t.Certificate, Err: err}
+		return nil, err
+	}
+	if t.Authority == "" {
+		c.MinVersion = tls.VersionTLS12
 	}
-	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{certificate}}, nil
+	return c, nil
 }
 
 func (d *daemon) closeListeners() {
