Read the caller's instance name in one place

cause: control/peers.go and gateway/gossip.go each read the common name of the client certificate, one from the verified chain and one from the certificates sent; both listeners demand verified certificates, so the result was the same change: api.PeerName serves both and reads the verified chain. The gateway's gossip test builds its caller with a verified chain; its assertions are unchanged.

--- a/control/claims.go
+++ b/control/claims.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/statepb"
 	"heatherwall.example/controlstate"
@@ -41,7 +42,7 @@
 // checkHolder refuses holders that do not start with the gateway's own name, so that no instance completes or repeats
 // another one's claim.
 func checkHolder(ctx context.Context, holder string) error {
-	name := certificateName(ctx)
+	name := api.PeerName(ctx)
 	if name != "" && strings.HasPrefix(holder, name+"/") {
 		return nil
 	}
--- a/control/operators.go
+++ b/control/operators.go
@@ -54,7 +54,7 @@
 	}
 	if answer.Outcome != nil {
 		s.r.log.Log(eventAccepted, telemetry.F("result", answer.Outcome.Result.String()),
-			telemetry.F("revision", answer.Outcome.Revision), telemetry.F("operator", certificateName(ctx)))
+			telemetry.F("revision", answer.Outcome.Revision), telemetry.F("operator", api.PeerName(ctx)))
 	}
 	return answer, nil
 }
--- a/control/peers.go
+++ b/control/peers.go
@@ -2,34 +2,18 @@
 
 import (
 	"context"
-	"crypto/x509"
 	"slices"
 
+	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/raftpb"
 	"heatherwall.example/telemetry"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 )
 
-// certificateName returns the common name of the verified client certificate.
-func certificateName(ctx context.Context) string {
-	p, ok := peer.FromContext(ctx)
-	if !ok {
-		return ""
-	}
-	info, ok := p.AuthInfo.(credentials.TLSInfo)
-	if !ok || len(info.State.VerifiedChains) == 0 {
-		return ""
-	}
-	var leaf *x509.Certificate = info.State.VerifiedChains[0][0]
-	return leaf.Subject.CommonName
-}
-
 // peerServer answers the other control replicas.
 type peerServer struct {
 	controlpb.UnimplementedPeersServer
@@ -38,7 +22,7 @@
 
 // checkReplica refuses certificates that do not belong to a configured replica.
 func (s *peerServer) checkReplica(ctx context.Context) (string, error) {
-	name := certificateName(ctx)
+	name := api.PeerName(ctx)
 	if slices.ContainsFunc(s.r.settings.Peers, peerNamed(name)) {
 		return name, nil
 	}
--- a/control/replica.go
+++ b/control/replica.go
@@ -65,7 +65,7 @@
 }
 
 // Run starts a control replica and serves until ctx ends, then hands over its leaderships and stops. bootstrap creates
-// the configuration group in an empty data folder; see Bootstrap. Errors are of the types of this package and of
+// the configuration group in an empty data folder, once all peers have answered that they belong to no setup. Errors are of the types of this package and of
 // settings, raft and wal.
 func Run(ctx context.Context, s *settings.Control, bootstrap bool, log *telemetry.Logger) error {
 	tlsConfig, err := s.Peer.TLS.Load()
--- a/control/watch.go
+++ b/control/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/telemetry"
 
@@ -24,7 +25,7 @@
 // Watch answers each renewal after a quorum has confirmed, later than the renewal arrived, that the applied
 // configuration is current. When no quorum confirms, the stream ends with Unavailable.
 func (s *configurationServer) Watch(stream grpc.BidiStreamingServer[controlpb.RenewRequest, controlpb.RenewAnswer]) error {
-	return s.r.untilStopped(func() error { return s.answer(stream, certificateName(stream.Context())) })
+	return s.r.untilStopped(func() error { return s.answer(stream, api.PeerName(stream.Context())) })
 }
 
 func (s *configurationServer) answer(stream grpc.BidiStreamingServer[controlpb.RenewRequest, controlpb.RenewAnswer], name string) error {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -8,11 +8,10 @@
 	"time"
 
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"heatherwall.example/api"
 	"heatherwall.example/api/gossippb"
 	"heatherwall.example/balance/budget"
 	"heatherwall.example/membership"
@@ -152,7 +151,7 @@
 // Exchange implements gossippb.GossipServer. When the budget is spent, the answer is ResourceExhausted without content;
 // what the request told is taken in all the same.
 func (g *gossipService) Exchange(ctx context.Context, request *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error) {
-	if name := peerName(ctx); name != request.GetFrom() {
+	if name := api.PeerName(ctx); name != request.GetFrom() {
 		return nil, status.Error(codes.PermissionDenied, fmt.Sprintf("certificate of %q, request of %q", name, request.GetFrom()))
 	}
 	s := g.state
@@ -183,16 +182,3 @@
 	}
 	return ""
 }
-
-// peerName returns the instance name in the client certificate.
-func peerName(ctx context.Context) string {
-	p, ok := peer.FromContext(ctx)
-	if !ok {
-		return ""
-	}
-	info, ok := p.AuthInfo.(credentials.TLSInfo)
-	if !ok || len(info.State.PeerCertificates) == 0 {
-		return ""
-	}
-	return info.State.PeerCertificates[0].Subject.CommonName
-}
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -23,7 +23,7 @@
 
 func fromPeer(name string) context.Context {
 	leaf := &x509.Certificate{Subject: pkix.Name{CommonName: name}}
-	info := credentials.TLSInfo{State: tls.ConnectionState{PeerCertificates: []*x509.Certificate{leaf}}}
+	info := credentials.TLSInfo{State: tls.ConnectionState{VerifiedChains: [][]*x509.Certificate{{leaf}}}}
 	return peer.NewContext(context.Background(), &peer.Peer{AuthInfo: info})
 }
 
