Introduce a starting gateway to the others before it serves

Cause: a gateway that had just started did not know the other gateways and they did not know it until the control replicas had listed it and a renewal had carried the list. Ruled out: marks lost by a denied push, because gateway 1 had no peers at all when it marked the request. Change: 300 ms after its first confirmed configuration a gateway renews again and calls Introduce at every listed gateway; each adds it to its peers and answers with its crash marks. /readyz and requests are refused with not_ready until then, for at most 2 s when a peer is silent. Conclusion: gateways that serve know each other, apart from those that a cut separates.

--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -59,6 +59,8 @@
 	switch {
 	case d.path.stopping.Load():
 		writeStatus(w, http.StatusServiceUnavailable, string(Draining))
+	case d.path.joining.Load():
+		writeStatus(w, http.StatusServiceUnavailable, string(NotReady))
 	case !valid:
 		writeStatus(w, http.StatusServiceUnavailable, string(ConfigurationStale))
 	default:
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -75,6 +75,9 @@
 	if l.config == nil {
 		return refuse(NotReady, "no configuration has been confirmed yet").after(time.Second)
 	}
+	if p.joining.Load() {
+		return refuse(NotReady, "the gateway has not introduced itself to the other gateways yet").after(time.Second)
+	}
 	if !ok {
 		return refuse(ConfigurationStale, "the configuration could not be confirmed").after(time.Second)
 	}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -14,6 +14,7 @@
 	eventRevisionInUse   = telemetry.Define(2013, "revision_in_use", telemetry.Info, "A new revision of the configuration is in use.")
 	eventRevisionRefused = telemetry.Define(2014, "revision_refused", telemetry.Error, "A confirmed revision could not be compiled, or was older than one seen before; it is not used.")
 	eventClusterRefused  = telemetry.Define(2015, "cluster_refused", telemetry.Error, "A control replica of another setup answered; its answer is not used.")
+	eventJoined          = telemetry.Define(2016, "gateway_joined", telemetry.Info, "The gateway has introduced itself to the other gateways and takes requests from now on.")
 	eventServerAnnounced = telemetry.Define(2020, "server_announced", telemetry.Info, "A backend server announced itself to this gateway.")
 	eventServerLeft      = telemetry.Define(2021, "server_left", telemetry.Info, "A backend server said that it leaves.")
 	eventAnnounceRefused = telemetry.Define(2022, "announce_refused", telemetry.Warn, "A request to the announce endpoint was refused.")
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -30,6 +30,7 @@
 // exchanger carries one exchange to another gateway.
 type exchanger interface {
 	Exchange(ctx context.Context, p membership.Peer, request *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error)
+	Introduce(ctx context.Context, p membership.Peer, request *gossippb.IntroduceRequest) (*gossippb.IntroduceAnswer, error)
 }
 
 // grpcExchanger uses gRPC with mutual TLS.
@@ -48,6 +49,17 @@
 	return answer, err
 }
 
+// Introduce implements exchanger.
+func (g *grpcExchanger) Introduce(ctx context.Context, p membership.Peer, request *gossippb.IntroduceRequest) (*gossippb.IntroduceAnswer, error) {
+	conn, err := g.connections.get(p.ID, p.Address)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := gossippb.NewGossipClient(conn).Introduce(ctx, request)
+	g.connections.report(conn, err)
+	return answer, err
+}
+
 // exchange sends the digest to one random peer, one time in four in another region.
 func (s *state) exchange(ctx context.Context, now time.Duration) {
 	p, ok := s.registry.Target(s.region, rand.Uint64())
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -27,30 +27,77 @@
 	return peer.NewContext(context.Background(), &peer.Peer{AuthInfo: info})
 }
 
-// Guards against answers to other gateways that exceed the budget of measuring.
-func TestGossipAnswersStayWithinTheBudget(t *testing.T) {
-	limiter := budget.New(budget.Rates{})
+func startState(t *testing.T, name string, rates budget.Rates) *state {
+	t.Helper()
 	s := &state{
-		name: "gw-1", region: "near", clock: newClock(), registry: membership.New("gw-1", 1),
-		engine: balance.New(balance.Config{Region: "near", FailureDomain: "near-1"}), limiter: limiter,
-		poison: newPoisonMarks("gw-1"), log: telemetry.NewLogger(io.Discard, telemetry.Error),
+		name: name, region: "near", clock: newClock(), registry: membership.New(name, 1),
+		engine: balance.New(balance.Config{Region: "near", FailureDomain: "near-1"}), limiter: budget.New(rates),
+		poison: newPoisonMarks(name), log: telemetry.NewLogger(io.Discard, telemetry.Error),
 		counters: telemetry.NewCounters(), commands: make(chan func(time.Duration)), stopped: make(chan struct{}),
 		probing: map[string]bool{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.run(ctx)
-	defer func() {
+	t.Cleanup(func() {
 		cancel()
 		<-s.stopped
-	}()
+	})
+	return s
+}
+
+// Guards against answers to other gateways that exceed the budget of measuring.
+func TestGossipAnswersStayWithinTheBudget(t *testing.T) {
+	s := startState(t, "gw-1", budget.Rates{})
 	service := &gossipService{state: s}
 	if _, err := service.Exchange(fromPeer("gw-2"), &gossippb.ExchangeRequest{From: "gw-2"}); status.Code(err) != codes.ResourceExhausted {
 		t.Fatalf("exchange without a budget: %v, want ResourceExhausted", err)
 	}
-	if spent := limiter.Totals(budget.AcrossRegions).Spent; spent != 0 {
+	if spent := s.limiter.Totals(budget.AcrossRegions).Spent; spent != 0 {
 		t.Errorf("%d bytes spent of an empty budget", spent)
 	}
 	if _, err := service.Exchange(fromPeer("gw-3"), &gossippb.ExchangeRequest{From: "gw-2"}); status.Code(err) != codes.PermissionDenied {
 		t.Errorf("exchange under another name: %v, want PermissionDenied", err)
 	}
 }
+
+// directExchanger calls the service of another state in the same process.
+type directExchanger struct {
+	from string
+	to   map[string]*state
+}
+
+func (e *directExchanger) Exchange(_ context.Context, p membership.Peer, q *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error) {
+	return (&gossipService{state: e.to[p.ID]}).Exchange(fromPeer(e.from), q)
+}
+
+func (e *directExchanger) Introduce(_ context.Context, p membership.Peer, q *gossippb.IntroduceRequest) (*gossippb.IntroduceAnswer, error) {
+	return (&gossipService{state: e.to[p.ID]}).Introduce(fromPeer(e.from), q)
+}
+
+// Guards against a gateway that starts without the crash marks of the others, and against others that do not send it the
+// later ones because the control replicas have not listed it yet.
+func TestIntroductionSharesCrashMarks(t *testing.T) {
+	rates := budget.Rates{WithinRegion: 1 << 20, AcrossRegions: 1 << 20}
+	older, newer := startState(t, "gw-1", rates), startState(t, "gw-2", rates)
+	states := map[string]*state{"gw-1": older, "gw-2": newer}
+	older.peers, newer.peers = &directExchanger{"gw-1", states}, &directExchanger{"gw-2", states}
+	before, after := fingerprint{1}, fingerprint{2}
+	older.poison.Suspect(older.clock.now(), before, nil)
+	older.poison.Suspect(older.clock.now(), before, nil)
+	newer.do(func(now time.Duration) {
+		newer.peerList.listed = []membership.Peer{{ID: "gw-1", Region: "near"}}
+		newer.updatePeers(now)
+	})
+	if peers, answered := newer.introduce(t.Context(), "127.0.0.1:1"); peers != 1 || answered != 1 {
+		t.Fatalf("%d of %d peers answered", answered, peers)
+	}
+	if newer.poison.Remaining(newer.clock.now(), before) == 0 {
+		t.Error("a crash mark from before the introduction is unknown")
+	}
+	older.poison.Suspect(older.clock.now(), after, nil)
+	older.poison.Suspect(older.clock.now(), after, nil)
+	older.spreadMarks()
+	if newer.poison.Remaining(newer.clock.now(), after) == 0 {
+		t.Error("a crash mark from after the introduction is unknown")
+	}
+}
--- /dev/null
+++ b/gateway/introduce.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"heatherwall.example/api"
+	"heatherwall.example/api/gossippb"
+	"heatherwall.example/membership"
+	"heatherwall.example/telemetry"
+)
+
+// introducedFor is how long a gateway that introduced itself counts as a peer without being on the list of the control
+// replicas, which reaches every gateway within a renewal.
+const introducedFor = 10 * time.Second
+
+// Timing of the introduction. The budget of measuring is empty at the start and may be spent at the receiver, so it is
+// tried again; a peer that stays silent holds up the start for introductionTimeout at most.
+const (
+	introductionTimeout = 2 * time.Second
+	introductionRetry   = 100 * time.Millisecond
+)
+
+// peerList joins the list of the control replicas with the gateways that introduced themselves. It belongs to the owner
+// goroutine of state.
+type peerList struct {
+	listed     []membership.Peer
+	introduced map[string]introducedPeer
+}
+
+type introducedPeer struct {
+	membership.Peer
+	until time.Duration
+}
+
+func (l *peerList) introduce(now time.Duration, p membership.Peer) {
+	if l.introduced == nil {
+		l.introduced = map[string]introducedPeer{}
+	}
+	l.introduced[p.ID] = introducedPeer{Peer: p, until: now + introducedFor}
+}
+
+// all prefers the address that a gateway gave itself, because the list may still hold that of its last run.
+func (l *peerList) all(now time.Duration) []membership.Peer {
+	var peers []membership.Peer
+	for _, p := range l.listed {
+		if in, ok := l.introduced[p.ID]; !ok || in.until <= now {
+			peers = append(peers, p)
+		}
+	}
+	for id, in := range l.introduced {
+		if in.until <= now {
+			delete(l.introduced, id)
+			continue
+		}
+		peers = append(peers, in.Peer)
+	}
+	return peers
+}
+
+// introduce makes this gateway known to every peer and takes over their crash marks. Of two gateways that start together
+// at least the later one has the other on its list, so afterwards each of them knows the other. It returns the number of
+// peers and how many of them answered within introductionTimeout.
+func (s *state) introduce(ctx context.Context, address string) (peers, answered int) {
+	var list []membership.Peer
+	s.do(func(time.Duration) { list = s.registry.Peers() })
+	request := &gossippb.IntroduceRequest{From: s.name, Region: s.region, Address: address}
+	ctx, cancel := context.WithTimeout(ctx, introductionTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	var answers atomic.Int64
+	for _, p := range list {
+		calls.Go(func() {
+			if s.introduceUntilAnswered(ctx, p, request) {
+				answers.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	return len(list), int(answers.Load())
+}
+
+func (s *state) introduceUntilAnswered(ctx context.Context, p membership.Peer, request *gossippb.IntroduceRequest) bool {
+	for !s.introduceTo(ctx, p, request) {
+		if !sleep(ctx, introductionRetry) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *state) introduceTo(ctx context.Context, p membership.Peer, request *gossippb.IntroduceRequest) bool {
+	if !s.limiter.Take(s.clock.now(), s.scope(p.Region), proto.Size(request)+frameOverheadBytes) {
+		s.counters.Counter("measuring_denied", "kind", "introduction").Inc(1)
+		return false
+	}
+	answer, err := s.peers.Introduce(ctx, p, request)
+	if err != nil {
+		s.log.Log(eventGossipFailed, telemetry.F("peer", p.ID), telemetry.F("error", err))
+		return false
+	}
+	s.poison.Merge(s.clock.now(), p.ID, s.region, answer.GetMarks())
+	return true
+}
+
+// Introduce implements gossippb.GossipServer. Crash marks are pushed to the new peer from now on; the answer carries the
+// earlier ones.
+func (g *gossipService) Introduce(ctx context.Context, request *gossippb.IntroduceRequest) (*gossippb.IntroduceAnswer, error) {
+	if name := api.PeerName(ctx); name != request.GetFrom() {
+		return nil, status.Error(codes.PermissionDenied, fmt.Sprintf("certificate of %q, introduction of %q", name, request.GetFrom()))
+	}
+	s := g.state
+	p := membership.Peer{ID: request.GetFrom(), Region: request.GetRegion(), Address: request.GetAddress()}
+	answer := &gossippb.IntroduceAnswer{}
+	ok := s.do(func(now time.Duration) {
+		s.peerList.introduce(now, p)
+		s.updatePeers(now)
+		answer.Marks = s.poison.Own(now, p.Region)
+	})
+	if !ok {
+		return nil, status.Error(codes.Unavailable, "the gateway is stopping")
+	}
+	if !s.limiter.Take(s.clock.now(), s.scope(p.Region), proto.Size(answer)+frameOverheadBytes) {
+		s.counters.Counter("measuring_denied", "kind", "introduction_answer").Inc(1)
+		return nil, status.Error(codes.ResourceExhausted, (&budgetSpentError{}).Error())
+	}
+	return answer, nil
+}
+
+func (s *state) updatePeers(now time.Duration) {
+	s.registry.SetPeers(s.peerList.all(now))
+	s.counters.Gauge("peers").Update(int64(len(s.registry.Peers())))
+}
+
+func (s *state) peerAddresses() map[string]bool {
+	addresses := map[string]bool{}
+	s.do(func(time.Duration) {
+		for _, p := range s.registry.Peers() {
+			addresses[p.Address] = true
+		}
+	})
+	return addresses
+}
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -23,6 +23,9 @@
 	replicaSilence = time.Second
 	// replicaBackoff separates attempts when replicas refuse connections at once.
 	replicaBackoff = 100 * time.Millisecond
+	// listDelay follows the first confirmation. In this time the control replicas tell each other of new gateways, so the
+	// list in the next answer holds all that started before.
+	listDelay = 300 * time.Millisecond
 )
 
 // sectionSet holds the texts of the document's sections by name.
@@ -62,12 +65,17 @@
 	compile  compileFunc
 	status   func() *controlpb.GatewayStatus
 	onChange func(*lease) // called after a change of the configuration, the failure domains out or the gateway list
+	// onListed is called once, when the gateway list holds every gateway that started before this one.
+	onListed func(ctx context.Context)
 	clock    clock
 	log      *telemetry.Logger
 	counters *telemetry.Counters
 
 	current atomic.Pointer[lease]
 	nonce   uint64
+	// confirmed is the time of the first confirmed configuration; 0 before it.
+	confirmed time.Duration
+	listed    bool
 }
 
 // Current returns the newest confirmed state; its config is nil before the first confirmation.
@@ -195,13 +203,18 @@
 		case <-silence.C:
 			return &ReplicaSilentError{Replica: s.peer.Name}
 		case <-renew.C:
+			renew.Reset(renewInterval)
 			if err := s.renew(stream); err != nil {
 				return err
 			}
 		case a := <-s.answers:
-			if s.answer(a) {
+			first := s.client.confirmed == 0
+			if s.answer(ctx, a) {
 				silence.Reset(replicaSilence)
 			}
+			if first && s.client.confirmed != 0 {
+				renew.Reset(listDelay)
+			}
 		}
 	}
 }
@@ -221,13 +234,29 @@
 
 // answer takes one renewal answer and reports whether it confirmed the configuration. The lease counts from the moment
 // the renewal with the same nonce was sent, so an answer without such a renewal confirms nothing.
-func (s *leaseSession) answer(a *controlpb.RenewAnswer) bool {
+func (s *leaseSession) answer(ctx context.Context, a *controlpb.RenewAnswer) bool {
 	sentAt, ok := s.sent[a.GetNonce()]
 	if !ok {
 		return false
 	}
 	maps.DeleteFunc(s.sent, func(_ uint64, at time.Duration) bool { return at <= sentAt })
-	return s.client.accept(a, sentAt+leaseDuration)
+	if !s.client.accept(a, sentAt+leaseDuration) {
+		return false
+	}
+	s.client.noteList(ctx, sentAt)
+	return true
+}
+
+// noteList calls onListed after the answer to a renewal that was sent listDelay after the first confirmation.
+func (c *leaseClient) noteList(ctx context.Context, sentAt time.Duration) {
+	switch {
+	case c.listed || c.Current().config == nil:
+	case c.confirmed == 0:
+		c.confirmed = c.clock.now()
+	case sentAt >= c.confirmed+listDelay:
+		c.listed = true
+		c.onListed(ctx)
+	}
 }
 
 // accept publishes a confirmed configuration. It never goes back to an older revision or to another setup.
--- a/gateway/lease_test.go
+++ b/gateway/lease_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	return &leaseClient{
 		replicas: []settings.Peer{{Name: "control-1"}}, compile: compileSections, clock: newClock(),
-		status: func() *controlpb.GatewayStatus { return &controlpb.GatewayStatus{} }, onChange: func(*lease) {},
+		status: func() *controlpb.GatewayStatus { return &controlpb.GatewayStatus{} }, onChange: func(*lease) {}, onListed: func(context.Context) {},
 		log: telemetry.NewLogger(io.Discard, telemetry.Info), counters: telemetry.NewCounters(),
 	}
 }
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -40,6 +40,8 @@
 	log         *telemetry.Logger
 	counters    *telemetry.Counters
 
+	// joining refuses requests until this gateway has introduced itself to the others.
+	joining atomic.Bool
 	// stopping fails /readyz; requests are still served, with Connection: close.
 	stopping atomic.Bool
 	// draining refuses new requests.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -101,7 +101,7 @@
 	}
 	d.lease = &leaseClient{
 		replicas: s.Control, dial: dial, compile: compileSections, clock: d.clock, log: log, counters: d.counters,
-		status: func() *controlpb.GatewayStatus { return d.status(incarnation) }, onChange: d.configure,
+		status: func() *controlpb.GatewayStatus { return d.status(incarnation) }, onChange: d.configure, onListed: d.join,
 	}
 	d.claims = newClaimClient(s.Control, func() map[string]string { return d.lease.Current().claimLeaders }, d.toControl)
 	d.path = &requestPath{
@@ -109,17 +109,24 @@
 		claims: d.claims, holders: newHolderNames(s.Name, incarnation), poison: poison, spreadMarks: d.state.spreadMarks,
 		transport: newTransport(), log: log, counters: d.counters,
 	}
+	d.path.joining.Store(true)
 	return d, nil
 }
 
+// join introduces this gateway to the others, then lets it serve requests. A request that crashed backend servers
+// elsewhere must be known here before the first one is taken.
+func (d *daemon) join(ctx context.Context) {
+	d.work.Go(func() {
+		peers, answered := d.state.introduce(ctx, d.peerAddress())
+		d.path.joining.Store(false)
+		d.log.Log(eventJoined, telemetry.F("peers", peers), telemetry.F("answered", answered))
+	})
+}
+
 // configure passes a confirmed configuration on to the state goroutine.
 func (d *daemon) configure(l *lease) {
-	used := map[string]bool{}
-	for _, g := range l.gateways {
-		used[g.GetPeerAddress()] = true
-	}
-	d.toGateways.keepOnly(used)
 	d.state.configure(l)
+	d.toGateways.keepOnly(d.state.peerAddresses())
 }
 
 func (d *daemon) status(incarnation uint64) *controlpb.GatewayStatus {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -30,6 +30,7 @@
 	limiter  *budget.Limiter
 	poison   *poisonMarks
 	peers    exchanger
+	peerList peerList
 	prober   prober
 	log      *telemetry.Logger
 	counters *telemetry.Counters
@@ -164,9 +165,9 @@
 		peers = append(peers, membership.Peer{ID: g.GetName(), Region: g.GetRegion(), Address: g.GetPeerAddress()})
 	}
 	s.limiter.SetRates(budget.Rates{WithinRegion: l.config.MeasuringWithin, AcrossRegions: l.config.MeasuringAcross})
-	s.do(func(time.Duration) {
-		s.registry.SetPeers(peers)
-		s.counters.Gauge("peers").Update(int64(len(s.registry.Peers())))
+	s.do(func(now time.Duration) {
+		s.peerList.listed = peers
+		s.updatePeers(now)
 		s.engine.Apply(engineConfiguration(l.config))
 	})
 }
