Count unknown answers to requests that no server started

Cause: the comparison counted every unknown answer, so it could not be told which of them were needless. Change: the report of the checker has the unknown answers to requests without a start at any server, by reason. Conclusion: needed to reduce them by measurement; the test of the comparison covers both cases.

--- a/testbed/check/check.go
+++ b/testbed/check/check.go
@@ -32,17 +32,20 @@
 
 // Report is the result of a comparison.
 type Report struct {
-	Calls       int `json:"calls"`
-	Requests    int `json:"requests"`
-	Whole       int `json:"whole"`
-	RefusedNot  int `json:"refused_not_run"`
-	Unknown     int `json:"unknown"`
-	Runs        int `json:"runs"`
-	Doubled     int `json:"doubled"`
-	Misplaced   int `json:"misplaced"`
-	FalseNotRun int `json:"false_not_run"`
-	Mismatched  int `json:"mismatched"`
-	FellOver    int `json:"fell_over"`
+	Calls      int `json:"calls"`
+	Requests   int `json:"requests"`
+	Whole      int `json:"whole"`
+	RefusedNot int `json:"refused_not_run"`
+	Unknown    int `json:"unknown"`
+	// Needless counts the unknown answers to requests that no server started, by reason; a reason in place of a problem
+	// body is "cut".
+	Needless    map[string]int `json:"needless,omitempty"`
+	Runs        int            `json:"runs"`
+	Doubled     int            `json:"doubled"`
+	Misplaced   int            `json:"misplaced"`
+	FalseNotRun int            `json:"false_not_run"`
+	Mismatched  int            `json:"mismatched"`
+	FellOver    int            `json:"fell_over"`
 	// LatestAfterLeave is the longest time between an accepted leave and a later request at that server, in
 	// nanoseconds.
 	LatestAfterLeave int64       `json:"latest_after_leave_ns"`
@@ -51,8 +54,8 @@
 
 // Line is the report on one line.
 func (r Report) Line() string {
-	return fmt.Sprintf("check: calls=%d requests=%d whole=%d refused_not_run=%d unknown=%d runs=%d doubled=%d misplaced=%d false_not_run=%d cut_or_swapped=%d fell_over=%d",
-		r.Calls, r.Requests, r.Whole, r.RefusedNot, r.Unknown, r.Runs, r.Doubled, r.Misplaced, r.FalseNotRun, r.Mismatched, r.FellOver)
+	return fmt.Sprintf("check: calls=%d requests=%d whole=%d refused_not_run=%d unknown=%d needless=%v runs=%d doubled=%d misplaced=%d false_not_run=%d cut_or_swapped=%d fell_over=%d",
+		r.Calls, r.Requests, r.Whole, r.RefusedNot, r.Unknown, r.Needless, r.Runs, r.Doubled, r.Misplaced, r.FalseNotRun, r.Mismatched, r.FellOver)
 }
 
 // ShortLine is what operators need of the report, on one line.
@@ -120,7 +123,7 @@
 		c.result.Whole++
 	case saysNotRun(call):
 		c.result.RefusedNot++
-	case call.Told != journal.OK:
+	case isUnknown(call):
 		c.result.Unknown++
 	}
 	c.calls[call.Request] = append(c.calls[call.Request], call)
@@ -148,6 +151,9 @@
 	c.comparePlaces(request, calls, starts)
 	for _, call := range calls {
 		c.compareCall(request, call, starts)
+		if len(starts) == 0 && isUnknown(call) {
+			c.countNeedless(call)
+		}
 	}
 }
 
@@ -186,6 +192,21 @@
 	}
 }
 
+func (c *comparison) countNeedless(call journal.Call) {
+	if c.result.Needless == nil {
+		c.result.Needless = map[string]int{}
+	}
+	reason := call.Reason
+	if reason == "" {
+		reason = string(call.Told)
+	}
+	c.result.Needless[reason]++
+}
+
+func isUnknown(call journal.Call) bool {
+	return call.Told != journal.OK && !saysNotRun(call)
+}
+
 func saysNotRun(call journal.Call) bool {
 	return call.Told == journal.Unreached || call.Told == journal.Refused && call.Ran == journal.RanNo
 }
--- a/testbed/check/check_test.go
+++ b/testbed/check/check_test.go
@@ -1,6 +1,7 @@
 package check
 
 import (
+	"maps"
 	"path/filepath"
 	"testing"
 
@@ -21,6 +22,8 @@
 	elsewhere.GatewayRegion = "ontario"
 	cut := whole
 	cut.Mismatch = "checksum"
+	unknown := whole
+	unknown.Told, unknown.Ran, unknown.Reason = journal.Refused, journal.RanUnknown, "backend_failed"
 	cases := []struct {
 		name string
 		runs []journal.Run
@@ -36,12 +39,15 @@
 		{"refused, another sending ran", []journal.Run{second}, refused, Report{}},
 		{"cut", []journal.Run{run}, cut, Report{Mismatched: 1}},
 		{"answered, not run", nil, whole, Report{Mismatched: 1}},
+		{"unknown, ran", []journal.Run{run}, unknown, Report{}},
+		{"unknown, not run", nil, unknown, Report{Needless: map[string]int{"backend_failed": 1}}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			got := compareFiles(t, c.runs, c.call)
 			if got.Doubled != c.want.Doubled || got.Misplaced != c.want.Misplaced ||
-				got.FalseNotRun != c.want.FalseNotRun || got.Mismatched != c.want.Mismatched {
+				got.FalseNotRun != c.want.FalseNotRun || got.Mismatched != c.want.Mismatched ||
+				!maps.Equal(got.Needless, c.want.Needless) {
 				t.Errorf("expected %s, got %s", c.want.Line(), got.Line())
 			}
 			violations := c.want.Doubled + c.want.Misplaced + c.want.FalseNotRun + c.want.Mismatched
