Take a request for not run when its first write took no byte

Cause: the gate of an attempt counted a request as possibly run before the first write, also when that write failed without handing a byte to the kernel, so the caller was told "unknown" and a request that is not idempotent was not tried elsewhere. Change: such a failure withdraws the permission; the attempt counts as not sent and is retried. An attempt whose gate was closed before the first byte is retried as well.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -74,6 +74,7 @@
 	sendStale     = "the configuration lease ran out"
 	sendDomainOut = "the failure domain was taken out"
 	sendOutdated  = "the selection of the server is out of date"
+	sendEnded     = "the attempt has ended"
 )
 
 // maxSelectionAge is the time from the selection of a server to the first byte. Evidence is at most 2.5 s old at the
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -52,7 +52,7 @@
 		return &SendForbiddenError{Reason: "the request was already written to another connection"}
 	}
 	if g.stopped {
-		return &SendForbiddenError{Reason: "the attempt has ended"}
+		return &SendForbiddenError{Reason: sendEnded}
 	}
 	if g.denied = g.check(); g.denied != nil {
 		g.stopped = true
@@ -72,6 +72,16 @@
 	}
 }
 
+// withdraw takes back the permission of a first write that failed without handing a byte to the kernel. The request then
+// provably did not run; a write elsewhere stays forbidden for this attempt.
+func (g *sendGate) withdraw() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.conn = nil
+	g.stopped = true
+	g.wrote.Store(false)
+}
+
 // stop forbids a first byte from now on. It reports whether one was written before, and the error of the check if that
 // was the reason.
 func (g *sendGate) stop() (wrote bool, denied error) {
@@ -142,13 +152,18 @@
 	if g == nil {
 		return 0, &NoGateError{}
 	}
-	if !g.wrote.Load() {
+	first := !g.wrote.Load()
+	if first {
 		c.awaitReader()
 	}
 	if err := g.enter(c); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if first && n == 0 && err != nil {
+		g.withdraw()
+	}
+	return n, err
 }
 
 // newTransport returns the transport to backend servers. Every request must carry a gate, see withGate.
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -165,6 +165,8 @@
 			return "domain_out"
 		case sendOutdated:
 			return "selection_outdated"
+		case sendEnded:
+			return "not_sent"
 		}
 	}
 	return ""
