Report only gateways whose state changed to the other replicas

Cause: each replica sent the list of all its gateways in full to every other replica each second. Change: a report names the acknowledged version that it builds on, lists the gateways that changed since and carries the ages of all. A report that does not fit is refused by its acknowledgement, and the next one is full.

--- a/control/directory.go
+++ b/control/directory.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,25 +20,51 @@
 
 // directory knows the gateways of the setup: those that renew here, and those that other replicas report. It is safe
 // for use by several goroutines.
+//
+// Invariant, on which inForce rests: a view with revision R lists every gateway whose lease that replica confirmed
+// before it applied R, until the gateway has been silent for listedFor. Therefore a gateway is noted before its renewal
+// is confirmed, a difference is taken only on top of the very state that it builds on, and a view is replaced only by a
+// full report. The age of a gateway is never inferred: each report carries the ages of all gateways.
 type directory struct {
-	mu      sync.Mutex
-	self    uint64
-	own     map[string]seenGateway
-	reports map[uint64]seenReport
+	mu   sync.Mutex
+	self uint64
+	// views holds what each replica knows, by identity; own is that of this replica.
+	views map[uint64]*replicaView
+	own   *replicaView
+	// changed holds the version of the last change of each own gateway.
+	changed map[string]uint64
+	// whole is the version of the last change that a difference cannot express; reports on an older base are full.
+	whole uint64
+}
+
+// replicaView is what one replica knows of its gateways.
+type replicaView struct {
+	revision uint64
+	// version is 1 or higher; stream is where the reports of another replica come from.
+	version      uint64
+	stream       *reportStream
+	claimLeaders map[string]string
+	gateways     map[string]seenGateway
+	at           time.Time
 }
 
 type seenGateway struct {
 	status *controlpb.GatewayStatus
-	at     time.Time
+	// at is when the gateway renewed last.
+	at time.Time
 }
 
-type seenReport struct {
-	report *controlpb.ReplicaReport
-	at     time.Time
+// reportStream is the receiving end of the reports of one stream.
+type reportStream struct {
+	// id of the sender, from its last full report.
+	id uint64
+	// held is the version that the directory holds from this stream; 0 if the next report has to be full.
+	held uint64
 }
 
 func newDirectory(self uint64) *directory {
-	return &directory{self: self, own: map[string]seenGateway{}, reports: map[uint64]seenReport{}}
+	own := &replicaView{version: 1, gateways: map[string]seenGateway{}}
+	return &directory{self: self, own: own, views: map[uint64]*replicaView{self: own}, changed: map[string]uint64{}, whole: 1}
 }
 
 // renewed notes a renewal and tells whether the gateway's state differs from the last one, so that it is reported at
@@ -45,89 +72,141 @@
 func (d *directory) renewed(s *controlpb.GatewayStatus, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	before, ok := d.own[s.Name]
-	d.own[s.Name] = seenGateway{status: s, at: now}
-	return !ok || !proto.Equal(before.status, s)
+	before, ok := d.own.gateways[s.Name]
+	d.own.gateways[s.Name] = seenGateway{status: s, at: now}
+	if ok && proto.Equal(before.status, s) {
+		return false
+	}
+	d.own.version++
+	d.changed[s.Name] = d.own.version
+	return true
 }
 
-// report lists the gateways that may hold a lease from this replica.
-func (d *directory) report(revision uint64, claimLeaders map[string]string, now time.Time) *controlpb.ReplicaReport {
+// refresh sets what the reports that follow say of this replica, and forgets gateways that have been silent for long.
+func (d *directory) refresh(revision uint64, claimLeaders map[string]string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := &controlpb.ReplicaReport{Id: d.self, Revision: revision, ClaimLeaders: claimLeaders}
-	for name, g := range d.own {
-		age := now.Sub(g.at)
-		if age > listedFor {
-			delete(d.own, name)
-			continue
+	full := !maps.Equal(claimLeaders, d.own.claimLeaders)
+	for name, g := range d.own.gateways {
+		if now.Sub(g.at) > listedFor {
+			delete(d.own.gateways, name)
+			delete(d.changed, name)
+			full = true
 		}
-		s := proto.Clone(g.status).(*controlpb.GatewayStatus)
-		s.AgeMs = uint64(age.Milliseconds())
-		r.Gateways = append(r.Gateways, s)
 	}
-	slices.SortFunc(r.Gateways, func(a, b *controlpb.GatewayStatus) int { return cmp.Compare(a.Name, b.Name) })
-	d.reports[d.self] = seenReport{report: r, at: now}
-	return r
+	if full {
+		d.own.version++
+		d.whole = d.own.version
+	}
+	d.own.revision, d.own.claimLeaders, d.own.at = revision, claimLeaders, now
 }
 
-func (d *directory) takeReport(r *controlpb.ReplicaReport) {
+// report tells another replica what changed here after base, the last version that it acknowledged on this stream.
+func (d *directory) report(base uint64, now time.Time) *controlpb.ReplicaReport {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if r.Id != d.self {
-		d.reports[r.Id] = seenReport{report: r, at: time.Now()}
+	r := &controlpb.ReplicaReport{Revision: d.own.revision, Version: d.own.version}
+	if base < d.whole {
+		r.Id, r.ClaimLeaders = d.self, d.own.claimLeaders
+	} else {
+		r.Base = base
 	}
+	for _, name := range slices.Sorted(maps.Keys(d.own.gateways)) {
+		g := d.own.gateways[name]
+		r.AgesMs = append(r.AgesMs, uint32(max(0, now.Sub(g.at)).Milliseconds()))
+		if r.Base == 0 || d.changed[name] > r.Base {
+			r.Gateways = append(r.Gateways, g.status)
+		}
+	}
+	return r
 }
 
-// gateways returns every gateway heard lately, sorted by name, with its newest known state.
-func (d *directory) gateways(now time.Time) []*controlpb.GatewayStatus {
+// takeReport takes a report of another replica. A difference whose base is not what the directory holds from the same
+// stream is not taken; the acknowledgement then asks for a full report.
+func (d *directory) takeReport(from *reportStream, r *controlpb.ReplicaReport, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	newest := map[string]*controlpb.GatewayStatus{}
-	for _, seen := range d.reports {
-		for _, g := range seen.report.Gateways {
-			age := time.Duration(g.AgeMs)*time.Millisecond + now.Sub(seen.at)
-			if age > listedFor {
+	if r.Base == 0 {
+		from.id = r.Id
+	}
+	from.held = 0
+	if from.id == d.self {
+		return
+	}
+	view := d.views[from.id].with(from, r, now)
+	if view == nil {
+		return
+	}
+	d.views[from.id] = view
+	from.held = view.version
+}
+
+// with returns the view after a report, or nil if the report does not fit.
+func (v *replicaView) with(from *reportStream, r *controlpb.ReplicaReport, now time.Time) *replicaView {
+	next := &replicaView{revision: r.Revision, version: r.Version, stream: from, claimLeaders: r.ClaimLeaders, gateways: map[string]seenGateway{}, at: now}
+	if r.Base != 0 {
+		if v == nil || v.stream != from || v.version < r.Base || v.version > r.Version {
+			return nil
+		}
+		next.claimLeaders = v.claimLeaders
+		next.gateways = maps.Clone(v.gateways)
+	}
+	for _, s := range r.Gateways {
+		next.gateways[s.Name] = seenGateway{status: s}
+	}
+	if len(next.gateways) != len(r.AgesMs) {
+		return nil
+	}
+	for i, name := range slices.Sorted(maps.Keys(next.gateways)) {
+		age := time.Duration(r.AgesMs[i]) * time.Millisecond
+		next.gateways[name] = seenGateway{status: next.gateways[name].status, at: now.Add(-age)}
+	}
+	return next
+}
+
+// listed returns every gateway heard lately, sorted by name, with its newest known state. The caller holds mu.
+func (d *directory) listed(now time.Time) []seenGateway {
+	newest := map[string]seenGateway{}
+	for _, view := range d.views {
+		for name, g := range view.gateways {
+			if now.Sub(g.at) > listedFor {
 				continue
 			}
-			g = proto.Clone(g).(*controlpb.GatewayStatus)
-			g.AgeMs = uint64(age.Milliseconds())
-			newest[g.Name] = newerStatus(newest[g.Name], g)
+			if other, ok := newest[name]; !ok || g.isNewer(other) {
+				newest[name] = g
+			}
 		}
 	}
-	list := make([]*controlpb.GatewayStatus, 0, len(newest))
-	for _, g := range newest {
-		list = append(list, g)
+	return slices.SortedFunc(maps.Values(newest), func(a, b seenGateway) int { return cmp.Compare(a.status.Name, b.status.Name) })
+}
+
+// gateways returns what listed returns, as messages with the present age.
+func (d *directory) gateways(now time.Time) []*controlpb.GatewayStatus {
+	d.mu.Lock()
+	listed := d.listed(now)
+	d.mu.Unlock()
+	list := make([]*controlpb.GatewayStatus, len(listed))
+	for i, g := range listed {
+		list[i] = proto.Clone(g.status).(*controlpb.GatewayStatus)
+		list[i].AgeMs = uint64(max(0, now.Sub(g.at)).Milliseconds())
 	}
-	slices.SortFunc(list, func(a, b *controlpb.GatewayStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
 
-// newerStatus prefers the higher incarnation, then the higher revision: neither ever goes back.
-func newerStatus(a, b *controlpb.GatewayStatus) *controlpb.GatewayStatus {
-	if a == nil {
-		return b
-	}
-	order := cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Revision, b.Revision), cmp.Compare(b.AgeMs, a.AgeMs))
-	if order >= 0 {
-		return a
-	}
-	return b
+// isNewer prefers the higher incarnation, then the higher revision: neither ever goes back.
+func (g seenGateway) isNewer(other seenGateway) bool {
+	a, b := g.status, other.status
+	return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Revision, b.Revision), g.at.Compare(other.at)) > 0
 }
 
 // claimLeaders merges what the replicas report, the newest report of each region last.
 func (d *directory) claimLeaders() map[string]string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	seen := make([]seenReport, 0, len(d.reports))
-	for _, r := range d.reports {
-		seen = append(seen, r)
-	}
-	slices.SortFunc(seen, func(a, b seenReport) int { return a.at.Compare(b.at) })
+	views := slices.SortedFunc(maps.Values(d.views), func(a, b *replicaView) int { return a.at.Compare(b.at) })
 	leaders := map[string]string{}
-	for _, s := range seen {
-		for region, address := range s.report.ClaimLeaders {
-			leaders[region] = address
-		}
+	for _, v := range views {
+		maps.Copy(leaders, v.claimLeaders)
 	}
 	return leaders
 }
@@ -137,18 +216,18 @@
 // gateway whose lease it confirmed before. Otherwise the caller has to wait for the leases to run out.
 func (d *directory) inForce(revision uint64, replicas []uint64, now time.Time) (bool, []string) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	complete := true
 	for _, id := range replicas {
-		if r, ok := d.reports[id]; !ok || r.report.Revision < revision {
+		if v, ok := d.views[id]; !ok || v.revision < revision {
 			complete = false
 		}
 	}
-	d.mu.Unlock()
 	var waiting []string
-	for _, g := range d.gateways(now) {
-		leased := time.Duration(g.AgeMs)*time.Millisecond < api.ConfigurationLease+api.LeaseMargin
-		if g.Revision < revision && leased {
-			waiting = append(waiting, g.Name)
+	for _, g := range d.listed(now) {
+		leased := now.Sub(g.at) < api.ConfigurationLease+api.LeaseMargin
+		if g.status.Revision < revision && leased {
+			waiting = append(waiting, g.status.Name)
 		}
 	}
 	return complete && len(waiting) == 0, waiting
--- a/control/directory_test.go
+++ b/control/directory_test.go
@@ -20,7 +20,7 @@
 	start := time.Now()
 	replicas := []uint64{1, 2}
 	report := func(id, revision uint64, gateways ...*controlpb.GatewayStatus) *controlpb.ReplicaReport {
-		return &controlpb.ReplicaReport{Id: id, Revision: revision, Gateways: gateways}
+		return &controlpb.ReplicaReport{Id: id, Revision: revision, Version: 1, Gateways: gateways, AgesMs: make([]uint32, len(gateways))}
 	}
 	tests := []struct {
 		name    string
@@ -44,10 +44,10 @@
 			d := newDirectory(1)
 			d.renewed(tt.own, start)
 			if tt.other != nil {
-				d.takeReport(tt.other)
+				d.takeReport(&reportStream{}, tt.other, start)
 			}
 			now := start.Add(tt.after)
-			d.report(5, nil, now)
+			d.refresh(5, nil, now)
 			inForce, waiting := d.inForce(5, replicas, now)
 			if inForce != tt.inForce || !slices.Equal(waiting, tt.waiting) {
 				t.Fatalf("in force %v, waiting for %v; want %v, %v", inForce, waiting, tt.inForce, tt.waiting)
@@ -66,7 +66,7 @@
 		listed int
 	}{{api.ConfigurationLease * 2, 1}, {listedFor + time.Second, 0}} {
 		now := start.Add(tt.after)
-		d.report(5, nil, now)
+		d.refresh(5, nil, now)
 		if got := len(d.gateways(now)); got != tt.listed {
 			t.Fatalf("%d gateways listed after %v, want %d", got, tt.after, tt.listed)
 		}
--- a/control/peers.go
+++ b/control/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
@@ -41,26 +42,27 @@
 }
 
 func (s *peerServer) receive(stream grpc.BidiStreamingServer[controlpb.PeerBatch, controlpb.PeerBatchAck], address string) error {
+	reports := &reportStream{}
 	for {
 		batch, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		if err := s.take(batch, address); err != nil {
+		if err := s.take(batch, address, reports); err != nil {
 			return status.Error(codes.Unavailable, err.Error())
 		}
-		if err := stream.Send(&controlpb.PeerBatchAck{}); err != nil {
+		if err := stream.Send(&controlpb.PeerBatchAck{ReportVersion: reports.held}); err != nil {
 			return err
 		}
 	}
 }
 
-func (s *peerServer) take(batch *controlpb.PeerBatch, address string) error {
+func (s *peerServer) take(batch *controlpb.PeerBatch, address string, reports *reportStream) error {
 	if batch.ClusterId != s.r.loop.cluster {
 		return &ClusterError{Got: batch.ClusterId, Expected: s.r.loop.cluster}
 	}
 	if batch.Report != nil {
-		s.r.directory.takeReport(batch.Report)
+		s.r.directory.takeReport(reports, batch.Report, time.Now())
 	}
 	if len(batch.Messages) == 0 {
 		return nil
--- a/control/replica.go
+++ b/control/replica.go
@@ -180,6 +180,7 @@
 	r.loop = newLoop(r.member(id.ID), id.ClusterID, r.log)
 	r.transport = newTransport(ctx, r.tls, id.ClusterID, r.log)
 	r.directory = newDirectory(id.ID)
+	r.transport.report = func(base uint64) *controlpb.ReplicaReport { return r.directory.report(base, time.Now()) }
 	r.loop.send = r.sendMessages
 	r.configuration = newConfigurationMachine()
 	if _, err := r.openGroup(configurationGroup, "", r.configuration); err != nil {
@@ -210,7 +211,7 @@
 		}
 	}
 	for address, list := range byAddress {
-		r.transport.send(address, &controlpb.PeerBatch{Messages: list})
+		r.transport.send(address, part{messages: list})
 	}
 }
 
@@ -232,21 +233,22 @@
 	r.reportDue.Store(true)
 }
 
-func (r *replica) refreshReport(now time.Time) *controlpb.ReplicaReport {
+// refreshReport takes the applied revision and the leaders of claim groups into the reports that follow.
+func (r *replica) refreshReport(now time.Time) {
 	leaders := map[string]string{}
 	for _, g := range r.loop.groups {
 		if a := g.leaderAddress(); g.region != "" && a != "" {
 			leaders[g.region] = a
 		}
 	}
-	return r.directory.report(r.configuration.revision(), leaders, now)
+	r.directory.refresh(r.configuration.revision(), leaders, now)
 }
 
 func (r *replica) sendReport(now time.Time) {
-	report := r.refreshReport(now)
+	r.refreshReport(now)
 	for _, m := range r.loop.groups[configurationGroup].node.Status().Membership.GetMembers() {
 		if m.Id != r.loop.self.Id {
-			r.transport.send(m.Address, &controlpb.PeerBatch{Report: report})
+			r.transport.send(m.Address, part{report: true})
 		}
 	}
 }
--- a/control/transport.go
+++ b/control/transport.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/raftpb"
 	"heatherwall.example/telemetry"
 
 	"google.golang.org/grpc"
@@ -30,18 +31,27 @@
 	ctx     context.Context
 	cluster uint64
 	mu      sync.Mutex
+	// report makes a report of the own gateways that builds on an acknowledged version; 0 gives a full one.
+	report  func(base uint64) *controlpb.ReplicaReport
 	senders map[string]*sender
 	wg      sync.WaitGroup
 }
 
+// part is what waits for one peer: messages, a report that is due, or both. The report itself is made when it is sent,
+// because only then it is known what the peer has acknowledged.
+type part struct {
+	messages []*raftpb.Message
+	report   bool
+}
+
 func newTransport(ctx context.Context, c *tls.Config, cluster uint64, log *telemetry.Logger) *transport {
 	return &transport{tls: c, log: log, ctx: ctx, cluster: cluster, senders: map[string]*sender{}}
 }
 
-// send queues a batch part for an address and drops it when the queue is full.
-func (t *transport) send(address string, part *controlpb.PeerBatch) {
+// send queues a part for an address and drops it when the queue is full.
+func (t *transport) send(address string, p part) {
 	select {
-	case t.sender(address).queue <- part:
+	case t.sender(address).queue <- p:
 	default:
 	}
 }
@@ -51,7 +61,7 @@
 	defer t.mu.Unlock()
 	s, ok := t.senders[address]
 	if !ok {
-		s = &sender{address: address, queue: make(chan *controlpb.PeerBatch, peerQueue)}
+		s = &sender{address: address, queue: make(chan part, peerQueue)}
 		t.senders[address] = s
 		t.wg.Go(func() { s.run(t) })
 	}
@@ -64,16 +74,16 @@
 
 type sender struct {
 	address string
-	queue   chan *controlpb.PeerBatch
+	queue   chan part
 }
 
 func (s *sender) run(t *transport) {
 	for t.ctx.Err() == nil {
-		part, ok := s.next(t.ctx)
+		first, ok := s.next(t.ctx)
 		if !ok {
 			return
 		}
-		err := s.stream(t, part)
+		err := s.stream(t, first)
 		if t.ctx.Err() != nil {
 			return
 		}
@@ -94,17 +104,17 @@
 	}
 }
 
-func (s *sender) next(ctx context.Context) (*controlpb.PeerBatch, bool) {
+func (s *sender) next(ctx context.Context) (part, bool) {
 	select {
-	case part := <-s.queue:
-		return part, true
+	case p := <-s.queue:
+		return p, true
 	case <-ctx.Done():
-		return nil, false
+		return part{}, false
 	}
 }
 
 // stream sends batches over one connection until it fails.
-func (s *sender) stream(t *transport, first *controlpb.PeerBatch) error {
+func (s *sender) stream(t *transport, first part) error {
 	conn, err := dial(s.address, t.tls)
 	if err != nil {
 		return err
@@ -118,49 +128,62 @@
 	if err != nil {
 		return err
 	}
-	var unacknowledged atomic.Int64
-	t.wg.Go(func() { readAcks(client, &unacknowledged, stop, cancel) })
-	for part := first; ; {
-		if unacknowledged.Add(1) == 1 {
+	a := &acknowledgements{timer: stop}
+	t.wg.Go(func() { a.read(client, cancel) })
+	for p := first; ; {
+		if a.missing.Add(1) == 1 {
 			stop.Reset(acknowledgeTimeout)
 		}
-		if err := client.Send(s.fill(part, t.cluster)); err != nil {
+		if err := client.Send(s.fill(t, p, a.report.Load())); err != nil {
 			return causeOf(ctx, err)
 		}
 		var ok bool
-		if part, ok = s.next(ctx); !ok {
+		if p, ok = s.next(ctx); !ok {
 			return causeOf(ctx, ctx.Err())
 		}
 	}
 }
 
-// fill adds what is queued already, so that one batch carries several messages.
-func (s *sender) fill(part *controlpb.PeerBatch, cluster uint64) *controlpb.PeerBatch {
-	batch := &controlpb.PeerBatch{ClusterId: cluster, Messages: part.Messages, Report: part.Report}
-	for len(batch.Messages) < batchMessages {
+// fill makes a batch of a part and of what is queued behind it. base is the version of the last acknowledged report.
+func (s *sender) fill(t *transport, p part, base uint64) *controlpb.PeerBatch {
+	batch := &controlpb.PeerBatch{ClusterId: t.cluster, Messages: p.messages}
+	report := p.report
+	for more := true; more && len(batch.Messages) < batchMessages; {
 		select {
-		case part := <-s.queue:
-			batch.Messages = append(batch.Messages, part.Messages...)
-			if part.Report != nil {
-				batch.Report = part.Report
-			}
+		case next := <-s.queue:
+			batch.Messages = append(batch.Messages, next.messages...)
+			report = report || next.report
 		default:
-			return batch
+			more = false
 		}
 	}
+	if report {
+		batch.Report = t.report(base)
+	}
 	return batch
 }
 
-func readAcks(client grpc.BidiStreamingClient[controlpb.PeerBatch, controlpb.PeerBatchAck], unacknowledged *atomic.Int64, stop *time.Timer, cancel context.CancelCauseFunc) {
+// acknowledgements is what the peer has acknowledged on one stream.
+type acknowledgements struct {
+	// missing counts the batches without an acknowledgement; timer runs while there are any.
+	missing atomic.Int64
+	timer   *time.Timer
+	// report is the version of the newest report that the peer holds.
+	report atomic.Uint64
+}
+
+func (a *acknowledgements) read(client grpc.BidiStreamingClient[controlpb.PeerBatch, controlpb.PeerBatchAck], cancel context.CancelCauseFunc) {
 	for {
-		if _, err := client.Recv(); err != nil {
+		ack, err := client.Recv()
+		if err != nil {
 			cancel(err)
 			return
 		}
-		if unacknowledged.Add(-1) == 0 {
-			stop.Stop()
+		a.report.Store(ack.ReportVersion)
+		if a.missing.Add(-1) == 0 {
+			a.timer.Stop()
 		} else {
-			stop.Reset(acknowledgeTimeout)
+			a.timer.Reset(acknowledgeTimeout)
 		}
 	}
 }
