Report no revision until leases of before a restart have run out

Cause: a restarted replica reported its revision at once with an empty list, although gateways whose leases it confirmed before the restart could still serve an older revision; "in force" could be answered up to 3.2 s early for a gateway that was cut off at the same time. Change: for the lease and its margin after a start, reports carry revision 0. Before: TestRestartedReplicaVouchesAfterTheLease fails with "in force 2.2s before the lease ends"; after: it passes. The price is up to 3.2 s more for apply -wait right after a replica restarted.

--- a/control/directory.go
+++ b/control/directory.go
@@ -28,6 +28,8 @@
 type directory struct {
 	mu   sync.Mutex
 	self uint64
+	// started is when this process, which knows no earlier lease, started.
+	started time.Time
 	// views holds what each replica knows, by identity; own is that of this replica.
 	views map[uint64]*replicaView
 	own   *replicaView
@@ -62,9 +64,13 @@
 	held uint64
 }
 
-func newDirectory(self uint64) *directory {
+// newDirectory returns an empty directory; started is when the process started.
+func newDirectory(self uint64, started time.Time) *directory {
 	own := &replicaView{version: 1, gateways: map[string]seenGateway{}}
-	return &directory{self: self, own: own, views: map[uint64]*replicaView{self: own}, changed: map[string]uint64{}, whole: 1}
+	return &directory{
+		self: self, started: started, own: own,
+		views: map[uint64]*replicaView{self: own}, changed: map[string]uint64{}, whole: 1,
+	}
 }
 
 // renewed notes a renewal and tells whether the gateway's state differs from the last one, so that it is reported at
@@ -98,6 +104,10 @@
 		d.own.version++
 		d.whole = d.own.version
 	}
+	if now.Sub(d.started) < api.ConfigurationLease+api.LeaseMargin {
+		// Leases that an earlier process confirmed may still run, and their gateways are not listed here.
+		revision = 0
+	}
 	d.own.revision, d.own.claimLeaders, d.own.at = revision, claimLeaders, now
 }
 
--- a/control/directory_test.go
+++ b/control/directory_test.go
@@ -41,7 +41,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			d := newDirectory(1)
+			d := newDirectory(1, start.Add(-time.Hour))
 			d.renewed(tt.own, start)
 			if tt.other != nil {
 				d.takeReport(&reportStream{}, tt.other, start)
@@ -59,7 +59,7 @@
 // Guards against gateways that lose their peers' addresses during a short cut, and against lists that never shrink.
 func TestDirectoryKeepsSilentGatewaysForAWhile(t *testing.T) {
 	start := time.Now()
-	d := newDirectory(1)
+	d := newDirectory(1, start.Add(-time.Hour))
 	d.renewed(gatewayStatus("a", 1, 5), start)
 	for _, tt := range []struct {
 		after  time.Duration
--- a/control/replica.go
+++ b/control/replica.go
@@ -179,7 +179,7 @@
 func (r *replica) open(ctx context.Context, id wal.Identity) error {
 	r.loop = newLoop(r.member(id.ID), id.ClusterID, r.log)
 	r.transport = newTransport(ctx, r.tls, id.ClusterID, r.log)
-	r.directory = newDirectory(id.ID)
+	r.directory = newDirectory(id.ID, time.Now())
 	r.transport.report = func(base uint64) *controlpb.ReplicaReport { return r.directory.report(base, time.Now()) }
 	r.loop.send = r.sendMessages
 	r.configuration = newConfigurationMachine()
--- a/control/report_test.go
+++ b/control/report_test.go
@@ -19,7 +19,8 @@
 }
 
 func newReporting() *reporting {
-	return &reporting{from: newDirectory(1), to: newDirectory(2), stream: &reportStream{}, now: time.Now()}
+	now := time.Now()
+	return &reporting{from: newDirectory(1, now.Add(-time.Hour)), to: newDirectory(2, now), stream: &reportStream{}, now: now}
 }
 
 func (r *reporting) reconnect() {
@@ -61,9 +62,9 @@
 		case 0:
 			r.reconnect()
 		case 1:
-			r.to = newDirectory(2) // without the sender noticing yet
+			r.to = newDirectory(2, r.now) // without the sender noticing yet
 		case 2:
-			r.from = newDirectory(1)
+			r.from = newDirectory(1, r.now)
 			r.reconnect()
 		case 3, 4, 5:
 			r.from.refresh(1, nil, r.now)
@@ -135,3 +136,26 @@
 		r.now = r.now.Add(reportInterval)
 	}
 }
+
+// Guards against an early "in force" when a replica restarts: it has forgotten the gateways whose leases it confirmed
+// before, and one of them may still serve an older revision.
+func TestRestartedReplicaVouchesAfterTheLease(t *testing.T) {
+	r := newReporting()
+	r.from.renewed(gatewayStatus("cut off", 1, 4), r.now)
+	r.deliver(4)
+	leaseEnds := r.now.Add(api.ConfigurationLease + api.LeaseMargin)
+	r.now = r.now.Add(time.Second)
+	r.from = newDirectory(1, r.now)
+	r.reconnect()
+	for ; r.now.Before(leaseEnds); r.now = r.now.Add(reportInterval / 4) {
+		r.deliver(5)
+		if inForce, _ := r.to.inForce(5, []uint64{1}, r.now); inForce {
+			t.Fatalf("in force %v before the lease ends", leaseEnds.Sub(r.now))
+		}
+	}
+	r.now = leaseEnds.Add(time.Second)
+	r.deliver(5)
+	if inForce, waiting := r.to.inForce(5, []uint64{1}, r.now); !inForce {
+		t.Fatalf("not in force after the lease; waiting for %v", waiting)
+	}
+}
