Fix the flow-control windows of control replicas

Cause: with adaptive windows the gRPC library pings the other side after nearly every message to estimate the bandwidth, and each ping and its answer are a TLS record of their own. Of the leader's 179 socket writes a second at 18 gateways and 3 replicas only 69 carried a message (trial with counters in the transport). Gateways still ping the replica after each answer; that is a setting of their own dialler.

--- a/control/replica.go
+++ b/control/replica.go
@@ -166,6 +166,8 @@
 	server := grpc.NewServer(
 		grpc.Creds(credentials.NewTLS(r.tls)),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
 		grpc.ConnectionTimeout(5*time.Second),
 	)
 	controlpb.RegisterPeersServer(server, &peerServer{r: r})
