Send what one turn of the loop produces in one batch for each peer

Cause: the heartbeats of several groups and the report each went in a batch of their own, whose framing costs as many bytes as its content. Change: messages and reports are collected during a turn of the loop and handed to the transport once every group has synced.

--- a/control/loop.go
+++ b/control/loop.go
@@ -29,8 +29,9 @@
 	self    *raftpb.Member
 	cluster uint64
 	log     *telemetry.Logger
-	// send hands messages to the transport; it never blocks.
-	send func(group *group, messages []*raftpb.Message)
+	// send collects messages; flush hands what was collected to the transport. Neither blocks.
+	send  func(group *group, messages []*raftpb.Message)
+	flush func()
 
 	groups map[uint64]*group
 	// contacts holds the address of each replica that has sent a message, by identity.
@@ -50,6 +51,7 @@
 	return &loop{
 		self: self, cluster: cluster, log: log,
 		groups: map[uint64]*group{}, contacts: map[uint64]string{},
+		flush: func() {},
 		tasks: make(chan func(), taskQueue),
 		stop:  make(chan struct{}),
 		done:  make(chan struct{}),
@@ -166,6 +168,7 @@
 			}
 			progress = progress || advanced
 		}
+		l.flush()
 	}
 	return nil
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -51,6 +51,8 @@
 	logs []*wal.Log
 	// batches holds the claim commands of this turn of the loop, by group.
 	batches map[uint64]*claimBatch
+	// outbox holds what this turn of the loop sends, by address.
+	outbox map[string]part
 	// creating marks regions whose claim group is proposed and not decided.
 	creating map[string]bool
 	floorsAt time.Time
@@ -72,7 +74,10 @@
 	if err != nil {
 		return err
 	}
-	r := &replica{settings: s, log: log, counters: telemetry.NewCounters(), tls: tlsConfig, batches: map[uint64]*claimBatch{}, creating: map[string]bool{}, stopping: make(chan struct{})}
+	r := &replica{
+		settings: s, log: log, counters: telemetry.NewCounters(), tls: tlsConfig,
+		batches: map[uint64]*claimBatch{}, outbox: map[string]part{}, creating: map[string]bool{}, stopping: make(chan struct{}),
+	}
 	peers, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort(s.Peer.Address)))
 	if err != nil {
 		return err
@@ -183,7 +188,8 @@
 	r.transport = newTransport(ctx, r.tls, id.ClusterID, r.log)
 	r.directory = newDirectory(id.ID, time.Now())
 	r.transport.report = func(base uint64) *controlpb.ReplicaReport { return r.directory.report(base, time.Now()) }
-	r.loop.send = r.sendMessages
+	r.loop.send = r.collectMessages
+	r.loop.flush = r.flushOutbox
 	r.configuration = newConfigurationMachine()
 	if _, err := r.openGroup(configurationGroup, "", r.configuration); err != nil {
 		return err
@@ -196,25 +202,32 @@
 	return nil
 }
 
-// sendMessages hands the messages of a group to the transport. Messages to replicas without a known address are dropped.
-func (r *replica) sendMessages(g *group, messages []*raftpb.Message) {
+// collectMessages adds the messages of a group to the outbox. Messages to replicas without a known address are dropped.
+func (r *replica) collectMessages(g *group, messages []*raftpb.Message) {
 	if len(messages) == 0 {
 		return
 	}
 	membership := g.node.Status().Membership
-	byAddress := map[string][]*raftpb.Message{}
 	for _, m := range messages {
 		address := memberOf(membership, m.To).GetAddress()
 		if address == "" {
 			address = r.loop.contacts[m.To]
 		}
 		if address != "" {
-			byAddress[address] = append(byAddress[address], m)
+			p := r.outbox[address]
+			p.messages = append(p.messages, m)
+			r.outbox[address] = p
 		}
 	}
-	for address, list := range byAddress {
-		r.transport.send(address, part{messages: list})
+}
+
+// flushOutbox hands the collected parts to the transport, so that the heartbeats of several groups and a report share
+// one batch: a batch of its own costs each of them as many bytes as its content.
+func (r *replica) flushOutbox() {
+	for address, p := range r.outbox {
+		r.transport.send(address, p)
 	}
+	clear(r.outbox)
 }
 
 // everyTick does the work of the loop that depends on time: reports, promotion of learners, claim groups and floors.
@@ -250,7 +263,9 @@
 	r.refreshReport(now)
 	for _, m := range r.loop.groups[configurationGroup].node.Status().Membership.GetMembers() {
 		if m.Id != r.loop.self.Id {
-			r.transport.send(m.Address, part{report: true})
+			p := r.outbox[m.Address]
+			p.report = true
+			r.outbox[m.Address] = p
 		}
 	}
 }
