Acknowledge several batches of a peer at a time

Change: a batch is acknowledged within 400 ms together with those that follow. The count of missing acknowledgements and its timer now change under one mutex, because an acknowledgement that met a new batch could stop the timer of that batch and hide a cut.

--- /dev/null
+++ b/control/acks_test.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+)
+
+// Guards against batches that are not acknowledged in time, which would make the sender replace a good connection, and
+// against an acknowledgement for each single batch.
+func TestAcknowledgementsCoverEveryBatchInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		due := newDueAck()
+		var sent []*controlpb.PeerBatchAck
+		go due.send(ctx, func(a *controlpb.PeerBatchAck) error {
+			sent = append(sent, a)
+			return nil
+		})
+		const batches = 10
+		for n := range uint64(batches) {
+			due.add(n)
+			time.Sleep(acknowledgeDelay / batches)
+		}
+		time.Sleep(2 * acknowledgeDelay)
+		synctest.Wait()
+		var covered uint64
+		for _, a := range sent {
+			covered += a.Batches
+		}
+		if covered != batches || len(sent) > 2 || sent[len(sent)-1].ReportVersion != batches-1 {
+			t.Fatalf("acknowledged %v, want %d batches in at most 2 messages", sent, batches)
+		}
+		due.add(batches)
+		time.Sleep(acknowledgeDelay)
+		synctest.Wait()
+		if last := sent[len(sent)-1]; last.Batches != 1 || last.ReportVersion != batches {
+			t.Fatalf("a batch after a pause was acknowledged by %v", last)
+		}
+		cancel()
+	})
+}
--- a/control/peers.go
+++ b/control/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"heatherwall.example/api"
@@ -42,6 +43,12 @@
 }
 
 func (s *peerServer) receive(stream grpc.BidiStreamingServer[controlpb.PeerBatch, controlpb.PeerBatchAck], address string) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	due := newDueAck()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { due.send(ctx, stream.Send) })
 	reports := &reportStream{}
 	for {
 		batch, err := stream.Recv()
@@ -51,9 +58,7 @@
 		if err := s.take(batch, address, reports); err != nil {
 			return status.Error(codes.Unavailable, err.Error())
 		}
-		if err := stream.Send(&controlpb.PeerBatchAck{ReportVersion: reports.held}); err != nil {
-			return err
-		}
+		due.add(reports.held)
 	}
 }
 
--- a/control/transport.go
+++ b/control/transport.go
@@ -4,22 +4,16 @@
 	"context"
 	"crypto/tls"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/raftpb"
 	"heatherwall.example/telemetry"
-
-	"google.golang.org/grpc"
 )
 
 const (
 	// peerQueue bounds the messages that wait for one peer; raft repeats what is dropped.
 	peerQueue = 1024
-	// acknowledgeTimeout is how long a batch may go unacknowledged. A silent cut sends no reset, and the connection's
-	// own retransmissions back off for far longer than a cut lasts, so the connection is replaced.
-	acknowledgeTimeout = 1500 * time.Millisecond
 	// batchMessages bounds the messages of one batch.
 	batchMessages = 64
 )
@@ -131,9 +125,7 @@
 	a := &acknowledgements{timer: stop}
 	t.wg.Go(func() { a.read(client, cancel) })
 	for p := first; ; {
-		if a.missing.Add(1) == 1 {
-			stop.Reset(acknowledgeTimeout)
-		}
+		a.add(1)
 		if err := client.Send(s.fill(t, p, a.report.Load())); err != nil {
 			return causeOf(ctx, err)
 		}
@@ -163,31 +155,6 @@
 	return batch
 }
 
-// acknowledgements is what the peer has acknowledged on one stream.
-type acknowledgements struct {
-	// missing counts the batches without an acknowledgement; timer runs while there are any.
-	missing atomic.Int64
-	timer   *time.Timer
-	// report is the version of the newest report that the peer holds.
-	report atomic.Uint64
-}
-
-func (a *acknowledgements) read(client grpc.BidiStreamingClient[controlpb.PeerBatch, controlpb.PeerBatchAck], cancel context.CancelCauseFunc) {
-	for {
-		ack, err := client.Recv()
-		if err != nil {
-			cancel(err)
-			return
-		}
-		a.report.Store(ack.ReportVersion)
-		if a.missing.Add(-1) == 0 {
-			a.timer.Stop()
-		} else {
-			a.timer.Reset(acknowledgeTimeout)
-		}
-	}
-}
-
 // UnacknowledgedError reports a peer that did not acknowledge a batch in time.
 type UnacknowledgedError struct {
 	Address string
