Keep the groups of a replica sorted

Cause: each pass of the control loop allocated and sorted the list of its groups. Change: the list is kept and rebuilt when a group is added.

--- a/control/claimgroups.go
+++ b/control/claimgroups.go
@@ -90,7 +90,7 @@
 	r.floorsAt = now
 	floor := uint64(now.Add(-claimRetention).UnixMilli())
 	command := []*statepb.ClaimsCommand{controlstate.RaiseFloorCommand(floor)}
-	for _, g := range r.loop.sorted() {
+	for _, g := range r.loop.ordered {
 		if g.region != "" && g.leading {
 			g.propose(controlstate.ClaimsEntry(command), func(any, error) {})
 		}
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -32,7 +32,7 @@
 	queue []*raftpb.Message
 }
 
-func newNetwork(t *testing.T) *network {
+func newNetwork(t testing.TB) *network {
 	t.Helper()
 	n := &network{loops: map[uint64]*loop{}, cut: map[uint64]bool{}}
 	members := []*raftpb.Member{{Id: 1, Name: "a"}, {Id: 2, Name: "b"}, {Id: 3, Name: "c"}}
@@ -50,7 +50,7 @@
 		l.send = func(_ *group, messages []*raftpb.Message) { n.queue = append(n.queue, messages...) }
 		g := newGroup(configurationGroup, "", m.Id, node, storage, &recorder{})
 		g.applied = raft.BootstrapIndex
-		l.groups[configurationGroup] = g
+		l.addGroup(g)
 		n.loops[m.Id] = l
 	}
 	return n
--- a/control/identity.go
+++ b/control/identity.go
@@ -202,7 +202,7 @@
 // groupsToJoin lists groups without this replica in the membership, as far as it knows.
 func (r *replica) groupsToJoin() []uint64 {
 	var ids []uint64
-	for _, g := range r.loop.sorted() {
+	for _, g := range r.loop.ordered {
 		if memberOf(g.node.Status().Membership, g.self) == nil {
 			ids = append(ids, g.id)
 		}
@@ -261,7 +261,7 @@
 	}
 	g := newGroup(id, region, r.loop.self.Id, node, log, machine)
 	g.applied = snapshot.GetIndex()
-	r.loop.groups[id] = g
+	r.loop.addGroup(g)
 	return g, nil
 }
 
--- a/control/loop.go
+++ b/control/loop.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,7 +35,9 @@
 	send  func(group *group, messages []*raftpb.Message)
 	flush func()
 
-	groups map[uint64]*group
+	// groups holds the groups by number, ordered the same ones by ascending number; addGroup changes both.
+	groups  map[uint64]*group
+	ordered []*group
 	// contacts holds the address of each replica that has sent a message, by identity.
 	contacts map[uint64]string
 	// beforeSettle runs before each round of syncs, for work that is collected during a turn.
@@ -148,7 +152,7 @@
 }
 
 func (l *loop) tick(now time.Time) {
-	for _, g := range l.sorted() {
+	for _, g := range l.ordered {
 		g.node.Tick()
 		g.expireRead(now)
 	}
@@ -161,7 +165,7 @@
 func (l *loop) settle() error {
 	for progress := true; progress; {
 		progress = false
-		for _, g := range l.sorted() {
+		for _, g := range l.ordered {
 			advanced, err := g.advance(l)
 			if err != nil {
 				return err
@@ -173,16 +177,8 @@
 	return nil
 }
 
-func (l *loop) sorted() []*group {
-	groups := make([]*group, 0, len(l.groups))
-	for _, g := range l.groups {
-		groups = append(groups, g)
-	}
-	slices.SortFunc(groups, func(a, b *group) int {
-		if a.id < b.id {
-			return -1
-		}
-		return 1
-	})
-	return groups
+// addGroup makes the loop drive a group.
+func (l *loop) addGroup(g *group) {
+	l.groups[g.id] = g
+	l.ordered = slices.SortedFunc(maps.Values(l.groups), func(a, b *group) int { return cmp.Compare(a.id, b.id) })
 }
--- a/control/machine.go
+++ b/control/machine.go
@@ -157,7 +157,7 @@
 
 // flushClaims proposes what this turn of the loop collected.
 func (r *replica) flushClaims() {
-	for _, g := range r.loop.sorted() {
+	for _, g := range r.loop.ordered {
 		if b := r.batches[g.id]; b != nil && len(b.commands) > 0 {
 			b.flush()
 		}
--- a/control/peers.go
+++ b/control/peers.go
@@ -141,7 +141,7 @@
 func (r *replica) groupStatus(ctx context.Context) ([]*controlpb.GroupStatus, error) {
 	return call(ctx, r.loop, func(finish func([]*controlpb.GroupStatus, error)) {
 		var all []*controlpb.GroupStatus
-		for _, g := range r.loop.sorted() {
+		for _, g := range r.loop.ordered {
 			all = append(all, g.status())
 		}
 		finish(all, nil)
--- a/control/replica.go
+++ b/control/replica.go
@@ -236,7 +236,7 @@
 		r.reportedAt = now
 		r.sendReport(now)
 	}
-	for _, g := range r.loop.sorted() {
+	for _, g := range r.loop.ordered {
 		r.loop.promoteLearners(g)
 	}
 	r.maintainClaimGroups()
@@ -287,7 +287,7 @@
 // transferAll asks the best follower of each led group to take over, and tells whether any group is still led here.
 func (r *replica) transferAll() bool {
 	leading := false
-	for _, g := range r.loop.sorted() {
+	for _, g := range r.loop.ordered {
 		st := g.node.Status()
 		var best, match uint64
 		for _, other := range st.Replicas {
