Compute the digest of the gateway list without copies

Cause: each renewal copied the state of every gateway to find that the gateway's list is current. Change: the digest is computed from the states themselves; the list is copied only when the gateway has another one.

--- a/control/directory.go
+++ b/control/directory.go
@@ -192,15 +192,25 @@
 
 // gateways returns what listed returns, as messages with the present age.
 func (d *directory) gateways(now time.Time) []*controlpb.GatewayStatus {
+	_, list := d.gatewaysUnless(0, now)
+	return list
+}
+
+// gatewaysUnless returns the digest of the list of gateways, and the list itself unless the digest is the known one.
+func (d *directory) gatewaysUnless(known uint64, now time.Time) (uint64, []*controlpb.GatewayStatus) {
 	d.mu.Lock()
 	listed := d.listed(now)
 	d.mu.Unlock()
+	digest := digestOf(listed)
+	if digest == known {
+		return digest, nil
+	}
 	list := make([]*controlpb.GatewayStatus, len(listed))
 	for i, g := range listed {
 		list[i] = proto.Clone(g.status).(*controlpb.GatewayStatus)
 		list[i].AgeMs = uint64(max(0, now.Sub(g.at)).Milliseconds())
 	}
-	return list
+	return digest, list
 }
 
 // isNewer prefers the higher incarnation, then the higher revision: neither ever goes back.
@@ -244,10 +254,10 @@
 }
 
 // digestOf identifies a list of gateways by what gossip needs of it.
-func digestOf(list []*controlpb.GatewayStatus) uint64 {
+func digestOf(list []seenGateway) uint64 {
 	h := fnv.New64a()
 	for _, g := range list {
-		for _, part := range []string{g.Name, g.Region, g.FailureDomain, g.PeerAddress} {
+		for _, part := range []string{g.status.Name, g.status.Region, g.status.FailureDomain, g.status.PeerAddress} {
 			h.Write([]byte(part))
 			h.Write([]byte{0})
 		}
--- a/control/watch.go
+++ b/control/watch.go
@@ -71,11 +71,7 @@
 	answer.Nonce = request.Nonce
 	answer.ClusterId = s.r.loop.cluster
 	answer.ClaimLeaders = s.r.directory.claimLeaders()
-	list := s.r.directory.gateways(now)
-	answer.GatewaysDigest = digestOf(list)
-	if answer.GatewaysDigest != request.GatewaysDigest {
-		answer.Gateways = list
-	}
+	answer.GatewaysDigest, answer.Gateways = s.r.directory.gatewaysUnless(request.GatewaysDigest, now)
 	return answer, nil
 }
 
