Export counters of control replicas

Cause: /metrics of a control replica was an empty page, so operators could not see refused renewals, changes of leadership or dropped messages.

--- a/control/claims.go
+++ b/control/claims.go
@@ -56,12 +56,21 @@
 	if err := checkHolder(ctx, r.Holder); err != nil {
 		return nil, err
 	}
+	answer, err := s.claim(ctx, r)
+	s.r.counters.countClaim(answer, err)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return answer, nil
+}
+
+func (s *claimServer) claim(ctx context.Context, r *controlpb.ClaimRequest) (*controlpb.ClaimAnswer, error) {
 	if r.KeyTimeMs > uint64(time.Now().Add(keyTimeAhead).UnixMilli()) {
 		return &controlpb.ClaimAnswer{Result: controlpb.ClaimResult_CLAIM_KEY_INVALID}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	answer, err := call(ctx, s.r.loop, func(finish func(*controlpb.ClaimAnswer, error)) {
+	return call(ctx, s.r.loop, func(finish func(*controlpb.ClaimAnswer, error)) {
 		s.r.queueClaim(r.Region, controlstate.ClaimCommand(r), func(result controlstate.CommandResult, leader string, err error) {
 			if leader != "" || isNotLeader(err) {
 				finish(&controlpb.ClaimAnswer{Result: controlpb.ClaimResult_CLAIM_NOT_LEADER, LeaderAddress: leader}, nil)
@@ -70,10 +79,6 @@
 			finish(&controlpb.ClaimAnswer{Result: result.Claim, Kept: result.Kept}, err)
 		})
 	})
-	if err != nil {
-		return nil, status.Error(codes.Unavailable, err.Error())
-	}
-	return answer, nil
 }
 
 // Complete records the outcome of a claimed request; only the holder may.
--- a/control/group.go
+++ b/control/group.go
@@ -42,6 +42,8 @@
 	machine stateMachine
 	policy  snapshotPolicy
 	self    uint64
+	// counters is set by addGroup.
+	counters *counters
 
 	applied      uint64
 	appliedSince int
@@ -173,6 +175,7 @@
 		return
 	}
 	g.leading = leading
+	g.counters.countLeadership(leading)
 	if leading {
 		l.log.Log(eventLeading, telemetry.F("group", g.id), telemetry.F("term", g.node.Status().Term))
 		return
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -46,7 +46,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		l := newLoop(m, 1, telemetry.NewLogger(io.Discard, telemetry.Error))
+		l := newLoop(m, 1, telemetry.NewLogger(io.Discard, telemetry.Error), newCounters())
 		l.send = func(_ *group, messages []*raftpb.Message) { n.queue = append(n.queue, messages...) }
 		g := newGroup(configurationGroup, "", m.Id, node, storage, &recorder{})
 		g.applied = raft.BootstrapIndex
--- a/control/loop.go
+++ b/control/loop.go
@@ -28,9 +28,10 @@
 // loop owns all replicated state of a replica. Its fields are touched by the goroutine of run only, except tasks, stop
 // and done.
 type loop struct {
-	self    *raftpb.Member
-	cluster uint64
-	log     *telemetry.Logger
+	self     *raftpb.Member
+	cluster  uint64
+	log      *telemetry.Logger
+	counters *counters
 	// send collects messages; flush hands what was collected to the transport. Neither blocks.
 	send  func(group *group, messages []*raftpb.Message)
 	flush func()
@@ -51,9 +52,9 @@
 	fatal error
 }
 
-func newLoop(self *raftpb.Member, cluster uint64, log *telemetry.Logger) *loop {
+func newLoop(self *raftpb.Member, cluster uint64, log *telemetry.Logger, counters *counters) *loop {
 	return &loop{
-		self: self, cluster: cluster, log: log,
+		self: self, cluster: cluster, log: log, counters: counters,
 		groups: map[uint64]*group{}, contacts: map[uint64]string{},
 		flush: func() {},
 		tasks: make(chan func(), taskQueue),
@@ -179,6 +180,7 @@
 
 // addGroup makes the loop drive a group.
 func (l *loop) addGroup(g *group) {
+	g.counters = l.counters
 	l.groups[g.id] = g
 	l.ordered = slices.SortedFunc(maps.Values(l.groups), func(a, b *group) int { return cmp.Compare(a.id, b.id) })
 }
--- a/control/operators.go
+++ b/control/operators.go
@@ -49,6 +49,7 @@
 			finish(&controlpb.ApplyAnswer{Outcome: outcome}, err)
 		})
 	})
+	s.r.counters.countChange(answer, err)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
--- a/control/readround.go
+++ b/control/readround.go
@@ -28,13 +28,14 @@
 	g.nextID++
 	g.waiting = nil
 	if err := g.node.ReadIndex(round.id); err != nil {
-		round.finish(&StaleError{Group: g.id})
+		g.end(round, &StaleError{Group: g.id})
 		return
 	}
 	g.running = round
 }
 
-func (r *readRound) finish(err error) {
+func (g *group) end(r *readRound, err error) {
+	g.counters.countRead(err)
 	for _, done := range r.readers {
 		done(err)
 	}
@@ -42,7 +43,7 @@
 
 func (g *group) expireRead(now time.Time) {
 	if g.running != nil && now.Sub(g.running.started) > readTimeout {
-		g.running.finish(&StaleError{Group: g.id})
+		g.end(g.running, &StaleError{Group: g.id})
 		g.running = nil
 	}
 	g.startRead()
@@ -52,7 +53,7 @@
 	if g.running == nil || g.running.index == 0 || g.applied < g.running.index {
 		return
 	}
-	g.running.finish(nil)
+	g.end(g.running, nil)
 	g.running = nil
 	g.startRead()
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -40,7 +40,7 @@
 type replica struct {
 	settings *settings.Control
 	log      *telemetry.Logger
-	counters *telemetry.Counters
+	counters *counters
 	tls      *tls.Config
 
 	loop          *loop
@@ -74,10 +74,7 @@
 	if err != nil {
 		return err
 	}
-	r := &replica{
-		settings: s, log: log, counters: telemetry.NewCounters(), tls: tlsConfig,
-		batches: map[uint64]*claimBatch{}, outbox: map[string]part{}, creating: map[string]bool{}, stopping: make(chan struct{}),
-	}
+	r := newReplica(s, tlsConfig, log)
 	peers, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort(s.Peer.Address)))
 	if err != nil {
 		return err
@@ -95,6 +92,13 @@
 	return errors.Join(r.run(ctx, peers, admin, bootstrap), lock.Unlock())
 }
 
+func newReplica(s *settings.Control, tlsConfig *tls.Config, log *telemetry.Logger) *replica {
+	return &replica{
+		settings: s, log: log, counters: newCounters(), tls: tlsConfig,
+		batches: map[uint64]*claimBatch{}, outbox: map[string]part{}, creating: map[string]bool{}, stopping: make(chan struct{}),
+	}
+}
+
 func (r *replica) run(ctx context.Context, peers *net.TCPListener, admin net.Listener, bootstrap bool) error {
 	var wg sync.WaitGroup
 	web := &http.Server{Handler: r.adminMux(), ReadHeaderTimeout: adminHeaderTimeout}
@@ -184,8 +188,8 @@
 
 // open opens every group that the data folder holds.
 func (r *replica) open(ctx context.Context, id wal.Identity) error {
-	r.loop = newLoop(r.member(id.ID), id.ClusterID, r.log)
-	r.transport = newTransport(ctx, r.tls, id.ClusterID, r.log)
+	r.loop = newLoop(r.member(id.ID), id.ClusterID, r.log, r.counters)
+	r.transport = newTransport(ctx, r.tls, id.ClusterID, r.log, r.counters)
 	r.directory = newDirectory(id.ID, time.Now())
 	r.transport.report = func(base uint64) *controlpb.ReplicaReport { return r.directory.report(base, time.Now()) }
 	r.loop.send = r.collectMessages
@@ -213,11 +217,13 @@
 		if address == "" {
 			address = r.loop.contacts[m.To]
 		}
-		if address != "" {
-			p := r.outbox[address]
-			p.messages = append(p.messages, m)
-			r.outbox[address] = p
+		if address == "" {
+			r.counters.peerMessagesDropped[droppedAddress].Inc(1)
+			continue
 		}
+		p := r.outbox[address]
+		p.messages = append(p.messages, m)
+		r.outbox[address] = p
 	}
 }
 
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -50,6 +50,7 @@
 	if err := g.log.SaveSnapshot(s); err != nil {
 		return err
 	}
+	g.counters.snapshots.Inc(1)
 	g.appliedSince, g.bytesSince, g.snapshotSize = 0, 0, len(data)
 	l.log.Log(eventSnapshot, telemetry.F("group", g.id), telemetry.F("index", s.Index), telemetry.F("bytes", len(data)))
 	return nil
--- a/control/transport.go
+++ b/control/transport.go
@@ -22,6 +22,7 @@
 type transport struct {
 	tls     *tls.Config
 	log     *telemetry.Logger
+	dropped map[drop]counter
 	ctx     context.Context
 	cluster uint64
 	mu      sync.Mutex
@@ -38,8 +39,8 @@
 	report   bool
 }
 
-func newTransport(ctx context.Context, c *tls.Config, cluster uint64, log *telemetry.Logger) *transport {
-	return &transport{tls: c, log: log, ctx: ctx, cluster: cluster, senders: map[string]*sender{}}
+func newTransport(ctx context.Context, c *tls.Config, cluster uint64, log *telemetry.Logger, counters *counters) *transport {
+	return &transport{tls: c, log: log, dropped: counters.peerMessagesDropped, ctx: ctx, cluster: cluster, senders: map[string]*sender{}}
 }
 
 // send queues a part for an address and drops it when the queue is full.
@@ -47,6 +48,7 @@
 	select {
 	case t.sender(address).queue <- p:
 	default:
+		t.dropped[droppedQueue].Inc(int64(len(p.messages)))
 	}
 }
 
@@ -82,18 +84,21 @@
 			return
 		}
 		t.log.Log(eventPeerCut, telemetry.F("address", s.address), telemetry.F("error", err))
-		s.discard()
+		t.dropped[droppedConnection].Inc(s.discard())
 		pause(t.ctx, maxReconnectDelay/4)
 	}
 }
 
-// discard drops what was queued while the connection failed; it is out of date by now.
-func (s *sender) discard() {
+// discard drops what was queued while the connection failed, because it is out of date by now, and tells the number of
+// messages.
+func (s *sender) discard() int64 {
+	messages := 0
 	for {
 		select {
-		case <-s.queue:
+		case p := <-s.queue:
+			messages += len(p.messages)
 		default:
-			return
+			return int64(messages)
 		}
 	}
 }
--- a/control/watch.go
+++ b/control/watch.go
@@ -36,9 +36,11 @@
 		}
 		if request.GetGateway().GetName() != name {
 			err := &IdentityError{Certificate: name, Expected: request.GetGateway().GetName()}
+			s.r.counters.countRenewal(err)
 			return status.Error(codes.PermissionDenied, err.Error())
 		}
 		answer, err := s.confirm(stream.Context(), request)
+		s.r.counters.countRenewal(err)
 		if err != nil {
 			s.r.log.Log(eventStale, telemetry.F("gateway", name), telemetry.F("error", err))
 			return status.Error(codes.Unavailable, err.Error())
