Create a group as long as its log is empty

Cause: the existence of a group's folder was taken as a sign that the group had been created. The bootstrap of the configuration group had the same fault. The parents of the folder are synced again, because the crash can also have come before their sync.

--- a/control/claimgroups.go
+++ b/control/claimgroups.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"os"
 	"time"
 
 	"heatherwall.example/api/raftpb"
@@ -46,15 +45,14 @@
 	return nil
 }
 
-// prepareClaimGroup writes the first snapshot of the group when this identity is one of its first voters and has no
-// log of it yet. Any other replica starts empty and joins. An identity never loses a log without losing itself, since
-// both lie in the same data folder.
+// prepareClaimGroup writes the first snapshot of the group when this identity is one of its first voters and its log
+// is empty. Any other replica starts empty and joins. An identity never loses a log without losing itself, since both
+// lie in the same data folder.
 func (r *replica) prepareClaimGroup(cg *statepb.ClaimGroup) error {
-	folder := r.groupFolder(cg.Group)
-	if _, err := os.Stat(folder); err == nil || memberOf(&raftpb.Membership{Members: cg.Voters}, r.loop.self.Id) == nil {
+	if memberOf(&raftpb.Membership{Members: cg.Voters}, r.loop.self.Id) == nil {
 		return nil
 	}
-	return createGroup(folder, cg.Voters)
+	return createGroup(r.groupFolder(cg.Group), cg.Voters)
 }
 
 // createClaimGroups proposes the claim group of each region that has none, once every configured replica of the region
--- a/control/identity.go
+++ b/control/identity.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"net"
-	"os"
 	"path/filepath"
 	"strconv"
 	"time"
@@ -55,11 +54,23 @@
 	case saved.Name != r.settings.Name:
 		return wal.Identity{}, &IdentityError{Certificate: r.settings.Name, Expected: "the owner of the data folder, " + saved.Name}
 	}
+	if !bootstrap {
+		return saved, nil
+	}
 	// A bootstrap that was interrupted after the identity was made is completed.
-	if _, err := os.Stat(r.groupFolder(configurationGroup)); bootstrap && os.IsNotExist(err) {
-		return r.bootstrap(ctx, saved)
+	empty, err := isEmptyLog(r.groupFolder(configurationGroup))
+	if err != nil || !empty {
+		return saved, err
+	}
+	return r.bootstrap(ctx, saved)
+}
+
+func isEmptyLog(folder string) (bool, error) {
+	log, err := wal.Open(folder)
+	if err != nil {
+		return false, err
 	}
-	return saved, nil
+	return log.IsEmpty(), log.Close()
 }
 
 // borrowedListener lets a server stop without closing the listener that the replica goes on to use: Close only ends
@@ -141,12 +152,24 @@
 	}
 }
 
-// createGroup writes the first snapshot of a group with an empty state machine.
+// createGroup writes the first snapshot of a group with an empty state machine, unless the log holds something. The
+// snapshot is durable and complete or not there at all; the folder alone tells nothing, because a crash can come between
+// making it and saving the snapshot. An empty log may be started at any time: its replica has promised nothing, and the
+// first snapshot is the same at every first voter.
 func createGroup(folder string, voters []*raftpb.Member) error {
 	log, err := wal.Open(folder)
 	if err != nil {
 		return err
 	}
+	if !log.IsEmpty() {
+		return log.Close()
+	}
+	// A crash can also have come before the folders were synced, and opening the log syncs only those that it makes.
+	for _, parent := range []string{filepath.Dir(folder), filepath.Dir(filepath.Dir(folder))} {
+		if err := (wal.OS{}).SyncDir(parent); err != nil {
+			return &wal.FailedError{Operation: "sync folder", Cause: err}
+		}
+	}
 	if err := log.SaveSnapshot(raft.BootstrapSnapshot(voters, nil)); err != nil {
 		return err
 	}
--- a/raft/wal/log.go
+++ b/raft/wal/log.go
@@ -69,6 +69,13 @@
 	return l.file.Close()
 }
 
+// IsEmpty tells whether the log holds no snapshot, entry, term or vote: its replica has promised nothing yet.
+func (l *Log) IsEmpty() bool {
+	hard, _, err := l.memory.InitialState()
+	last, lastErr := l.memory.LastIndex()
+	return err == nil && lastErr == nil && last == 0 && hard.GetTerm() == 0 && hard.GetVote() == 0
+}
+
 // Save writes a hard state, if not nil, and entries, and syncs them. Entries replace stored ones from the first one's
 // index on. After *FailedError the log cannot be used any more.
 func (l *Log) Save(hs *raftpb.HardState, entries []*raftpb.Entry) error {
