Remove JoinCluster and the SetCluster entry, which no program used

Cause: the number of the setup is made at bootstrap and kept with the identity of each replica; wal.JoinCluster with OtherClusterError, and the SetCluster log entry with Configuration.ClusterID, were called by tests only. A SetCluster entry, which no program wrote, would now be refused with EntryError like any unknown entry.

--- a/controlstate/configuration.go
+++ b/controlstate/configuration.go
@@ -32,10 +32,9 @@
 
 // Configuration is the state machine of the configuration group.
 type Configuration struct {
-	applied   uint64
-	revision  uint64
-	clusterID uint64
-	sections  sectionStore
+	applied  uint64
+	revision uint64
+	sections sectionStore
 	// pending is in the order of first proposal.
 	pending []*statepb.PendingMember
 	changes changeLog
@@ -50,7 +49,7 @@
 	config *document.Config
 }
 
-// Result tells what an entry did. At most one of Outcome, Group and Err is set; all are nil for SetCluster.
+// Result tells what an entry did. At most one of Outcome, Group and Err is set.
 type Result struct {
 	// Outcome is the answer to a change.
 	Outcome *controlpb.ChangeOutcome
@@ -87,11 +86,6 @@
 		return Result{Outcome: outcome, Repeated: repeated}
 	case *statepb.ConfigurationEntry_CreateClaimGroup:
 		return c.createClaimGroup(command.CreateClaimGroup)
-	case *statepb.ConfigurationEntry_SetCluster:
-		if c.clusterID == 0 {
-			c.clusterID = command.SetCluster.GetClusterId()
-		}
-		return Result{}
 	}
 	return Result{Err: &EntryError{Index: index}}
 }
@@ -137,9 +131,6 @@
 // Revision returns the number of changes to the state; 0 before the first document.
 func (c *Configuration) Revision() uint64 { return c.revision }
 
-// ClusterID returns the cluster ID; 0 before bootstrap.
-func (c *Configuration) ClusterID() uint64 { return c.clusterID }
-
 // Config returns the compiled document with the failure domains out; nil before the first document.
 func (c *Configuration) Config() *document.Config { return c.config }
 
--- a/controlstate/configuration_snapshot.go
+++ b/controlstate/configuration_snapshot.go
@@ -16,7 +16,7 @@
 // Snapshot encodes the whole state; equal states give equal bytes.
 func (c *Configuration) Snapshot() []byte {
 	s := &statepb.ConfigurationSnapshot{
-		Format: snapshotFormat, Applied: c.applied, Revision: c.revision, ClusterId: c.clusterID,
+		Format: snapshotFormat, Applied: c.applied, Revision: c.revision,
 		OldestRevision: c.sections.oldest, Pending: c.pending, Changes: c.changes.order, History: c.history,
 		DomainsOut: c.domainsOut, ClaimGroups: c.groups,
 	}
@@ -41,7 +41,7 @@
 		return nil, &SnapshotError{Fault: FaultFormat}
 	}
 	c := NewConfiguration()
-	c.applied, c.revision, c.clusterID = s.GetApplied(), s.GetRevision(), s.GetClusterId()
+	c.applied, c.revision = s.GetApplied(), s.GetRevision()
 	c.pending, c.history = s.GetPending(), s.GetHistory()
 	c.domainsOut, c.groups = s.GetDomainsOut(), s.GetClaimGroups()
 	c.sections.oldest = s.GetOldestRevision()
--- a/controlstate/entry.go
+++ b/controlstate/entry.go
@@ -27,9 +27,3 @@
 	create := &statepb.CreateClaimGroup{Region: region, Voters: voters}
 	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_CreateClaimGroup{CreateClaimGroup: create}})
 }
-
-// SetClusterEntry is the log entry that records the cluster ID.
-func SetClusterEntry(clusterID uint64) []byte {
-	set := &statepb.SetCluster{ClusterId: clusterID}
-	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_SetCluster{SetCluster: set}})
-}
--- a/raft/wal/errors.go
+++ b/raft/wal/errors.go
@@ -46,15 +46,6 @@
 	return fmt.Sprintf("wal: data folder %s holds no replica", e.Dir)
 }
 
-// OtherClusterError reports an attempt to move a replica to another cluster.
-type OtherClusterError struct {
-	Current, Wanted uint64
-}
-
-func (e *OtherClusterError) Error() string {
-	return fmt.Sprintf("wal: the replica belongs to cluster %x, not %x", e.Current, e.Wanted)
-}
-
 // FolderInUseError reports a folder that another process has locked.
 type FolderInUseError struct {
 	Dir string
--- a/raft/wal/identity.go
+++ b/raft/wal/identity.go
@@ -28,7 +28,7 @@
 type Identity struct {
 	// ID is random and not 0.
 	ID uint64
-	// ClusterID is 0 until the replica belongs to a cluster; then it never changes.
+	// ClusterID is that of the setup and never changes.
 	ClusterID uint64
 	// Name is the instance name.
 	Name string
@@ -107,19 +107,6 @@
 	return Identity{}, &NoIdentityError{Dir: dir}
 }
 
-// JoinCluster stores the cluster of a replica that had none. It fails with *OtherClusterError if there is another one.
-func JoinCluster(dir string, clusterID uint64) (Identity, error) {
-	identity, err := LoadIdentity(dir)
-	if err != nil || identity.ClusterID == clusterID {
-		return identity, err
-	}
-	if identity.ClusterID != 0 {
-		return identity, &OtherClusterError{Current: identity.ClusterID, Wanted: clusterID}
-	}
-	identity.ClusterID = clusterID
-	return identity, writeDurably(OS{}, dir, identityName, identity.encode())
-}
-
 func (i Identity) encode() []byte {
 	var out []byte
 	out = protowire.AppendTag(out, fieldID, protowire.Fixed64Type)
