--- a/control/loop.go
+++ b/control/loop.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -26,13 +28,17 @@
 // loop owns all replicated state of a replica. Its fields are touched by the goroutine of run only, except tasks, stop
 // and done.
 type loop struct {
-	self    *raftpb.Member
-	cluster uint64
-	log     *telemetry.Logger
-	// send hands messages to the transport; it never blocks.
-	send func(group *group, messages []*raftpb.Message)
-
-	groups map[uint64]*group
+	self     *raftpb.Member
+	cluster  uint64
+	log      *telemetry.Logger
+	counters *counters
+	// send collects messages; flush hands what was collected to the transport. Neither blocks.
+	send  func(group *group, messages []*raftpb.Message)
+	flush func()
+
+	// groups holds the groups by number, ordered the same ones by ascending number; addGroup changes both.
+	groups  map[uint64]*group
+	ordered []*group
 	// contacts holds the address of each replica that has sent a message, by identity.
 	contacts map[uint64]string
 	// beforeSettle runs before each round of syncs, for work that is collected during a turn.
@@ -46,10 +52,11 @@
 	fatal error
 }
 
-func newLoop(self *raftpb.Member, cluster uint64, log *telemetry.Logger) *loop {
+func newLoop(self *raftpb.Member, cluster uint64, log *telemetry.Logger, counters *counters) *loop {
 	return &loop{
-		self: self, cluster: cluster, log: log,
+		self: self, cluster: cluster, log: log, counters: counters,
 		groups: map[uint64]*group{}, contacts: map[uint64]string{},
+		flush: func() {},
 		tasks: make(chan func(), taskQueue),
 		stop:  make(chan struct{}),
 		done:  make(chan struct{}),
@@ -146,7 +153,7 @@
 }
 
 func (l *loop) tick(now time.Time) {
-	for _, g := range l.sorted() {
+	for _, g := range l.ordered {
 		g.node.Tick()
 		g.expireRead(now)
 	}
@@ -159,27 +166,21 @@
 func (l *loop) settle() error {
 	for progress := true; progress; {
 		progress = false
-		for _, g := range l.sorted() {
+		for _, g := range l.ordered {
 			advanced, err := g.advance(l)
 			if err != nil {
 				return err
 			}
 			progress = progress || advanced
 		}
+		l.flush()
 	}
 	return nil
 }
 
-func (l *loop) sorted() []*group {
-	groups := make([]*group, 0, len(l.groups))
-	for _, g := range l.groups {
-		groups = append(groups, g)
-	}
-	slices.SortFunc(groups, func(a, b *group) int {
-		if a.id < b.id {
-			return -1
-		}
-		return 1
-	})
-	return groups
+// addGroup makes the loop drive a group.
+func (l *loop) addGroup(g *group) {
+	g.counters = l.counters
+	l.groups[g.id] = g
+	l.ordered = slices.SortedFunc(maps.Values(l.groups), func(a, b *group) int { return cmp.Compare(a.id, b.id) })
 }
--- a/control/peers.go
+++ b/control/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+	"sync"
+	"time"
 
 	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
@@ -41,26 +43,40 @@
 }
 
 func (s *peerServer) receive(stream grpc.BidiStreamingServer[controlpb.PeerBatch, controlpb.PeerBatchAck], address string) error {
-	for {
+	ctx, cancel := context.WithCancel(stream.Context())
+	due := newDueAck()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { due.send(ctx, stream.Send) })
+	reports := &reportStream{}
+	for first := true; ; first = false {
 		batch, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		if err := s.take(batch, address); err != nil {
+		if err := checkCluster(batch, s.r.loop.cluster, first); err != nil {
 			return status.Error(codes.Unavailable, err.Error())
 		}
-		if err := stream.Send(&controlpb.PeerBatchAck{}); err != nil {
-			return err
+		if err := s.take(batch, address, reports); err != nil {
+			return status.Error(codes.Unavailable, err.Error())
 		}
+		due.add(reports.held)
 	}
 }
 
-func (s *peerServer) take(batch *controlpb.PeerBatch, address string) error {
-	if batch.ClusterId != s.r.loop.cluster {
-		return &ClusterError{Got: batch.ClusterId, Expected: s.r.loop.cluster}
+// checkCluster refuses batches of another setup. A later batch may leave the number out, because a stream ends with
+// the process that opened it.
+func checkCluster(batch *controlpb.PeerBatch, cluster uint64, first bool) error {
+	if batch.ClusterId == cluster || (batch.ClusterId == 0 && !first) {
+		return nil
 	}
+	return &ClusterError{Got: batch.ClusterId, Expected: cluster}
+}
+
+func (s *peerServer) take(batch *controlpb.PeerBatch, address string, reports *reportStream) error {
 	if batch.Report != nil {
-		s.r.directory.takeReport(batch.Report)
+		s.r.directory.takeReport(reports, batch.Report, time.Now())
 	}
 	if len(batch.Messages) == 0 {
 		return nil
@@ -125,7 +141,7 @@
 func (r *replica) groupStatus(ctx context.Context) ([]*controlpb.GroupStatus, error) {
 	return call(ctx, r.loop, func(finish func([]*controlpb.GroupStatus, error)) {
 		var all []*controlpb.GroupStatus
-		for _, g := range r.loop.sorted() {
+		for _, g := range r.loop.ordered {
 			all = append(all, g.status())
 		}
 		finish(all, nil)
--- a/control/replica.go
+++ b/control/replica.go
@@ -40,7 +40,7 @@
 type replica struct {
 	settings *settings.Control
 	log      *telemetry.Logger
-	counters *telemetry.Counters
+	counters *counters
 	tls      *tls.Config
 
 	loop          *loop
@@ -51,6 +51,8 @@
 	logs []*wal.Log
 	// batches holds the claim commands of this turn of the loop, by group.
 	batches map[uint64]*claimBatch
+	// outbox holds what this turn of the loop sends, by address.
+	outbox map[string]part
 	// creating marks regions whose claim group is proposed and not decided.
 	creating map[string]bool
 	floorsAt time.Time
@@ -72,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	r := &replica{settings: s, log: log, counters: telemetry.NewCounters(), tls: tlsConfig, batches: map[uint64]*claimBatch{}, creating: map[string]bool{}, stopping: make(chan struct{})}
+	r := newReplica(s, tlsConfig, log)
 	peers, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort(s.Peer.Address)))
 	if err != nil {
 		return err
@@ -90,6 +92,13 @@
 	return errors.Join(r.run(ctx, peers, admin, bootstrap), lock.Unlock())
 }
 
+func newReplica(s *settings.Control, tlsConfig *tls.Config, log *telemetry.Logger) *replica {
+	return &replica{
+		settings: s, log: log, counters: newCounters(), tls: tlsConfig,
+		batches: map[uint64]*claimBatch{}, outbox: map[string]part{}, creating: map[string]bool{}, stopping: make(chan struct{}),
+	}
+}
+
 func (r *replica) run(ctx context.Context, peers *net.TCPListener, admin net.Listener, bootstrap bool) error {
 	var wg sync.WaitGroup
 	web := &http.Server{Handler: r.adminMux(), ReadHeaderTimeout: adminHeaderTimeout}
@@ -166,6 +175,8 @@
 	server := grpc.NewServer(
 		grpc.Creds(credentials.NewTLS(r.tls)),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
 		grpc.ConnectionTimeout(5*time.Second),
 	)
 	controlpb.RegisterPeersServer(server, &peerServer{r: r})
@@ -177,10 +188,12 @@
 
 // open opens every group that the data folder holds.
 func (r *replica) open(ctx context.Context, id wal.Identity) error {
-	r.loop = newLoop(r.member(id.ID), id.ClusterID, r.log)
-	r.transport = newTransport(ctx, r.tls, id.ClusterID, r.log)
-	r.directory = newDirectory(id.ID)
-	r.loop.send = r.sendMessages
+	r.loop = newLoop(r.member(id.ID), id.ClusterID, r.log, r.counters)
+	r.transport = newTransport(ctx, r.tls, id.ClusterID, r.log, r.counters)
+	r.directory = newDirectory(id.ID, time.Now())
+	r.transport.report = func(base uint64) *controlpb.ReplicaReport { return r.directory.report(base, time.Now()) }
+	r.loop.send = r.collectMessages
+	r.loop.flush = r.flushOutbox
 	r.configuration = newConfigurationMachine()
 	if _, err := r.openGroup(configurationGroup, "", r.configuration); err != nil {
 		return err
@@ -193,25 +206,34 @@
 	return nil
 }
 
-// sendMessages hands the messages of a group to the transport. Messages to replicas without a known address are dropped.
-func (r *replica) sendMessages(g *group, messages []*raftpb.Message) {
+// collectMessages adds the messages of a group to the outbox. Messages to replicas without a known address are dropped.
+func (r *replica) collectMessages(g *group, messages []*raftpb.Message) {
 	if len(messages) == 0 {
 		return
 	}
 	membership := g.node.Status().Membership
-	byAddress := map[string][]*raftpb.Message{}
 	for _, m := range messages {
 		address := memberOf(membership, m.To).GetAddress()
 		if address == "" {
 			address = r.loop.contacts[m.To]
 		}
-		if address != "" {
-			byAddress[address] = append(byAddress[address], m)
+		if address == "" {
+			r.counters.peerMessagesDropped[droppedAddress].Inc(1)
+			continue
 		}
+		p := r.outbox[address]
+		p.messages = append(p.messages, m)
+		r.outbox[address] = p
 	}
-	for address, list := range byAddress {
-		r.transport.send(address, &controlpb.PeerBatch{Messages: list})
+}
+
+// flushOutbox hands the collected parts to the transport, so that the heartbeats of several groups and a report share
+// one batch: a batch of its own costs each of them as many bytes as its content.
+func (r *replica) flushOutbox() {
+	for address, p := range r.outbox {
+		r.transport.send(address, p)
 	}
+	clear(r.outbox)
 }
 
 // everyTick does the work of the loop that depends on time: reports, promotion of learners, claim groups and floors.
@@ -220,7 +242,7 @@
 		r.reportedAt = now
 		r.sendReport(now)
 	}
-	for _, g := range r.loop.sorted() {
+	for _, g := range r.loop.ordered {
 		r.loop.promoteLearners(g)
 	}
 	r.maintainClaimGroups()
@@ -232,21 +254,24 @@
 	r.reportDue.Store(true)
 }
 
-func (r *replica) refreshReport(now time.Time) *controlpb.ReplicaReport {
+// refreshReport takes the applied revision and the leaders of claim groups into the reports that follow.
+func (r *replica) refreshReport(now time.Time) {
 	leaders := map[string]string{}
 	for _, g := range r.loop.groups {
 		if a := g.leaderAddress(); g.region != "" && a != "" {
 			leaders[g.region] = a
 		}
 	}
-	return r.directory.report(r.configuration.revision(), leaders, now)
+	r.directory.refresh(r.configuration.revision(), leaders, now)
 }
 
 func (r *replica) sendReport(now time.Time) {
-	report := r.refreshReport(now)
+	r.refreshReport(now)
 	for _, m := range r.loop.groups[configurationGroup].node.Status().Membership.GetMembers() {
 		if m.Id != r.loop.self.Id {
-			r.transport.send(m.Address, &controlpb.PeerBatch{Report: report})
+			p := r.outbox[m.Address]
+			p.report = true
+			r.outbox[m.Address] = p
 		}
 	}
 }
@@ -268,7 +293,7 @@
 // transferAll asks the best follower of each led group to take over, and tells whether any group is still led here.
 func (r *replica) transferAll() bool {
 	leading := false
-	for _, g := range r.loop.sorted() {
+	for _, g := range r.loop.ordered {
 		st := g.node.Status()
 		var best, match uint64
 		for _, other := range st.Replicas {
--- a/control/watch.go
+++ b/control/watch.go
@@ -36,9 +36,11 @@
 		}
 		if request.GetGateway().GetName() != name {
 			err := &IdentityError{Certificate: name, Expected: request.GetGateway().GetName()}
+			s.r.counters.countRenewal(err)
 			return status.Error(codes.PermissionDenied, err.Error())
 		}
 		answer, err := s.confirm(stream.Context(), request)
+		s.r.counters.countRenewal(err)
 		if err != nil {
 			s.r.log.Log(eventStale, telemetry.F("gateway", name), telemetry.F("error", err))
 			return status.Error(codes.Unavailable, err.Error())
@@ -71,11 +73,7 @@
 	answer.Nonce = request.Nonce
 	answer.ClusterId = s.r.loop.cluster
 	answer.ClaimLeaders = s.r.directory.claimLeaders()
-	list := s.r.directory.gateways(now)
-	answer.GatewaysDigest = digestOf(list)
-	if answer.GatewaysDigest != request.GatewaysDigest {
-		answer.Gateways = list
-	}
+	answer.GatewaysDigest, answer.Gateways = s.r.directory.gatewaysUnless(request.GatewaysDigest, now)
 	return answer, nil
 }
 
