Let control replicas ask gateways for their load

Cause: nothing knows the load of a service over all gateways, so an operator cannot learn whether the other failure domains can carry it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,7 +48,12 @@
 	selected := p.clock.now()
 	a.ctx, a.cancel = context.WithCancel(c.ctx)
 	p.byDomain.add(a.target.domain, 1)
-	a.release = func() { p.byDomain.add(a.target.domain, -1) }
+	load := loadKeyOf(c.rule.Service.Name, c.placement.RunIn)
+	p.load.add(load, 1, selected)
+	a.release = func() {
+		p.byDomain.add(a.target.domain, -1)
+		p.load.add(load, -1, p.clock.now())
+	}
 	a.gate = &sendGate{check: func() error { return p.checkSend(a.target, selected) }}
 	return a
 }
--- /dev/null
+++ b/gateway/load.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"heatherwall.example/api"
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/balance"
+	"heatherwall.example/document"
+	"heatherwall.example/membership"
+	"heatherwall.example/settings"
+)
+
+// loadSeconds is the number of whole seconds that a gateway remembers its load for.
+const loadSeconds = 10
+
+// loadKey joins requests of one service that may run in the same regions.
+type loadKey struct {
+	service string
+	// regions are separated by commas; empty for all.
+	regions string
+}
+
+func loadKeyOf(service string, runIn document.Regions) loadKey {
+	return loadKey{service: service, regions: strings.Join(runIn.Names, ",")}
+}
+
+// loadMeter measures the mean number of attempts in flight at backend servers in each second. Means of several gateways
+// can be added up; peaks cannot, because they do not fall into the same moment. It is safe for use by several goroutines.
+type loadMeter struct {
+	mu     sync.Mutex
+	series map[loadKey]*loadSeries
+}
+
+// loadSeries holds one total for each of the last seconds and for the current one.
+type loadSeries struct {
+	inFlight int64
+	// at is the time up to which the totals are complete.
+	at time.Duration
+	// totals are sums of attempts in flight over time, by the number of the second.
+	totals [loadSeconds + 1]time.Duration
+}
+
+// add changes the number of attempts in flight; now is monotonic time.
+func (m *loadMeter) add(k loadKey, n int64, now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.series[k]
+	if s == nil {
+		s = &loadSeries{at: now}
+		if m.series == nil {
+			m.series = map[loadKey]*loadSeries{}
+		}
+		m.series[k] = s
+	}
+	s.advance(now)
+	s.inFlight += n
+}
+
+func (s *loadSeries) advance(now time.Duration) {
+	const span = time.Duration(len(s.totals)) * time.Second
+	if now-s.at > span { // older totals are overwritten anyway
+		s.at = (now - span).Truncate(time.Second)
+	}
+	for s.at < now {
+		second := s.at.Truncate(time.Second)
+		total := &s.totals[int(second/time.Second)%len(s.totals)]
+		if s.at == second {
+			*total = 0
+		}
+		end := min(second+time.Second, now)
+		*total += time.Duration(s.inFlight) * (end - s.at)
+		s.at = end
+	}
+}
+
+// means returns the mean of each whole second in thousandths, the newest first, and whether any is above 0.
+func (s *loadSeries) means(now time.Duration, seconds int) ([]uint32, bool) {
+	s.advance(now)
+	newest := int(now / time.Second)
+	means := make([]uint32, seconds)
+	loaded := false
+	for i := range means {
+		total := s.totals[(newest-1-i)%len(s.totals)]
+		means[i] = uint32(total / time.Millisecond)
+		loaded = loaded || means[i] > 0
+	}
+	return means, loaded
+}
+
+// observed is the number of whole seconds since the start of the process that the totals cover.
+func observed(now time.Duration) int { return min(int(now/time.Second), loadSeconds) }
+
+// report lists the services with load, sorted. Services without load are forgotten.
+func (m *loadMeter) report(now time.Duration) []*controlpb.ServiceLoad {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []*controlpb.ServiceLoad
+	for k, s := range m.series {
+		means, loaded := s.means(now, observed(now))
+		if !loaded {
+			if s.inFlight == 0 && s.totals[int(now/time.Second)%len(s.totals)] == 0 {
+				delete(m.series, k)
+			}
+			continue
+		}
+		load := &controlpb.ServiceLoad{Service: k.service, MilliInFlight: means}
+		if k.regions != "" {
+			load.Regions = strings.Split(k.regions, ",")
+		}
+		list = append(list, load)
+	}
+	slices.SortFunc(list, func(a, b *controlpb.ServiceLoad) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), slices.Compare(a.Regions, b.Regions))
+	})
+	return list
+}
+
+// readySlots adds up the slots of ready servers by service and failure domain, sorted.
+func readySlots(servers []membership.Server) []*controlpb.ReadySlots {
+	type place struct{ service, region, domain string }
+	sums := map[place]uint32{}
+	for _, s := range servers {
+		if r := s.Record; balance.State(r.GetState()) == balance.StateReady {
+			sums[place{r.GetService(), r.GetRegion(), r.GetFailureDomain()}] += r.GetSlots()
+		}
+	}
+	var list []*controlpb.ReadySlots
+	for p, slots := range sums {
+		list = append(list, &controlpb.ReadySlots{Service: p.service, Region: p.region, FailureDomain: p.domain, Slots: slots})
+	}
+	slices.SortFunc(list, func(a, b *controlpb.ReadySlots) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.FailureDomain, b.FailureDomain))
+	})
+	return list
+}
+
+// loadService answers control replicas. A report is made only when an operator asks, because regular reports of every
+// service would cost each control replica more than its share of bytes.
+type loadService struct {
+	controlpb.UnimplementedGatewayLoadsServer
+	d *daemon
+}
+
+// Load implements controlpb.GatewayLoadsServer.
+func (s *loadService) Load(ctx context.Context, r *controlpb.GatewayLoadRequest) (*controlpb.GatewayLoad, error) {
+	name := api.PeerName(ctx)
+	if !slices.ContainsFunc(s.d.settings.Control, func(p settings.Peer) bool { return p.Name == name }) {
+		err := &PeerNameError{Expected: "a control replica of the settings", Got: name}
+		return nil, status.Error(codes.PermissionDenied, err.Error())
+	}
+	now := s.d.clock.now()
+	load := &controlpb.GatewayLoad{
+		Name: s.d.settings.Name, Region: s.d.settings.Region, Seconds: uint32(observed(now)), Services: s.d.path.load.report(now),
+	}
+	if r.GetWithSlots() {
+		s.d.state.do(func(time.Duration) { load.ReadySlots = readySlots(s.d.state.registry.Servers()) })
+	}
+	return load, nil
+}
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -46,6 +46,7 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 	byDomain domainCounts
+	load     loadMeter
 	// background counts work that outlives its handler: losing attempts and outcomes of claims.
 	background sync.WaitGroup
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -164,6 +164,7 @@
 	}
 	d.peers = grpc.NewServer(grpc.Creds(credentials.NewTLS(d.identity.serverConfig())), grpc.MaxRecvMsgSize(maxPeerMessageBytes))
 	gossippb.RegisterGossipServer(d.peers, &gossipService{state: d.state})
+	controlpb.RegisterGatewayLoadsServer(d.peers, &loadService{d: d})
 	return nil
 }
 
