Warn before a failure domain goes out that the rest cannot replace

Cause: domain out took a failure domain out without a word when the other ones lacked slots for its load. Change: the command compares the load of the busiest of the last 10 s with the slots that are left in the regions where requests may run, warns on standard error and in the JSON output, refuses without -force, and goes on with a warning when reports are missing. Before: no warning. Conclusion: a known lack stops the command, missing data do not.

--- a/cmd/heatherwall/internal/operator/approve.go
+++ b/cmd/heatherwall/internal/operator/approve.go
@@ -43,6 +43,9 @@
 	}
 	ctx, cancel := c.deadline()
 	defer cancel()
+	if err := c.guardDomain(ctx, r, change.GetDomain()); err != nil {
+		return err
+	}
 	outcome, err := c.send(ctx, r, change, keys, hint)
 	if err != nil {
 		return err
--- a/cmd/heatherwall/internal/operator/operator_test.go
+++ b/cmd/heatherwall/internal/operator/operator_test.go
@@ -14,6 +14,9 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"go.yaml.in/yaml/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"heatherwall.example/api/controlpb"
 )
 
 type groupKey struct{}
@@ -30,6 +33,7 @@
 				groupOf(ts).loseAnswers.Store(number(ts, args))
 			},
 			"delay":   func(ts *testscript.TestScript, _ bool, args []string) { groupOf(ts).notInForce.Store(number(ts, args)) },
+			"load":    load,
 			"edit":    edit,
 			"cut":     cut,
 			"capture": capture,
@@ -105,6 +109,13 @@
 	}
 }
 
+// load is "load FILE": the control group answers with the load reports in a JSON file from then on.
+func load(ts *testscript.TestScript, _ bool, args []string) {
+	answer := &controlpb.LoadAnswer{}
+	ts.Check(protojson.Unmarshal([]byte(ts.ReadFile(args[0])), answer))
+	groupOf(ts).load.Store(answer)
+}
+
 // edit is "edit FROM TO OLD NEW": it replaces the only place of OLD. \n stands for a line feed.
 func edit(ts *testscript.TestScript, _ bool, args []string) {
 	text := ts.ReadFile(args[0])
--- a/cmd/heatherwall/internal/operator/options.go
+++ b/cmd/heatherwall/internal/operator/options.go
@@ -45,6 +45,8 @@
 	id      string
 	comment string
 	wait    bool
+	// force leaves out the check of capacity.
+	force bool
 }
 
 // list is a flag that may be repeated.
--- a/cmd/heatherwall/internal/operator/output.go
+++ b/cmd/heatherwall/internal/operator/output.go
@@ -48,6 +48,8 @@
 	WaitingFor []string        `json:"waiting_for,omitempty"`
 	Problems   []problemResult `json:"problems,omitempty"`
 	Conflicts  []sectionResult `json:"conflicts,omitempty"`
+	// Capacity is present after a check by domain out.
+	Capacity *capacityResult `json:"capacity,omitempty"`
 }
 
 // Values of the field result that have a text of their own.
@@ -55,6 +57,8 @@
 	resultAccepted = "accepted"
 	resultPending  = "pending"
 	resultNothing  = "nothing"
+	// resultRefused means that the change was not sent.
+	resultRefused = "refused"
 )
 
 // resultName gives accepted, pending, conflict, invalid, unauthorized or nothing.
@@ -94,6 +98,7 @@
 }
 
 func (c *call) writeResult(result changeResult, at locate) error {
+	result.Capacity = c.capacity
 	if c.options.json {
 		return c.writeJSON(result)
 	}
--- a/cmd/heatherwall/internal/operator/run.go
+++ b/cmd/heatherwall/internal/operator/run.go
@@ -25,7 +25,7 @@
 	"approve": {"CANDIDATE", "show or approve a member that wants to join", runApprove},
 	"history": {"", "list decided changes", runHistory},
 	"status":  {"", "show control replicas, gateways and failure domains that are out", runStatus},
-	"domain":  {"out|in NAME", "take a failure domain out or bring it back", runDomain},
+	"domain":  {"out|in NAME", domainSummary, runDomain},
 	"key":     {"new|show FILE", "make a signing key, or show its public part", runKey},
 }
 
@@ -35,8 +35,10 @@
 	command command
 	flags   *flag.FlagSet
 	options options
-	stdout  io.Writer
-	stderr  io.Writer
+	// capacity is what a check found, for the JSON output; nil without a check.
+	capacity *capacityResult
+	stdout   io.Writer
+	stderr   io.Writer
 }
 
 // Run runs the subcommand in args[0]. known is false, and nothing happens, if there is no such subcommand. The exit
--- a/cmd/heatherwall/internal/operator/server_test.go
+++ b/cmd/heatherwall/internal/operator/server_test.go
@@ -34,7 +34,9 @@
 	gets atomic.Pointer[sync.WaitGroup]
 	// notInForce is the number of times that InForce says no.
 	notInForce atomic.Int32
-	names      []string
+	// load is the answer to Load; without one, the replicas do not know the call.
+	load  atomic.Pointer[controlpb.LoadAnswer]
+	names []string
 }
 
 // replica is one server of a group.
@@ -104,6 +106,13 @@
 	return &controlpb.InForceAnswer{InForce: true}, nil
 }
 
+func (r *replica) Load(ctx context.Context, q *controlpb.LoadRequest) (*controlpb.LoadAnswer, error) {
+	if load := r.group.load.Load(); load != nil {
+		return load, nil
+	}
+	return r.UnimplementedOperatorsServer.Load(ctx, q)
+}
+
 // startGroup starts three replicas with certificates in folder.
 func startGroup(t testing.TB, folder string) *group {
 	g := &group{state: controlstate.NewConfiguration(), names: []string{"control-1", "control-2", "control-3"}}
