Count the bound of a domain that goes out from the acceptance

Cause: TestDomainOut counted 3 s from the return of -wait, up to 3 s after the acceptance, and looked at one group. Change: it counts from the return of the command without -wait and reads the starts at the catalogue and the ledger from the servers' journals; it also expects the refusal for a service without other servers. Before: a start up to 6 s after the acceptance could pass.

--- a/testbed/process/service_test.go
+++ b/testbed/process/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -87,31 +88,65 @@
 	c.CheckSafety(t, calls)
 }
 
-// Guards against new work in a failure domain that is out, and against one that stays without work after its return.
+// Guards against new work in a failure domain later than 3 s after the acceptance of its going out, against a failure
+// domain that goes out although a service has no other servers, and against one that stays without work after its return.
 func TestDomainOut(t *testing.T) {
 	c := serving(t, false)
 	groups := startServers(t, c)
-	out := groups[1]
+	out := []*harness.ServerGroup{groups[1], groups[4]}
 	o, calls := c.NewLoad(t, "domain", 200, endless, seed)
 	during(t, o, func() {
-		harness.Eventually(t, limit, "work in the domain", func() bool { return out.Started() > 0 })
-		if r := c.Domain(t, "out", harness.NearSecond, "-wait"); r.Code != 0 {
+		for _, g := range out {
+			harness.Eventually(t, limit, "work for "+g.Name, func() bool { return g.Started() > 0 })
+		}
+		if r := c.Domain(t, "out", harness.NearFirst); r.Code != 1 || !strings.Contains(r.Output, "service "+harness.Vault) {
+			t.Errorf("domain out without other servers of a service: %s", r)
+		}
+		// Without -wait, the command returns with the answer to the change, so this moment is never before the acceptance.
+		if r := c.Domain(t, "out", harness.NearSecond); r.Code != 0 {
 			t.Fatalf("domain out: %s", r)
 		}
-		time.Sleep(newWorkBound)
-		before := out.Started()
-		time.Sleep(2 * time.Second)
-		if after := out.Started(); after != before {
-			t.Errorf("%d requests ran in the domain after it was out for %s", after-before, newWorkBound)
+		accepted := journal.Now()
+		if r := c.Domain(t, "out", harness.NearSecond, "-wait"); r.Code != 0 {
+			t.Errorf("in force: %s", r)
 		}
+		time.Sleep(newWorkBound + 2*time.Second - time.Duration(journal.Now()-accepted))
+		returned := journal.Now()
 		if r := c.Domain(t, "in", harness.NearSecond, "-wait"); r.Code != 0 {
 			t.Fatalf("domain in: %s", r)
 		}
-		harness.Eventually(t, limit, "work after the return", func() bool { return out.Started() > before })
+		for _, g := range out {
+			checkNoStarts(t, g, accepted, returned)
+			before := g.Started()
+			harness.Eventually(t, limit, "work after the return", func() bool { return g.Started() > before })
+		}
 	})
 	c.CheckSafety(t, calls)
 }
 
+// checkNoStarts fails if a server of the group started a request later than the bound after a moment, and before another
+// one; both are readings of the monotonic clock.
+func checkNoStarts(t *testing.T, g *harness.ServerGroup, from, until int64) {
+	t.Helper()
+	late, last := 0, int64(0)
+	err := journal.Read(g.Journal, func(r journal.Run) {
+		if r.Event != journal.Started || r.At <= from || r.At >= until {
+			return
+		}
+		last = max(last, r.At-from)
+		if r.At > from+int64(newWorkBound) {
+			late++
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%s: last new work %s after the acceptance", g.Name, time.Duration(last))
+	if late > 0 {
+		t.Errorf("%s started %d requests later than %s after the acceptance", g.Name, late, newWorkBound)
+	}
+}
+
 // Guards against a gateway that keeps sending to a server because it cannot hear its peers.
 func TestLeavingServerSeenByCutOffGateway(t *testing.T) {
 	c := serving(t, true)
