Test that load reports come from the named gateway

Cause: no test covered the check of the instance name when a control replica asks a gateway for its load. Change: a test asks one listener under its own name and under another one. Before: untested. After: TestLoadOfNamedGatewayOnly passes. Conclusion: another instance of the setup cannot answer in the place of a gateway.

--- a/control/load_test.go
+++ b/control/load_test.go
@@ -1,10 +1,19 @@
 package control
 
 import (
+	"context"
+	"net"
+	"path/filepath"
 	"slices"
 	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 
 	"heatherwall.example/api/controlpb"
+	"heatherwall.example/settings"
+	"heatherwall.example/testbed/devcerts"
 )
 
 // Guards against a collection that waits for gateways that refuse every request, that asks all gateways for slots, or
@@ -38,3 +47,46 @@
 		t.Errorf("silent %v, want %v", answer.Silent, want)
 	}
 }
+
+type loadStub struct {
+	controlpb.UnimplementedGatewayLoadsServer
+}
+
+func (loadStub) Load(context.Context, *controlpb.GatewayLoadRequest) (*controlpb.GatewayLoad, error) {
+	return &controlpb.GatewayLoad{}, nil
+}
+
+// Guards against a report from another instance that listens where a gateway did.
+func TestLoadOfNamedGatewayOnly(t *testing.T) {
+	folder := t.TempDir()
+	if err := devcerts.Write(folder, []string{"control-1", "gateway-1"}); err != nil {
+		t.Fatal(err)
+	}
+	load := func(name string) *settings.TLS {
+		return &settings.TLS{Certificate: filepath.Join(folder, name+".pem"), Key: filepath.Join(folder, name+".key"), Authority: filepath.Join(folder, devcerts.AuthorityName+".pem")}
+	}
+	own, err := load("control-1").Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	gateway, err := load("gateway-1").Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer(grpc.Creds(credentials.NewTLS(gateway)))
+	controlpb.RegisterGatewayLoadsServer(server, loadStub{})
+	go server.Serve(l)
+	t.Cleanup(server.Stop)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for name, want := range map[string]bool{"gateway-1": true, "gateway-2": false} {
+		_, err := (&replica{tls: own}).askLoad(ctx, loadQuestion{name: name, address: l.Addr().String()})
+		if (err == nil) != want {
+			t.Errorf("asked for %s: %v", name, err)
+		}
+	}
+}
