Identify relayed connections by both of their ports

Cause: the relay looked up the process behind a connection by its local port alone, but the kernel gives one local port to connections to different addresses. A connection that was taken for another process's escaped its cut: with a cut of 65 s in the region test, the cut gateway got its lease confirmed again 4.5 s after the cut. Change: the look-up compares the remote port as well. Before: TestSocketOfSharedLocalPort fails on a scratch copy that ignores the remote port. After: it passes three times.

--- a/testbed/relay/owner.go
+++ b/testbed/relay/owner.go
@@ -17,7 +17,11 @@
 		if !ok {
 			return ""
 		}
-		link := socketLink(remote.Port)
+		local, ok := c.LocalAddr().(*net.TCPAddr)
+		if !ok {
+			return ""
+		}
+		link := socketLink(remote.Port, local.Port)
 		if link == "" {
 			return ""
 		}
@@ -32,21 +36,24 @@
 
 // Columns of /proc/net/tcp.
 const (
-	localColumn = 1
-	inodeColumn = 9
+	localColumn  = 1
+	remoteColumn = 2
+	inodeColumn  = 9
 )
 
-// socketLink returns the link target under /proc/ID/fd of the socket with the local port.
-func socketLink(port int) string {
+// socketLink returns the link target under /proc/ID/fd of the socket with the local and the remote port. The local port
+// alone does not identify it: the kernel gives one port to connections to different addresses.
+func socketLink(port, remote int) string {
 	table, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return ""
 	}
 	defer table.Close()
-	suffix := fmt.Sprintf(":%04X", port)
+	suffix, remoteSuffix := fmt.Sprintf(":%04X", port), fmt.Sprintf(":%04X", remote)
 	for lines := bufio.NewScanner(table); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
-		if len(fields) > inodeColumn && strings.HasSuffix(fields[localColumn], suffix) && fields[inodeColumn] != "0" {
+		if len(fields) > inodeColumn && strings.HasSuffix(fields[localColumn], suffix) &&
+			strings.HasSuffix(fields[remoteColumn], remoteSuffix) && fields[inodeColumn] != "0" {
 			return "socket:[" + fields[inodeColumn] + "]"
 		}
 	}
--- /dev/null
+++ b/testbed/relay/owner_test.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"net"
+	"syscall"
+	"testing"
+)
+
+// Guards against a connection that is taken for another one from the same local port to another address: its cut has no
+// effect.
+func TestSocketOfSharedLocalPort(t *testing.T) {
+	reuse := func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}
+	dialer := net.Dialer{Control: reuse}
+	links := map[string]bool{}
+	for range 2 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		connection, err := dialer.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+		dialer.LocalAddr = connection.LocalAddr()
+		links[socketLink(connection.LocalAddr().(*net.TCPAddr).Port, listener.Addr().(*net.TCPAddr).Port)] = true
+	}
+	if len(links) != 2 || links[""] {
+		t.Errorf("two connections from one port have the sockets %v", links)
+	}
+}
