Stop servers of every service, a gateway and the leader in one run

Cause: the test of planned stops stopped one group of idempotent servers, and one part after the other. Change: SIGTERM goes to a group of each service, to the near gateway that owns the most servers and to the leader at once; the test expects no cut request, other owners, another leader that decides a change, and no new work later than 3 s after a leave. Before: servers of the ledger and the vault were not stopped, ownership was not looked at.

--- a/testbed/process/service_test.go
+++ b/testbed/process/service_test.go
@@ -1,15 +1,19 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"heatherwall.example/testbed/harness"
 	"heatherwall.example/testbed/journal"
 	"heatherwall.example/testbed/load"
+	"heatherwall.example/testbed/localsetup"
 	"heatherwall.example/testbed/relay"
 )
 
@@ -55,37 +59,117 @@
 	}
 }
 
-// Guards against planned stops that break requests: a gateway, the control leader and backend servers get SIGTERM
-// while requests are under way.
+// Guards against planned stops that break requests, and against work that stays with what has stopped: servers of every
+// service, a gateway that owns servers, and the control leader get SIGTERM while requests are under way.
 func TestPlannedStopsCutNoRequest(t *testing.T) {
 	c := serving(t, false)
 	// Long runs keep many requests under way at every moment.
-	groups := startServers(t, c, "-service-time", "150ms", "-shift-every", "0")
+	flags := []string{"-service-time", "150ms", "-shift-every", "0"}
+	groups := startServers(t, c, flags...)
+	vault := c.StartServers(t, harness.Vault, nearSecond, 2, append(slices.Clone(serverFlags), flags...)...)
+	harness.Eventually(t, limit, vault.Name+" registered", vault.Registered)
+	// One group of each service leaves; the others stay.
+	leaving := []*harness.ServerGroup{groups[0], groups[3], groups[5]}
+	staying := []*harness.ServerGroup{groups[1], groups[2], groups[4], vault}
+	gateway, leader := mostOwning(c, staying), c.Leader(t)
+	if ownedBy(gateway, staying) == 0 {
+		t.Fatalf("%s owns no server that stays", gateway.Name)
+	}
 	o, calls := c.NewLoad(t, "stops", 120, endless, seed)
 	o.FollowReadiness = true
-	s := during(t, o, func() {
-		time.Sleep(time.Second)
-		gateway := c.Setup.Gateways[0]
-		if code := c.Process(gateway.Name).Terminate(t, limit); code != 0 {
-			t.Errorf("%s ended with code %d", gateway.Name, code)
+	during(t, o, func() {
+		for _, g := range leaving {
+			harness.Eventually(t, limit, "work for "+g.Name, func() bool { return g.Started() > 0 })
 		}
-		c.StartGateway(t, gateway)
-		if code := c.Process(c.Leader(t).Name).Terminate(t, limit); code != 0 {
-			t.Errorf("the leader ended with code %d", code)
+		for _, p := range append(processesOf(leaving), c.Process(gateway.Name), c.Process(leader.Name)) {
+			p.Signal(syscall.SIGTERM)
 		}
-		for _, g := range groups[:1] {
-			if code := g.Terminate(t, limit); code != 0 {
-				t.Errorf("%s ended with code %d", g.Name, code)
+		for _, p := range append(processesOf(leaving), c.Process(gateway.Name), c.Process(leader.Name)) {
+			if code := p.Wait(t, limit); code != 0 {
+				t.Errorf("%s ended with code %d", p.Name, code)
 			}
 		}
+		checkHandedOver(t, c, staying, gateway, leader)
+		c.StartGateway(t, gateway)
+		c.StartControl(t, leader, false)
 		c.Ready(t)
-		time.Sleep(time.Second)
 	})
 	checkUncut(t, calls)
-	if s.OK == 0 {
-		t.Error("no request was answered")
+	latest := time.Duration(c.CheckSafety(t, calls).LatestAfterLeave)
+	t.Logf("last new work %s after a gateway had accepted a leave", latest)
+	if latest > newWorkBound {
+		t.Errorf("a stopping server got new work %s after a gateway had accepted its leave", latest)
+	}
+	for _, g := range leaving {
+		checkLeft(t, g)
+	}
+}
+
+func processesOf(groups []*harness.ServerGroup) []*harness.Process {
+	var list []*harness.Process
+	for _, g := range groups {
+		list = append(list, g.Process)
+	}
+	return list
+}
+
+// mostOwning returns the gateway of the near region, where a second one stays, that owns the most servers of the groups.
+func mostOwning(c *harness.Cluster, groups []*harness.ServerGroup) localsetup.Instance {
+	far := func(g localsetup.Instance) bool { return g.Region != harness.Near }
+	return slices.MaxFunc(slices.DeleteFunc(slices.Clone(c.Setup.Gateways), far), func(a, b localsetup.Instance) int {
+		return cmp.Compare(ownedBy(a, groups), ownedBy(b, groups))
+	})
+}
+
+func ownedBy(gateway localsetup.Instance, groups []*harness.ServerGroup) int {
+	owned := 0
+	for _, g := range groups {
+		for _, s := range g.Counts() {
+			if s.Owner == gateway.Announce {
+				owned++
+			}
+		}
+	}
+	return owned
+}
+
+// checkHandedOver waits, while the gateway and the former leader are down, until another gateway owns every server,
+// another replica leads and decides a change, and every group gets work.
+func checkHandedOver(t *testing.T, c *harness.Cluster, groups []*harness.ServerGroup, gateway, leader localsetup.Instance) {
+	t.Helper()
+	harness.Eventually(t, limit, "other owners", func() bool {
+		return ownedBy(gateway, groups) == 0 && !slices.ContainsFunc(groups, func(g *harness.ServerGroup) bool { return !g.Registered() })
+	})
+	if next := c.Leader(t); next.Name == leader.Name {
+		t.Errorf("%s still leads", leader.Name)
+	}
+	applyChain(t, c.Operator(t), 0, 1)
+	for _, g := range groups {
+		before := g.Started()
+		harness.Eventually(t, limit, "work for "+g.Name, func() bool { return g.Started() > before })
+	}
+}
+
+// checkLeft fails unless each server of the group announced its leave and ended every run that it started.
+func checkLeft(t *testing.T, g *harness.ServerGroup) {
+	t.Helper()
+	left, underWay := 0, 0
+	err := journal.Read(g.Journal, func(r journal.Run) {
+		switch r.Event {
+		case journal.Leaving:
+			left++
+		case journal.Started:
+			underWay++
+		case journal.Ended:
+			underWay--
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if left != len(g.Addresses) || underWay != 0 {
+		t.Errorf("%s: %d of %d servers left, %d runs did not end", g.Name, left, len(g.Addresses), underWay)
 	}
-	c.CheckSafety(t, calls)
 }
 
 // Guards against new work in a failure domain later than 3 s after the acceptance of its going out, against a failure
