Look up both sockets of a shared port while both are open

Cause: TestSocketOfSharedLocalPort looked up the first connection before the second one existed, so a look-up by the local port alone failed the test in some runs only. Change: it looks up both after both are open. Before: a scratch copy that ignores the remote port passed one run and failed others. After: the copy fails 5 of 5 runs, the code passes 5 of 5. Conclusion: the test now tells the two look-ups apart in every run.

--- a/testbed/relay/owner_test.go
+++ b/testbed/relay/owner_test.go
@@ -20,7 +20,7 @@
 		return failed
 	}
 	dialer := net.Dialer{Control: reuse}
-	links := map[string]bool{}
+	var connections []net.Conn
 	for range 2 {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -33,7 +33,11 @@
 		}
 		defer connection.Close()
 		dialer.LocalAddr = connection.LocalAddr()
-		links[socketLink(connection.LocalAddr().(*net.TCPAddr).Port, listener.Addr().(*net.TCPAddr).Port)] = true
+		connections = append(connections, connection)
+	}
+	links := map[string]bool{}
+	for _, c := range connections {
+		links[socketLink(c.LocalAddr().(*net.TCPAddr).Port, c.RemoteAddr().(*net.TCPAddr).Port)] = true
 	}
 	if len(links) != 2 || links[""] {
 		t.Errorf("two connections from one port have the sockets %v", links)
