--- a/testbed/process/service_test.go
+++ b/testbed/process/service_test.go
@@ -1,14 +1,19 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"heatherwall.example/testbed/harness"
 	"heatherwall.example/testbed/journal"
 	"heatherwall.example/testbed/load"
+	"heatherwall.example/testbed/localsetup"
 	"heatherwall.example/testbed/relay"
 )
 
@@ -54,64 +59,178 @@
 	}
 }
 
-// Guards against planned stops that break requests: a gateway, the control leader and backend servers get SIGTERM
-// while requests are under way.
+// Guards against planned stops that break requests, and against work that stays with what has stopped: servers of every
+// service, a gateway that owns servers, and the control leader get SIGTERM while requests are under way.
 func TestPlannedStopsCutNoRequest(t *testing.T) {
 	c := serving(t, false)
 	// Long runs keep many requests under way at every moment.
-	groups := startServers(t, c, "-service-time", "150ms", "-shift-every", "0")
+	flags := []string{"-service-time", "150ms", "-shift-every", "0"}
+	groups := startServers(t, c, flags...)
+	vault := c.StartServers(t, harness.Vault, nearSecond, 2, append(slices.Clone(serverFlags), flags...)...)
+	harness.Eventually(t, limit, vault.Name+" registered", vault.Registered)
+	// One group of each service leaves; the others stay.
+	leaving := []*harness.ServerGroup{groups[0], groups[3], groups[5]}
+	staying := []*harness.ServerGroup{groups[1], groups[2], groups[4], vault}
+	gateway, leader := mostOwning(c, staying), c.Leader(t)
+	if ownedBy(gateway, staying) == 0 {
+		t.Fatalf("%s owns no server that stays", gateway.Name)
+	}
 	o, calls := c.NewLoad(t, "stops", 120, endless, seed)
 	o.FollowReadiness = true
-	s := during(t, o, func() {
-		time.Sleep(time.Second)
-		gateway := c.Setup.Gateways[0]
-		if code := c.Process(gateway.Name).Terminate(t, limit); code != 0 {
-			t.Errorf("%s ended with code %d", gateway.Name, code)
+	during(t, o, func() {
+		for _, g := range leaving {
+			harness.Eventually(t, limit, "work for "+g.Name, func() bool { return g.Started() > 0 })
 		}
-		c.StartGateway(t, gateway)
-		if code := c.Process(c.Leader(t).Name).Terminate(t, limit); code != 0 {
-			t.Errorf("the leader ended with code %d", code)
+		for _, p := range append(processesOf(leaving), c.Process(gateway.Name), c.Process(leader.Name)) {
+			p.Signal(syscall.SIGTERM)
 		}
-		for _, g := range groups[:1] {
-			if code := g.Terminate(t, limit); code != 0 {
-				t.Errorf("%s ended with code %d", g.Name, code)
+		for _, p := range append(processesOf(leaving), c.Process(gateway.Name), c.Process(leader.Name)) {
+			if code := p.Wait(t, limit); code != 0 {
+				t.Errorf("%s ended with code %d", p.Name, code)
 			}
 		}
+		checkHandedOver(t, c, staying, gateway, leader)
+		c.StartGateway(t, gateway)
+		c.StartControl(t, leader, false)
 		c.Ready(t)
-		time.Sleep(time.Second)
 	})
 	checkUncut(t, calls)
-	if s.OK == 0 {
-		t.Error("no request was answered")
+	latest := time.Duration(c.CheckSafety(t, calls).LatestAfterLeave)
+	t.Logf("last new work %s after a gateway had accepted a leave", latest)
+	if latest > newWorkBound {
+		t.Errorf("a stopping server got new work %s after a gateway had accepted its leave", latest)
+	}
+	for _, g := range leaving {
+		checkLeft(t, g)
+	}
+}
+
+func processesOf(groups []*harness.ServerGroup) []*harness.Process {
+	var list []*harness.Process
+	for _, g := range groups {
+		list = append(list, g.Process)
+	}
+	return list
+}
+
+// mostOwning returns the gateway of the near region, where a second one stays, that owns the most servers of the groups.
+func mostOwning(c *harness.Cluster, groups []*harness.ServerGroup) localsetup.Instance {
+	far := func(g localsetup.Instance) bool { return g.Region != harness.Near }
+	return slices.MaxFunc(slices.DeleteFunc(slices.Clone(c.Setup.Gateways), far), func(a, b localsetup.Instance) int {
+		return cmp.Compare(ownedBy(a, groups), ownedBy(b, groups))
+	})
+}
+
+func ownedBy(gateway localsetup.Instance, groups []*harness.ServerGroup) int {
+	owned := 0
+	for _, g := range groups {
+		for _, s := range g.Counts() {
+			if s.Owner == gateway.Announce {
+				owned++
+			}
+		}
+	}
+	return owned
+}
+
+// checkHandedOver waits, while the gateway and the former leader are down, until another gateway owns every server,
+// another replica leads and decides a change, and every group gets work.
+func checkHandedOver(t *testing.T, c *harness.Cluster, groups []*harness.ServerGroup, gateway, leader localsetup.Instance) {
+	t.Helper()
+	harness.Eventually(t, limit, "other owners", func() bool {
+		return ownedBy(gateway, groups) == 0 && !slices.ContainsFunc(groups, func(g *harness.ServerGroup) bool { return !g.Registered() })
+	})
+	if next := c.Leader(t); next.Name == leader.Name {
+		t.Errorf("%s still leads", leader.Name)
+	}
+	applyChain(t, c.Operator(t), 0, 1)
+	for _, g := range groups {
+		before := g.Started()
+		harness.Eventually(t, limit, "work for "+g.Name, func() bool { return g.Started() > before })
 	}
-	c.CheckSafety(t, calls)
 }
 
-// Guards against new work in a failure domain that is out, and against one that stays without work after its return.
+// checkLeft fails unless each server of the group announced its leave and ended every run that it started.
+func checkLeft(t *testing.T, g *harness.ServerGroup) {
+	t.Helper()
+	left, underWay := 0, 0
+	err := journal.Read(g.Journal, func(r journal.Run) {
+		switch r.Event {
+		case journal.Leaving:
+			left++
+		case journal.Started:
+			underWay++
+		case journal.Ended:
+			underWay--
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if left != len(g.Addresses) || underWay != 0 {
+		t.Errorf("%s: %d of %d servers left, %d runs did not end", g.Name, left, len(g.Addresses), underWay)
+	}
+}
+
+// Guards against new work in a failure domain later than 3 s after the acceptance of its going out, against a failure
+// domain that goes out although a service has no other servers, and against one that stays without work after its return.
 func TestDomainOut(t *testing.T) {
 	c := serving(t, false)
 	groups := startServers(t, c)
-	out := groups[1]
+	out := []*harness.ServerGroup{groups[1], groups[4]}
 	o, calls := c.NewLoad(t, "domain", 200, endless, seed)
 	during(t, o, func() {
-		harness.Eventually(t, limit, "work in the domain", func() bool { return out.Started() > 0 })
-		if r := c.Domain(t, "out", harness.NearSecond, "-wait"); r.Code != 0 {
+		for _, g := range out {
+			harness.Eventually(t, limit, "work for "+g.Name, func() bool { return g.Started() > 0 })
+		}
+		if r := c.Domain(t, "out", harness.NearFirst); r.Code != 1 || !strings.Contains(r.Output, "service "+harness.Vault) {
+			t.Errorf("domain out without other servers of a service: %s", r)
+		}
+		// Without -wait, the command returns with the answer to the change, so this moment is never before the acceptance.
+		if r := c.Domain(t, "out", harness.NearSecond); r.Code != 0 {
 			t.Fatalf("domain out: %s", r)
 		}
-		time.Sleep(newWorkBound)
-		before := out.Started()
-		time.Sleep(2 * time.Second)
-		if after := out.Started(); after != before {
-			t.Errorf("%d requests ran in the domain after it was out for %s", after-before, newWorkBound)
+		accepted := journal.Now()
+		if r := c.Domain(t, "out", harness.NearSecond, "-wait"); r.Code != 0 {
+			t.Errorf("in force: %s", r)
 		}
+		time.Sleep(newWorkBound + 2*time.Second - time.Duration(journal.Now()-accepted))
+		returned := journal.Now()
 		if r := c.Domain(t, "in", harness.NearSecond, "-wait"); r.Code != 0 {
 			t.Fatalf("domain in: %s", r)
 		}
-		harness.Eventually(t, limit, "work after the return", func() bool { return out.Started() > before })
+		for _, g := range out {
+			checkNoStarts(t, g, accepted, returned)
+			before := g.Started()
+			harness.Eventually(t, limit, "work after the return", func() bool { return g.Started() > before })
+		}
 	})
 	c.CheckSafety(t, calls)
 }
 
+// checkNoStarts fails if a server of the group started a request later than the bound after a moment, and before another
+// one; both are readings of the monotonic clock.
+func checkNoStarts(t *testing.T, g *harness.ServerGroup, from, until int64) {
+	t.Helper()
+	late, last := 0, int64(0)
+	err := journal.Read(g.Journal, func(r journal.Run) {
+		if r.Event != journal.Started || r.At <= from || r.At >= until {
+			return
+		}
+		last = max(last, r.At-from)
+		if r.At > from+int64(newWorkBound) {
+			late++
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%s: last new work %s after the acceptance", g.Name, time.Duration(last))
+	if late > 0 {
+		t.Errorf("%s started %d requests later than %s after the acceptance", g.Name, late, newWorkBound)
+	}
+}
+
 // Guards against a gateway that keeps sending to a server because it cannot hear its peers.
 func TestLeavingServerSeenByCutOffGateway(t *testing.T) {
 	c := serving(t, true)
