Warn and go on when a failure domain goes out without enough capacity

Cause: the command refused to take a failure domain out when the other ones lacked slots, although zones are taken out at short notice and the share of 80% is an estimate that was not measured. Change: the flag -capacity is warn by default, require refuses, skip leaves the check out; it replaces -force. Before: exit code 1 and nothing sent by default. Conclusion: an emergency needs no second command, and scripts can still ask for a refusal.

--- a/cmd/heatherwall/internal/operator/capacity.go
+++ b/cmd/heatherwall/internal/operator/capacity.go
@@ -49,11 +49,11 @@
 	return s.SlotsLeft == 0 || s.Need > capacityShare*float64(s.SlotsLeft)
 }
 
-// guardDomain refuses to take a failure domain out when the rest is known to lack capacity. Missing reports are no reason
-// to refuse, because they are to be expected while the failure domain fails. A change with a given ID may have been
-// accepted before, so refusing it here could be untrue.
+// guardDomain warns before a failure domain goes out that the rest cannot replace, and refuses only if the operator asked
+// for it. Missing reports are no reason to refuse, because they are to be expected while the failure domain fails. A
+// change with a given ID may have been accepted before, so refusing it here could be untrue.
 func (c *call) guardDomain(ctx context.Context, r *replicas, d *controlpb.DomainChange) error {
-	if !d.GetOut() || c.options.force {
+	if !d.GetOut() || c.options.capacity == capacitySkip {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, capacityTimeout)
@@ -61,7 +61,7 @@
 	result := c.checkCapacity(ctx, r, d.GetFailureDomain())
 	c.capacity = &result
 	c.writeCapacity(d.GetFailureDomain(), result)
-	if len(result.Lacking) == 0 || c.options.id != "" {
+	if c.options.capacity != capacityRequire || len(result.Lacking) == 0 || c.options.id != "" {
 		return nil
 	}
 	if c.options.json {
@@ -69,7 +69,7 @@
 			return err
 		}
 	}
-	return &RefusedError{Fault: "the other failure domains lack capacity; nothing was sent; -force takes " + d.GetFailureDomain() + " out all the same"}
+	return &RefusedError{Fault: "the other failure domains lack capacity; nothing was sent; without -capacity=require, " + d.GetFailureDomain() + " goes out all the same"}
 }
 
 // checkCapacity asks for the load. It never fails: what could not be learned is named in the result.
--- a/cmd/heatherwall/internal/operator/domain.go
+++ b/cmd/heatherwall/internal/operator/domain.go
@@ -1,17 +1,28 @@
 package operator
 
-import "heatherwall.example/api/controlpb"
+import (
+	"slices"
+
+	"heatherwall.example/api/controlpb"
+)
 
 const domainSummary = `take a failure domain out or bring it back
 
 Before a failure domain goes out, its load is compared with the slots that remain. The command warns of each service
-whose load would take more than 80% of them and then refuses, unless -force is given or the change is sent again with
--id. It warns and goes on when the load is not known`
+whose load would take more than 80% of them, and when the load is not known, and goes on. With -capacity=require it
+refuses when slots are known to lack, unless the change is sent again with -id; -capacity=skip leaves the check out`
+
+// Values of the flag -capacity.
+const (
+	capacityWarn    = "warn"
+	capacityRequire = "require"
+	capacitySkip    = "skip"
+)
 
 // runDomain takes a failure domain out or brings it back.
 func runDomain(c *call, args []string) error {
 	c.addChangeFlags()
-	c.flags.BoolVar(&c.options.force, "force", false, "take the failure domain out without asking whether the rest can carry its load")
+	c.flags.StringVar(&c.options.capacity, "capacity", capacityWarn, "what to do if the rest cannot carry the load: `warn`, require or skip")
 	positional, err := c.parse(args, 2)
 	if err != nil {
 		return err
@@ -19,6 +30,9 @@
 	if positional[0] != "out" && positional[0] != "in" {
 		return c.usage("expected out or in, got " + positional[0])
 	}
+	if !slices.Contains([]string{capacityWarn, capacityRequire, capacitySkip}, c.options.capacity) {
+		return c.usage("expected -capacity warn, require or skip, got " + c.options.capacity)
+	}
 	domain := &controlpb.DomainChange{FailureDomain: positional[1], Out: positional[0] == "out"}
 	return c.change(&controlpb.Change{Domain: domain}, positional[0]+" "+positional[1])
 }
--- a/cmd/heatherwall/internal/operator/options.go
+++ b/cmd/heatherwall/internal/operator/options.go
@@ -45,8 +45,8 @@
 	id      string
 	comment string
 	wait    bool
-	// force leaves out the check of capacity.
-	force bool
+	// capacity tells what to do if the remaining failure domains cannot carry the load.
+	capacity string
 }
 
 // list is a flag that may be repeated.
