Start exchanges of gateways with a summary

Cause: each exchange carries a digest of every owner in both directions, about 28 bytes an owner, although nothing differs most of the time; a push carries the whole digest too and is answered with one. Change: an exchange starts with a hash of the digest and of the records beyond it. An equal hash is answered with the ages of the heartbeats, 2 bytes an owner; otherwise the digests follow as before. Pushes and reports of a fallback carry the incarnation of one owner and get an empty answer. The number of the heartbeat had no reader and is gone.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -48,14 +48,22 @@
 	return answer, err
 }
 
-// exchange sends the digest to one random peer, one time in four in another region.
+// exchange sends a summary to one random peer, one time in four in another region, and the digest after it if the peer
+// knows something else.
 func (s *state) exchange(ctx context.Context, now time.Duration) {
 	p, ok := s.registry.Target(s.region, rand.Uint64())
 	if !ok {
 		return
 	}
-	request := &gossippb.ExchangeRequest{From: s.name, Digest: s.registry.Digest(now), Marks: s.poison.Own(now, p.Region)}
-	s.send(ctx, now, p, request)
+	opening := s.registry.Open(now)
+	opening.Request.Marks = s.poison.Own(now, p.Region)
+	s.transmit(ctx, now, p, opening.Request, func(at time.Duration, answer *gossippb.ExchangeAnswer) {
+		if answer.GetDiffers() {
+			s.send(ctx, at, p, s.registry.Request(at))
+			return
+		}
+		s.registry.Merge(at, now, opening.Expand(answer))
+	})
 }
 
 // push sends changes of servers owned here, and new crash marks, to every peer. The exchanges are kept in underway.
@@ -64,7 +72,7 @@
 	if !s.registry.HasPushes() && len(marks) == 0 {
 		return
 	}
-	request := s.registry.Request(now)
+	request := s.registry.Push()
 	for _, p := range s.registry.Peers() {
 		own := proto.CloneOf(request)
 		own.Marks = marksFor(p.Region, marks)
@@ -106,8 +114,17 @@
 	})
 }
 
-// send starts an exchange if the budget of measuring permits it. The channel is closed when the exchange has ended.
+// send starts a push, or an exchange of digests. The channel is closed when it has ended.
 func (s *state) send(ctx context.Context, now time.Duration, p membership.Peer, request *gossippb.ExchangeRequest) <-chan struct{} {
+	return s.transmit(ctx, now, p, request, func(at time.Duration, answer *gossippb.ExchangeAnswer) {
+		s.registry.Merge(at, now, answer)
+	})
+}
+
+// transmit sends a request if the budget of measuring permits it, and passes the answer to take in the owner goroutine.
+// The channel is closed when this has ended.
+func (s *state) transmit(ctx context.Context, now time.Duration, p membership.Peer, request *gossippb.ExchangeRequest,
+	take func(at time.Duration, answer *gossippb.ExchangeAnswer)) <-chan struct{} {
 	done := make(chan struct{})
 	if !s.limiter.Take(now, s.scope(p.Region), proto.Size(request)+frameOverheadBytes) {
 		s.counters.Counter("measuring_denied", "kind", "gossip").Inc(1)
@@ -116,16 +133,16 @@
 	}
 	s.outgoing.Go(func() {
 		defer close(done)
-		ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		defer cancel()
-		answer, err := s.peers.Exchange(ctx, p, request)
+		answer, err := s.peers.Exchange(limited, p, request)
 		if err != nil {
 			s.counters.Total("gossip_failed").Inc(1)
 			s.log.Log(eventGossipFailed, telemetry.F("peer", p.ID), telemetry.F("error", err))
 			return
 		}
 		s.poison.Merge(s.clock.now(), p.ID, s.region, answer.GetMarks())
-		s.do(func(at time.Duration) { s.registry.Merge(at, now, answer) })
+		s.do(func(at time.Duration) { take(at, answer) })
 	})
 	return done
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -238,7 +238,7 @@
 func (s *state) fallback(ctx context.Context, now time.Duration, n balance.Notice) {
 	s.log.Log(eventServerFellBack, telemetry.F("service", n.Service), telemetry.F("address", n.Address))
 	s.registry.SetCold(n.Address, n.Incarnation, true)
-	owner, request := s.registry.FallbackReport(now, n.Address, n.Incarnation)
+	owner, request := s.registry.FallbackReport(n.Address, n.Incarnation)
 	if request == nil {
 		return
 	}
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -13,11 +13,11 @@
 func (r *Registry) Digest(now time.Duration) []*gossippb.OwnerDigest {
 	r.now = max(r.now, now)
 	list := []*gossippb.OwnerDigest{{
-		Owner: r.self, Incarnation: r.incarnation, Version: r.version, Heartbeat: r.heartbeat,
+		Owner: r.self, Incarnation: r.incarnation, Version: r.version,
 	}}
 	for name, v := range r.owners {
 		list = append(list, &gossippb.OwnerDigest{
-			Owner: name, Incarnation: v.incarnation, Version: v.version, Heartbeat: v.heartbeat, AgeMs: v.age(r.now),
+			Owner: name, Incarnation: v.incarnation, Version: v.version, AgeMs: v.age(r.now),
 		})
 	}
 	slices.SortFunc(list, func(a, b *gossippb.OwnerDigest) int { return cmp.Compare(a.Owner, b.Owner) })
@@ -100,10 +100,19 @@
 	return d.Incarnation == incarnation && d.Version < version
 }
 
-// Request makes the request of an exchange: the digest and the changes of servers owned here that no request has
-// carried yet. Send the same request to every peer when servers is not empty.
+// Request makes the request that follows an opening whose summary differs.
 func (r *Registry) Request(now time.Duration) *gossippb.ExchangeRequest {
 	q := &gossippb.ExchangeRequest{From: r.self, Digest: r.Digest(now)}
+	for _, d := range q.Digest {
+		d.AgeMs = 0 // a request may be of any age, so its ages are of no use
+	}
+	return q
+}
+
+// Push makes the request that carries the changes of servers owned here that no request has carried yet. Send it to
+// every peer.
+func (r *Registry) Push() *gossippb.ExchangeRequest {
+	q := &gossippb.ExchangeRequest{From: r.self, Push: true}
 	addresses := make([]string, 0, len(r.pushes))
 	for a := range r.pushes {
 		addresses = append(addresses, a)
@@ -114,10 +123,18 @@
 			q.Servers = append(q.Servers, rec.server)
 		}
 	}
+	if len(q.Servers) > 0 {
+		q.Digest = r.carrier(r.self)
+	}
 	r.pushes = map[string]bool{}
 	return q
 }
 
+// carrier is the digest of a request that carries records of one owner.
+func (r *Registry) carrier(owner GatewayID) []*gossippb.OwnerDigest {
+	return []*gossippb.OwnerDigest{{Owner: owner, Incarnation: r.incarnationOf(owner)}}
+}
+
 // HasPushes reports whether a change waits to be pushed to the peers.
 func (r *Registry) HasPushes() bool { return len(r.pushes) > 0 }
 
@@ -126,10 +143,16 @@
 	r.now = max(r.now, now)
 	incarnations := r.learnIncarnations(q.Digest)
 	r.mergeServers(q.Servers, incarnations)
+	if q.Push {
+		return &gossippb.ExchangeAnswer{}
+	}
+	if len(q.Digest) == 0 {
+		return r.answerSummary(now, q.Summary)
+	}
 	return &gossippb.ExchangeAnswer{Digest: r.Digest(now), Servers: r.Delta(q.Digest)}
 }
 
-// Merge takes the answer to a request. sent is the time at which the request was sent: what the answer tells is not
+// Merge takes the answer to a request, that to an opening after Expand. sent is the time at which the request was sent: what the answer tells is not
 // older, apart from the ages in its digest.
 func (r *Registry) Merge(now, sent time.Duration, a *gossippb.ExchangeAnswer) {
 	r.now = max(r.now, now)
@@ -146,7 +169,7 @@
 
 // FallbackReport makes the request by which a gateway tells the owner that a server has fallen back into cold start.
 // It is nil if the server is unknown, owned here, or not ready.
-func (r *Registry) FallbackReport(now time.Duration, address string, incarnation uint64) (GatewayID, *gossippb.ExchangeRequest) {
+func (r *Registry) FallbackReport(address string, incarnation uint64) (GatewayID, *gossippb.ExchangeRequest) {
 	rec := r.records[address]
 	if rec == nil || rec.held != nil || rec.server.Incarnation != incarnation {
 		return "", nil
@@ -155,8 +178,9 @@
 		return "", nil
 	}
 	s := cloneWithState(rec.server, gossippb.ServerState_SERVER_COLD)
-	q := &gossippb.ExchangeRequest{From: r.self, Digest: r.Digest(now), Servers: []*gossippb.Server{s}}
-	return rec.server.Owner, q
+	owner := rec.server.Owner
+	q := &gossippb.ExchangeRequest{From: r.self, Digest: r.carrier(owner), Servers: []*gossippb.Server{s}, Push: true}
+	return owner, q
 }
 
 // learnIncarnations notes restarts of owners, and returns the incarnations under which a message carries records.
@@ -229,6 +253,5 @@
 		return nil
 	}
 	v.fresh, v.freshAt = true, at
-	v.heartbeat = max(v.heartbeat, d.Heartbeat)
 	return v
 }
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -35,7 +35,6 @@
 	self        GatewayID
 	incarnation uint64
 	version     uint64
-	heartbeat   uint64
 	now         time.Duration
 	records     map[string]*record
 	owners      map[GatewayID]*ownerView
@@ -51,9 +50,8 @@
 type ownerView struct {
 	incarnation uint64
 	// version up to which the table is known completely.
-	version   uint64
-	heartbeat uint64
-	// freshAt is a time at which the heartbeat was certainly current; valid only if fresh.
+	version uint64
+	// freshAt is a time at which the owner certainly lived; valid only if fresh.
 	freshAt time.Duration
 	fresh   bool
 }
@@ -69,10 +67,9 @@
 	}
 }
 
-// Tick advances the clock, raises the own heartbeat, and returns the events since the last call.
+// Tick advances the clock and returns the events since the last call.
 func (r *Registry) Tick(now time.Duration) []Event {
 	r.now = max(r.now, now)
-	r.heartbeat++
 	for _, address := range r.addresses() {
 		r.expire(r.records[address])
 	}
--- a/membership/registry_test.go
+++ b/membership/registry_test.go
@@ -80,7 +80,13 @@
 	}
 	a := Announcement{Server: proto.CloneOf(b.record), Grant: b.grant}
 	owner, first := b.owner, !b.announced
-	n.mail = append(n.mail, func() { n.deliver(b, a, owner, first) })
+	process := n.gateways[owner]
+	n.mail = append(n.mail, func() {
+		// A connection ends with the process at its end, so a gateway that has restarted gets no earlier announcement.
+		if n.gateways[owner] == process {
+			n.deliver(b, a, owner, first)
+		}
+	})
 }
 
 func (n *network) deliver(b *backend, a Announcement, owner int, first bool) {
@@ -151,21 +157,45 @@
 		return
 	}
 	sender, sent := n.gateways[from], n.now
-	request := sender.Request(n.now)
+	opening := sender.Open(n.now)
+	n.request(from, to, opening.Request, func(answer *gossippb.ExchangeAnswer) {
+		if !answer.Differs {
+			sender.Merge(n.now, sent, opening.Expand(answer))
+			return
+		}
+		again := n.now
+		n.request(from, to, sender.Request(again), func(answer *gossippb.ExchangeAnswer) { sender.Merge(n.now, again, answer) })
+	})
+}
+
+// request passes the answer to take unless the sender has restarted.
+func (n *network) request(from, to int, q *gossippb.ExchangeRequest, take func(*gossippb.ExchangeAnswer)) {
+	sender := n.gateways[from]
 	n.mail = append(n.mail, func() {
-		answer := n.gateways[to].Handle(n.now, request)
+		answer := n.gateways[to].Handle(n.now, q)
 		n.mail = append(n.mail, func() {
 			if n.gateways[from] == sender {
-				sender.Merge(n.now, sent, answer)
+				take(answer)
 			}
 		})
 	})
 }
 
+// push sends the changes of one gateway to all others; each copy may be lost.
+func (n *network) push() {
+	g := n.gateway()
+	q := n.gateways[g].Push()
+	for i := range n.gateways {
+		if i != g {
+			n.mail = append(n.mail, func() { n.gateways[i].Handle(n.now, q) })
+		}
+	}
+}
+
 func (n *network) fallback() {
 	b := n.server()
 	g := n.gateways[n.gateway()]
-	owner, request := g.FallbackReport(n.now, b.record.Address, b.record.Incarnation)
+	owner, request := g.FallbackReport(b.record.Address, b.record.Incarnation)
 	if request == nil {
 		return
 	}
@@ -217,6 +247,24 @@
 			n.t.Fatalf("%d gateways may send to the cold server %s", rights, b.record.Address)
 		}
 	}
+	for _, g := range n.gateways {
+		for _, other := range n.gateways {
+			n.checkSummary(g, other)
+		}
+	}
+}
+
+// checkSummary asserts that equal summaries hide no record that a digest would have brought.
+func (n *network) checkSummary(g, other *Registry) {
+	digest := other.Digest(n.now)
+	if g == other || g.summary(g.Digest(n.now)) != other.summary(digest) {
+		return
+	}
+	for _, s := range g.Delta(digest) {
+		if rec := other.records[s.Address]; rec == nil || !proto.Equal(rec.server, s) {
+			n.t.Fatalf("%s and %s have equal summaries, but only one has %v", g.self, other.self, s)
+		}
+	}
 }
 
 // checkLeft asserts that a registry never again lists an incarnation that it knew to have left.
@@ -334,7 +382,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNetwork(t, 3, 3)
 		steps := []func(){
-			n.renew, n.renew, n.renew, n.carry, n.carry, n.carry, n.carry, n.carry, n.carry, n.exchange, n.exchange,
+			n.renew, n.renew, n.renew, n.carry, n.carry, n.carry, n.carry, n.carry, n.carry, n.exchange, n.exchange, n.push,
 			n.pass, n.pass, n.changeState, n.restartServer, n.leave, n.restartGateway, n.fallback,
 			n.operateWithFaults, n.operateWithFaults, n.operateWithFaults, n.operateWithFaults,
 		}
@@ -393,7 +441,13 @@
 
 // ask lets one registry ask another; the answer arrives after a delay.
 func ask(from, to *Registry, sent, delay time.Duration) {
-	answer := to.Handle(sent, from.Request(sent))
+	opening := from.Open(sent)
+	answer := to.Handle(sent, opening.Request)
+	if answer.Differs {
+		answer = to.Handle(sent, from.Request(sent))
+	} else {
+		answer = opening.Expand(answer)
+	}
 	from.Merge(sent+delay, sent, answer)
 }
 
@@ -418,6 +472,35 @@
 			t.Errorf("%s: evidence %v, want 1s", r.self, s.Evidence)
 		}
 	}
+	ask(b, a, 3*time.Second, 0)
+	ask(a, b, 3*time.Second, 0)
+	ask(a, c, 3*time.Second, 0)
+	if a.summary(a.Digest(0)) != b.summary(b.Digest(0)) {
+		t.Fatal("the summaries differ")
+	}
+	ask(b, a, 4*time.Second, 300*time.Millisecond)
+	if s, _ := b.Server("10.0.0.1:80"); s.Evidence != 4*time.Second {
+		t.Errorf("evidence %v by an equal summary, want 4s", s.Evidence)
+	}
+}
+
+// Guards against an exchange that grows by more than 2 bytes an owner while nothing differs, and against ages of an
+// answer that is not one to the opening.
+func TestEqualSummaryIsSmall(t *testing.T) {
+	a, b := New("a", 1), New("b", 1)
+	for i := range 58 {
+		ask(a, New(gatewayName(i), 1), time.Second, 0)
+	}
+	ask(b, a, time.Second, 0)
+	ask(a, b, time.Second, 0)
+	opening := b.Open(2 * time.Second)
+	answer := a.Handle(2*time.Second, opening.Request)
+	if size := proto.Size(opening.Request) + proto.Size(answer); answer.Differs || size > 2*60+20 {
+		t.Errorf("exchange of %d bytes: %v", size, answer)
+	}
+	if other := New("c", 1).Open(time.Second).Expand(answer); len(other.Digest) != 0 {
+		t.Errorf("an answer of %d ages told a gateway that knows one owner %v", len(answer.Ages), other)
+	}
 }
 
 // Guards against the heartbeat of an owner that has restarted vouching for servers that it no longer knows.
