Charge announcements and handshakes to the budget of measuring

Cause: the limiter knew probes and exchanges, but neither answers to announcements and renewals nor the TLS handshakes of new connections between gateways, 2,035 and 1,933 bytes each, nearly all that a gateway sends just after its start. Change: a handshake is charged with the first exchange on a connection, at both sides. Renewals and leavings are charged as a debt and never refused, new announcements are refused while the debt is above half a second's budget; section 5.3 of docs/design.md says why. A message above one second's budget, such as a handshake at 2 KiB/s, goes out from a full bucket instead of never. A gauge counts what exceeds the budget.

--- a/balance/budget/budget.go
+++ b/balance/budget/budget.go
@@ -1,9 +1,13 @@
-// Package budget limits the bytes that a gateway spends on measuring: probes, reports and exchanges of membership.
+// Package budget limits the bytes that a gateway spends on measuring: probes, reports, exchanges of membership and
+// announcements of backend servers.
 //
-// One Limiter serves all of them, so the sum stays within the budget of the document, whatever the events.
+// One Limiter serves all of them. What may be refused (Take) waits for the budget. What must not be refused (Charge)
+// becomes a debt, which half of the budget pays off, so that the rest still permits exchanges. The sum stays within the
+// budget of the document and one BurstTime, unless the charges alone need more than half of it; Totals.Over tells so.
 package budget
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -38,6 +42,7 @@
 type bucket struct {
 	rate    int64
 	tokens  float64
+	owed    float64
 	last    time.Duration
 	totals  Totals
 	started bool
@@ -49,6 +54,8 @@
 	Spent uint64
 	// Denied is the number of bytes refused.
 	Denied uint64
+	// Over is the part of Spent that exceeds the budget and is not paid off.
+	Over uint64
 }
 
 // New returns a limiter with empty buckets that fill from the first call on.
@@ -67,21 +74,49 @@
 }
 
 // Take charges bytes to a scope at a monotonic time and reports whether they may be sent. Nothing is charged when it
-// returns false.
+// returns false. A message above the budget of one BurstTime, which could never be sent otherwise, may be sent from a
+// full bucket without debt; what is missing becomes a debt of at most one BurstTime.
 func (l *Limiter) Take(now time.Duration, s Scope, bytes int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := &l.buckets[s]
 	b.fill(now)
-	if bytes < 0 || float64(bytes) > b.tokens {
+	missing := float64(bytes) - b.tokens
+	large := b.rate > 0 && b.owed == 0 && b.tokens == b.burst() && missing <= b.burst()
+	if bytes < 0 || missing > 0 && !large {
 		b.totals.Denied += uint64(max(bytes, 0))
 		return false
 	}
-	b.tokens -= float64(bytes)
+	b.tokens = max(-missing, 0)
+	b.owed += max(missing, 0)
 	b.totals.Spent += uint64(bytes)
 	return true
 }
 
+// Charge books bytes that must not be refused.
+func (l *Limiter) Charge(now time.Duration, s Scope, bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := &l.buckets[s]
+	b.fill(now)
+	b.charge(bytes)
+}
+
+// Admit is Charge unless the debt would exceed half of what it may reach; it reports whether it charged. The other half
+// is left to charges that must not be refused.
+func (l *Limiter) Admit(now time.Duration, s Scope, bytes int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := &l.buckets[s]
+	b.fill(now)
+	if bytes < 0 || b.owed+float64(bytes) > b.burst()/2 {
+		b.totals.Denied += uint64(max(bytes, 0))
+		return false
+	}
+	b.charge(bytes)
+	return true
+}
+
 // Totals returns the counts of a scope.
 func (l *Limiter) Totals(s Scope) Totals {
 	l.mu.Lock()
@@ -96,6 +131,24 @@
 	}
 	passed := max(now-b.last, 0)
 	b.last = max(now, b.last)
-	b.tokens += passed.Seconds() * float64(b.rate)
-	b.tokens = min(b.tokens, float64(b.rate)*BurstTime.Seconds())
+	gained := passed.Seconds() * float64(b.rate)
+	paid := min(b.owed, gained/2)
+	b.owed -= paid
+	b.tokens += gained - paid
+	if surplus := b.tokens - b.burst(); surplus > 0 {
+		b.owed = max(b.owed-surplus, 0)
+		b.tokens = b.burst()
+	}
 }
+
+func (b *bucket) charge(bytes int) {
+	b.totals.Spent += uint64(max(bytes, 0))
+	b.owed += float64(max(bytes, 0))
+	if over := math.Ceil(b.owed - b.burst()); over > 0 {
+		b.totals.Over += uint64(over)
+		b.owed -= over
+	}
+}
+
+// burst is the most that may be saved, and the most that may be owed.
+func (b *bucket) burst() float64 { return float64(b.rate) * BurstTime.Seconds() }
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -66,8 +66,29 @@
 	announceUnknown         = "unknown_server"
 	announceNotReady        = "not_ready"
 	announceTooLarge        = "too_large"
+	announceBudget          = "budget_spent"
 )
 
+// announceBytes is charged for the answer to an announcement, packet headers included.
+const announceBytes = 250
+
+// admit charges the answer to the budget of measuring. A renewal or a leaving is never refused: a healthy server would
+// seem lost after 4 s, and one that leaves would receive work. Renewals are bounded by one a second and owned server. A
+// new announcement, which also causes a push, is refused while announcements owe half a second's budget; the server goes
+// to the next gateway or tries again, so servers that flap cannot spend more than the budget.
+func (s *state) admit(kind announceKind, region string) error {
+	now, scope := s.clock.now(), s.scope(region)
+	if kind != kindAnnounce {
+		s.limiter.Charge(now, scope, announceBytes)
+		return nil
+	}
+	if s.limiter.Admit(now, scope, announceBytes) {
+		return nil
+	}
+	s.counters.Counter("measuring_denied", "kind", "announcement").Inc(1)
+	return &AnnounceError{http.StatusServiceUnavailable, announceBudget, (&budgetSpentError{}).Error()}
+}
+
 // announceKind selects one of the three operations.
 type announceKind int
 
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
 )
 
@@ -14,6 +15,10 @@
 // lasted.
 const unansweredLimit = 2 * time.Second
 
+// handshakeBytes is charged to each side of a new connection between gateways. A TLS 1.3 handshake with certificates on
+// both sides takes 2,035 bytes at the side that opens the connection and 1,933 at the other, without packet headers.
+const handshakeBytes = 2300
+
 // connections keeps one connection for each peer address.
 type connections struct {
 	dial dialFunc
@@ -49,6 +54,16 @@
 	return open, nil
 }
 
+// openingBytes is what the next call to an address sends beside its own frames: a handshake unless a connection is ready.
+func (c *connections) openingBytes(address string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if open := c.open[address]; open != nil && open.GetState() == connectivity.Ready {
+		return 0
+	}
+	return handshakeBytes
+}
+
 // report notes how a call ended. A failed call closes a connection that has been without an answer for too long; the
 // next call opens a new one.
 func (c *connections) report(used *connection, err error) {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
@@ -29,6 +31,8 @@
 
 // exchanger carries one exchange to another gateway.
 type exchanger interface {
+	// OpeningBytes is what the exchange sends beside its own frames because no connection is open.
+	OpeningBytes(p membership.Peer) int
 	Exchange(ctx context.Context, p membership.Peer, request *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error)
 }
 
@@ -37,6 +41,11 @@
 	connections *connections
 }
 
+// OpeningBytes implements exchanger.
+func (g *grpcExchanger) OpeningBytes(p membership.Peer) int {
+	return g.connections.openingBytes(p.Address)
+}
+
 // Exchange implements exchanger.
 func (g *grpcExchanger) Exchange(ctx context.Context, p membership.Peer, request *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error) {
 	conn, err := g.connections.get(p.ID, p.Address)
@@ -126,7 +135,7 @@
 func (s *state) transmit(ctx context.Context, now time.Duration, p membership.Peer, request *gossippb.ExchangeRequest,
 	take func(at time.Duration, answer *gossippb.ExchangeAnswer)) <-chan struct{} {
 	done := make(chan struct{})
-	if !s.limiter.Take(now, s.scope(p.Region), proto.Size(request)+frameOverheadBytes) {
+	if !s.limiter.Take(now, s.scope(p.Region), proto.Size(request)+frameOverheadBytes+s.peers.OpeningBytes(p)) {
 		s.counters.Counter("measuring_denied", "kind", "gossip").Inc(1)
 		close(done)
 		return done
@@ -163,6 +172,10 @@
 type gossipService struct {
 	gossippb.UnimplementedGossipServer
 	state *state
+
+	mu sync.Mutex
+	// charged holds the connection of each gateway whose handshake has been charged, by the remote address.
+	charged map[string]string
 }
 
 // Exchange implements gossippb.GossipServer. When the budget is spent, the answer is ResourceExhausted without content;
@@ -183,13 +196,35 @@
 	if !ok {
 		return nil, status.Error(codes.Unavailable, "the gateway is stopping")
 	}
-	if !s.limiter.Take(s.clock.now(), s.scope(region), proto.Size(answer)+frameOverheadBytes) {
+	if !g.permits(ctx, request.GetFrom(), s.scope(region), proto.Size(answer)+frameOverheadBytes) {
 		s.counters.Counter("measuring_denied", "kind", "gossip_answer").Inc(1)
 		return nil, status.Error(codes.ResourceExhausted, (&budgetSpentError{}).Error())
 	}
 	return answer, nil
 }
 
+// permits charges an answer, and with the first one on a connection the handshake that this gateway has sent.
+func (g *gossipService) permits(ctx context.Context, from string, scope budget.Scope, bytes int) bool {
+	remote := ""
+	if p, ok := peer.FromContext(ctx); ok && p.Addr != nil {
+		remote = p.Addr.String()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	isNew := g.charged[from] != remote
+	if isNew {
+		bytes += handshakeBytes
+	}
+	ok := g.state.limiter.Take(g.state.clock.now(), scope, bytes)
+	if ok && isNew {
+		if g.charged == nil {
+			g.charged = map[string]string{}
+		}
+		g.charged[from] = remote
+	}
+	return ok
+}
+
 // peerRegion returns "" for a gateway that is not listed; its traffic is charged to the budget between regions.
 func (s *state) peerRegion(name string) string {
 	for _, p := range s.registry.Peers() {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -128,6 +128,8 @@
 func (s *state) exportSpending() {
 	s.counters.Gauge("measuring_bytes_within_region").Update(int64(s.limiter.Totals(budget.WithinRegion).Spent))
 	s.counters.Gauge("measuring_bytes_across_regions").Update(int64(s.limiter.Totals(budget.AcrossRegions).Spent))
+	over := s.limiter.Totals(budget.WithinRegion).Over + s.limiter.Totals(budget.AcrossRegions).Over
+	s.counters.Gauge("measuring_bytes_over_budget").Update(int64(over))
 }
 
 // applyRegistry passes the changes of the registry on to the engine.
@@ -173,6 +175,9 @@
 
 // Register implements registrar.
 func (s *state) Register(kind announceKind, a announcement) (uint64, error) {
+	if err := s.admit(kind, a.Region); err != nil {
+		return 0, err
+	}
 	var answer membership.Answer
 	err := error(&AnnounceError{http.StatusServiceUnavailable, announceNotReady, "the gateway is stopping"})
 	s.do(func(now time.Duration) {
