Answer a gateway that lacks much in parts within the budget

Cause: an answer with the records of 870 servers, about 96 KB by the size of a record of 110 bytes, exceeds what a budget of 12 KB/s permits at once, so the limiter refuses it each time and a restarted gateway does not learn the state. Change: the records of an answer take at most half a second's budget. Owners are answered whole; for the others the digest carries the incarnation only, so that they are asked for again. Each answer starts at another owner. Before: one answer of any size. Conclusion: the full state after a restart passes the limiter. The first try, always in the order of the names, did not converge, because a record beyond its owner's known version is in every answer and held up the others.

--- a/balance/budget/budget.go
+++ b/balance/budget/budget.go
@@ -117,6 +117,14 @@
 	return true
 }
 
+// MessageLimit is half of the budget of one BurstTime: a message of that size waits at most that long for an unused
+// budget and leaves room for others.
+func (l *Limiter) MessageLimit(s Scope) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int(l.buckets[s].burst() / 2)
+}
+
 // Totals returns the counts of a scope.
 func (l *Limiter) Totals(s Scope) Totals {
 	l.mu.Lock()
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -190,7 +190,7 @@
 	region := ""
 	ok := s.do(func(now time.Duration) {
 		region = s.peerRegion(request.GetFrom())
-		answer = s.registry.Handle(now, request)
+		answer = s.registry.HandleWithin(now, request, s.limiter.MessageLimit(s.scope(region)))
 		answer.Marks = s.poison.Own(now, region)
 	})
 	if !ok {
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -140,6 +140,11 @@
 
 // Handle merges a request and answers it. A request may be of any age, so its digest is no evidence.
 func (r *Registry) Handle(now time.Duration, q *gossippb.ExchangeRequest) *gossippb.ExchangeAnswer {
+	return r.HandleWithin(now, q, math.MaxInt)
+}
+
+// HandleWithin is Handle with a limit in bytes for the records of the answer; further exchanges bring the rest.
+func (r *Registry) HandleWithin(now time.Duration, q *gossippb.ExchangeRequest, limit int) *gossippb.ExchangeAnswer {
 	r.now = max(r.now, now)
 	incarnations := r.learnIncarnations(q.Digest)
 	r.mergeServers(q.Servers, incarnations)
@@ -149,7 +154,9 @@
 	if len(q.Digest) == 0 {
 		return r.answerSummary(now, q.Summary)
 	}
-	return &gossippb.ExchangeAnswer{Digest: r.Digest(now), Servers: r.Delta(q.Digest)}
+	a := &gossippb.ExchangeAnswer{Digest: r.Digest(now), Servers: r.Delta(q.Digest)}
+	r.shorten(a, limit)
+	return a
 }
 
 // Merge takes the answer to a request, that to an opening after Expand. sent is the time at which the request was sent: what the answer tells is not
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -44,6 +44,8 @@
 	pushes      map[string]bool
 	// sorted holds the addresses of records in order; nil after a change.
 	sorted []string
+	// shortened counts the answers that left out records.
+	shortened int
 }
 
 // ownerView is what is known of another owner's table.
--- a/membership/registry_test.go
+++ b/membership/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -172,7 +173,11 @@
 func (n *network) request(from, to int, q *gossippb.ExchangeRequest, take func(*gossippb.ExchangeAnswer)) {
 	sender := n.gateways[from]
 	n.mail = append(n.mail, func() {
-		answer := n.gateways[to].Handle(n.now, q)
+		limit := math.MaxInt
+		if to%2 == 1 {
+			limit = 1 // one owner in an answer
+		}
+		answer := n.gateways[to].HandleWithin(n.now, q, limit)
 		n.mail = append(n.mail, func() {
 			if n.gateways[from] == sender {
 				take(answer)
@@ -439,6 +444,35 @@
 	}
 }
 
+// Guards against a restarted gateway that never learns the whole state because one answer exceeds the budget.
+func TestStateArrivesInLimitedAnswers(t *testing.T) {
+	const gateways, servers, limit = 60, 870, 6000
+	peer, restarted, now := New("peer", 1), New("restarted", 1), time.Second
+	for i := range gateways {
+		owner := New(gatewayName(i), 1)
+		for j := i; j < servers; j += gateways {
+			s := &gossippb.Server{Service: "s", Address: fmt.Sprintf("10.0.%d.%d:80", j/250, j%250), Incarnation: 1, Sequence: 1}
+			if _, err := owner.Announce(now, Announcement{Server: s}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		ask(peer, owner, now, 0)
+	}
+	exchanges := 0
+	for ; len(restarted.Servers()) < servers; exchanges++ {
+		answer := peer.HandleWithin(now, restarted.Request(now), limit)
+		size := 0
+		for _, s := range answer.Servers {
+			size += proto.Size(s)
+		}
+		if size > limit || exchanges > gateways {
+			t.Fatalf("exchange %d: %d bytes of records, %d servers known", exchanges, size, len(restarted.Servers()))
+		}
+		restarted.Merge(now, now, answer)
+	}
+	t.Logf("%d exchanges", exchanges)
+}
+
 // ask lets one registry ask another; the answer arrives after a delay.
 func ask(from, to *Registry, sent, delay time.Duration) {
 	opening := from.Open(sent)
