--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
@@ -29,6 +31,8 @@
 
 // exchanger carries one exchange to another gateway.
 type exchanger interface {
+	// OpeningBytes is what the exchange sends beside its own frames because no connection is open.
+	OpeningBytes(p membership.Peer) int
 	Exchange(ctx context.Context, p membership.Peer, request *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error)
 	Introduce(ctx context.Context, p membership.Peer, request *gossippb.IntroduceRequest) (*gossippb.IntroduceAnswer, error)
 }
@@ -38,6 +42,11 @@
 	connections *connections
 }
 
+// OpeningBytes implements exchanger.
+func (g *grpcExchanger) OpeningBytes(p membership.Peer) int {
+	return g.connections.openingBytes(p.Address)
+}
+
 // Exchange implements exchanger.
 func (g *grpcExchanger) Exchange(ctx context.Context, p membership.Peer, request *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error) {
 	conn, err := g.connections.get(p.ID, p.Address)
@@ -60,14 +69,22 @@
 	return answer, err
 }
 
-// exchange sends the digest to one random peer, one time in four in another region.
+// exchange sends a summary to one random peer, one time in four in another region, and the digest after it if the peer
+// knows something else.
 func (s *state) exchange(ctx context.Context, now time.Duration) {
 	p, ok := s.registry.Target(s.region, rand.Uint64())
 	if !ok {
 		return
 	}
-	request := &gossippb.ExchangeRequest{From: s.name, Digest: s.registry.Digest(now), Marks: s.poison.Own(now, p.Region)}
-	s.send(ctx, now, p, request)
+	opening := s.registry.Open(now)
+	opening.Request.Marks = s.poison.Own(now, p.Region)
+	s.transmit(ctx, now, p, opening.Request, func(at time.Duration, answer *gossippb.ExchangeAnswer) {
+		if answer.GetDiffers() {
+			s.send(ctx, at, p, s.registry.Request(at))
+			return
+		}
+		s.registry.Merge(at, now, opening.Expand(answer))
+	})
 }
 
 // push sends changes of servers owned here, and new crash marks, to every peer. The exchanges are kept in underway.
@@ -76,7 +93,7 @@
 	if !s.registry.HasPushes() && len(marks) == 0 {
 		return
 	}
-	request := s.registry.Request(now)
+	request := s.registry.Push()
 	for _, p := range s.registry.Peers() {
 		own := proto.CloneOf(request)
 		own.Marks = marksFor(p.Region, marks)
@@ -118,26 +135,35 @@
 	})
 }
 
-// send starts an exchange if the budget of measuring permits it. The channel is closed when the exchange has ended.
+// send starts a push, or an exchange of digests. The channel is closed when it has ended.
 func (s *state) send(ctx context.Context, now time.Duration, p membership.Peer, request *gossippb.ExchangeRequest) <-chan struct{} {
+	return s.transmit(ctx, now, p, request, func(at time.Duration, answer *gossippb.ExchangeAnswer) {
+		s.registry.Merge(at, now, answer)
+	})
+}
+
+// transmit sends a request if the budget of measuring permits it, and passes the answer to take in the owner goroutine.
+// The channel is closed when this has ended.
+func (s *state) transmit(ctx context.Context, now time.Duration, p membership.Peer, request *gossippb.ExchangeRequest,
+	take func(at time.Duration, answer *gossippb.ExchangeAnswer)) <-chan struct{} {
 	done := make(chan struct{})
-	if !s.limiter.Take(now, s.scope(p.Region), proto.Size(request)+frameOverheadBytes) {
+	if !s.limiter.Take(now, s.scope(p.Region), proto.Size(request)+frameOverheadBytes+s.peers.OpeningBytes(p)) {
 		s.counters.Counter("measuring_denied", "kind", "gossip").Inc(1)
 		close(done)
 		return done
 	}
 	s.outgoing.Go(func() {
 		defer close(done)
-		ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		defer cancel()
-		answer, err := s.peers.Exchange(ctx, p, request)
+		answer, err := s.peers.Exchange(limited, p, request)
 		if err != nil {
 			s.counters.Total("gossip_failed").Inc(1)
 			s.log.Log(eventGossipFailed, telemetry.F("peer", p.ID), telemetry.F("error", err))
 			return
 		}
 		s.poison.Merge(s.clock.now(), p.ID, s.region, answer.GetMarks())
-		s.do(func(at time.Duration) { s.registry.Merge(at, now, answer) })
+		s.do(func(at time.Duration) { take(at, answer) })
 	})
 	return done
 }
@@ -158,6 +184,10 @@
 type gossipService struct {
 	gossippb.UnimplementedGossipServer
 	state *state
+
+	mu sync.Mutex
+	// charged holds the connection of each gateway whose handshake has been charged, by the remote address.
+	charged map[string]string
 }
 
 // Exchange implements gossippb.GossipServer. When the budget is spent, the answer is ResourceExhausted without content;
@@ -172,19 +202,41 @@
 	region := ""
 	ok := s.do(func(now time.Duration) {
 		region = s.peerRegion(request.GetFrom())
-		answer = s.registry.Handle(now, request)
+		answer = s.registry.HandleWithin(now, request, s.limiter.MessageLimit(s.scope(region)))
 		answer.Marks = s.poison.Own(now, region)
 	})
 	if !ok {
 		return nil, status.Error(codes.Unavailable, "the gateway is stopping")
 	}
-	if !s.limiter.Take(s.clock.now(), s.scope(region), proto.Size(answer)+frameOverheadBytes) {
+	if !g.permits(ctx, request.GetFrom(), s.scope(region), proto.Size(answer)+frameOverheadBytes) {
 		s.counters.Counter("measuring_denied", "kind", "gossip_answer").Inc(1)
 		return nil, status.Error(codes.ResourceExhausted, (&budgetSpentError{}).Error())
 	}
 	return answer, nil
 }
 
+// permits charges an answer, and with the first one on a connection the handshake that this gateway has sent.
+func (g *gossipService) permits(ctx context.Context, from string, scope budget.Scope, bytes int) bool {
+	remote := ""
+	if p, ok := peer.FromContext(ctx); ok && p.Addr != nil {
+		remote = p.Addr.String()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	isNew := g.charged[from] != remote
+	if isNew {
+		bytes += handshakeBytes
+	}
+	ok := g.state.limiter.Take(g.state.clock.now(), scope, bytes)
+	if ok && isNew {
+		if g.charged == nil {
+			g.charged = map[string]string{}
+		}
+		g.charged[from] = remote
+	}
+	return ok
+}
+
 // peerRegion returns "" for a gateway that is not listed; its traffic is charged to the budget between regions.
 func (s *state) peerRegion(name string) string {
 	for _, p := range s.registry.Peers() {
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -66,6 +66,8 @@
 	to   map[string]*state
 }
 
+func (e *directExchanger) OpeningBytes(membership.Peer) int { return 0 }
+
 func (e *directExchanger) Exchange(_ context.Context, p membership.Peer, q *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error) {
 	return (&gossipService{state: e.to[p.ID]}).Exchange(fromPeer(e.from), q)
 }
--- a/gateway/introduce.go
+++ b/gateway/introduce.go
@@ -21,10 +21,12 @@
 // replicas, which reaches every gateway within a renewal.
 const introducedFor = 10 * time.Second
 
-// Timing of the introduction. The budget of measuring is empty at the start and may be spent at the receiver, so it is
-// tried again; a peer that stays silent holds up the start for introductionTimeout at most.
+// Timing of the introduction. A peer that cannot be reached holds up the start for silentTimeout. Where only the budget
+// of measuring is missing, it is tried for introductionTimeout: at 10 KiB/s that is enough for the handshakes with 12
+// peers. The others learn of this gateway from the list of the control replicas.
 const (
-	introductionTimeout = 2 * time.Second
+	introductionTimeout = 3 * time.Second
+	silentTimeout       = 2 * time.Second
 	introductionRetry   = 100 * time.Millisecond
 )
 
@@ -67,7 +69,7 @@
 
 // introduce makes this gateway known to every peer and takes over their crash marks. Of two gateways that start together
 // at least the later one has the other on its list, so afterwards each of them knows the other. It returns the number of
-// peers and how many of them answered within introductionTimeout.
+// peers and how many of them answered.
 func (s *state) introduce(ctx context.Context, address string) (peers, answered int) {
 	var list []membership.Peer
 	s.do(func(time.Duration) { list = s.registry.Peers() })
@@ -87,27 +89,41 @@
 	return len(list), int(answers.Load())
 }
 
+// introduceUntilAnswered tries until the peer has answered, has been silent for silentTimeout, or ctx has ended.
 func (s *state) introduceUntilAnswered(ctx context.Context, p membership.Peer, request *gossippb.IntroduceRequest) bool {
-	for !s.introduceTo(ctx, p, request) {
-		if !sleep(ctx, introductionRetry) {
+	var silentSince time.Duration
+	for {
+		err := s.introduceTo(ctx, p, request)
+		if err == nil {
+			return true
+		}
+		if status.Code(err) == codes.ResourceExhausted {
+			silentSince = 0
+		} else if silentSince == 0 {
+			silentSince = s.clock.now()
+		}
+		if silentSince != 0 && s.clock.now()-silentSince >= silentTimeout || !sleep(ctx, introductionRetry) {
+			s.log.Log(eventGossipFailed, telemetry.F("peer", p.ID), telemetry.F("error", err))
 			return false
 		}
 	}
-	return true
 }
 
-func (s *state) introduceTo(ctx context.Context, p membership.Peer, request *gossippb.IntroduceRequest) bool {
-	if !s.limiter.Take(s.clock.now(), s.scope(p.Region), proto.Size(request)+frameOverheadBytes) {
+// introduceTo fails with ResourceExhausted when the budget of measuring is spent here or at the peer.
+func (s *state) introduceTo(ctx context.Context, p membership.Peer, request *gossippb.IntroduceRequest) error {
+	bytes := proto.Size(request) + frameOverheadBytes + s.peers.OpeningBytes(p)
+	if !s.limiter.Take(s.clock.now(), s.scope(p.Region), bytes) {
 		s.counters.Counter("measuring_denied", "kind", "introduction").Inc(1)
-		return false
+		return status.Error(codes.ResourceExhausted, (&budgetSpentError{}).Error())
 	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
 	answer, err := s.peers.Introduce(ctx, p, request)
 	if err != nil {
-		s.log.Log(eventGossipFailed, telemetry.F("peer", p.ID), telemetry.F("error", err))
-		return false
+		return err
 	}
 	s.poison.Merge(s.clock.now(), p.ID, s.region, answer.GetMarks())
-	return true
+	return nil
 }
 
 // Introduce implements gossippb.GossipServer. Crash marks are pushed to the new peer from now on; the answer carries the
@@ -127,7 +143,7 @@
 	if !ok {
 		return nil, status.Error(codes.Unavailable, "the gateway is stopping")
 	}
-	if !s.limiter.Take(s.clock.now(), s.scope(p.Region), proto.Size(answer)+frameOverheadBytes) {
+	if !g.permits(ctx, p.ID, s.scope(p.Region), proto.Size(answer)+frameOverheadBytes) {
 		s.counters.Counter("measuring_denied", "kind", "introduction_answer").Inc(1)
 		return nil, status.Error(codes.ResourceExhausted, (&budgetSpentError{}).Error())
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -129,6 +129,8 @@
 func (s *state) exportSpending() {
 	s.counters.Gauge("measuring_bytes_within_region").Update(int64(s.limiter.Totals(budget.WithinRegion).Spent))
 	s.counters.Gauge("measuring_bytes_across_regions").Update(int64(s.limiter.Totals(budget.AcrossRegions).Spent))
+	over := s.limiter.Totals(budget.WithinRegion).Over + s.limiter.Totals(budget.AcrossRegions).Over
+	s.counters.Gauge("measuring_bytes_over_budget").Update(int64(over))
 }
 
 // applyRegistry passes the changes of the registry on to the engine.
@@ -174,6 +176,9 @@
 
 // Register implements registrar.
 func (s *state) Register(kind announceKind, a announcement) (uint64, error) {
+	if err := s.admit(kind, a.Region); err != nil {
+		return 0, err
+	}
 	var answer membership.Answer
 	err := error(&AnnounceError{http.StatusServiceUnavailable, announceNotReady, "the gateway is stopping"})
 	s.do(func(now time.Duration) {
@@ -239,7 +244,7 @@
 func (s *state) fallback(ctx context.Context, now time.Duration, n balance.Notice) {
 	s.log.Log(eventServerFellBack, telemetry.F("service", n.Service), telemetry.F("address", n.Address))
 	s.registry.SetCold(n.Address, n.Incarnation, true)
-	owner, request := s.registry.FallbackReport(now, n.Address, n.Incarnation)
+	owner, request := s.registry.FallbackReport(n.Address, n.Incarnation)
 	if request == nil {
 		return
 	}
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -35,7 +35,6 @@
 	self        GatewayID
 	incarnation uint64
 	version     uint64
-	heartbeat   uint64
 	now         time.Duration
 	records     map[string]*record
 	owners      map[GatewayID]*ownerView
@@ -45,15 +44,16 @@
 	pushes      map[string]bool
 	// sorted holds the addresses of records in order; nil after a change.
 	sorted []string
+	// shortened counts the answers that left out records.
+	shortened int
 }
 
 // ownerView is what is known of another owner's table.
 type ownerView struct {
 	incarnation uint64
 	// version up to which the table is known completely.
-	version   uint64
-	heartbeat uint64
-	// freshAt is a time at which the heartbeat was certainly current; valid only if fresh.
+	version uint64
+	// freshAt is a time at which the owner certainly lived; valid only if fresh.
 	freshAt time.Duration
 	fresh   bool
 }
@@ -69,10 +69,9 @@
 	}
 }
 
-// Tick advances the clock, raises the own heartbeat, and returns the events since the last call.
+// Tick advances the clock and returns the events since the last call.
 func (r *Registry) Tick(now time.Duration) []Event {
 	r.now = max(r.now, now)
-	r.heartbeat++
 	for _, address := range r.addresses() {
 		r.expire(r.records[address])
 	}
