Count the age of outstanding requests only beyond their queue

Cause: expected() took the age of outstanding requests for the work time and stretched it by the queue again, so at load 0.95 full servers of the own region seemed slower than other regions. Change: the age counts only where it exceeds the wait that the queue explains.

--- a/balance/score.go
+++ b/balance/score.go
@@ -6,14 +6,19 @@
 const idleWeight = 0.15
 
 // expected is the expected time to an answer in ns without the network: the work time, stretched by the queue for
-// slots, and at least the mean age of what is outstanding.
+// slots. The mean age of what is outstanding takes the place of the work time only where it exceeds that; a shorter age
+// is explained by the queue, and counting it as well makes full servers seem slow and sends requests to other regions.
 func (s *Snapshot) expected(v *serviceView, c *candidate, now time.Duration) float64 {
 	own := c.load.inFlight.Load()
-	work := s.work(v, c, now)
-	if !s.config.Switches.NoInFlightAge {
-		work = max(work, float64(c.load.meanAge(now, own)-c.cost))
+	factor := stretch(s.total(v, c, now, own), c.slots)
+	wait := s.work(v, c, now) * factor
+	if s.config.Switches.NoInFlightAge {
+		return wait
 	}
-	return work * stretch(s.total(v, c, now, own), c.slots)
+	if age := float64(c.load.meanAge(now, own) - c.cost); age > wait {
+		return age * factor
+	}
+	return wait
 }
 
 // work is the work time of one request in ns.
