Keep the sequence of a fallback by behaviour in the policy bench

Cause: the bench raised the sequence of a server when a gateway noticed its fallback, which a gateway never does, so the engine took the fallback for an announced cold start and could not end one that its owner had no use for. Change: the sequence stays as it is.

--- a/testbed/policybench/simulation.go
+++ b/testbed/policybench/simulation.go
@@ -203,10 +203,10 @@
 	}
 }
 
-// takeFallback has the owner announce a fallback that some gateway noticed.
+// takeFallback has the owner announce a fallback that some gateway noticed. As in a gateway, the sequence stays: only the
+// server itself raises it.
 func (s *simulation) takeFallback(v *server) {
 	if v.announced == balance.StateReady {
-		v.sequence++
 		s.announce(v, balance.StateCold, v.sequence)
 	}
 }
@@ -214,7 +214,6 @@
 // takeWarm has the owner announce that a server has warmed up without telling so.
 func (s *simulation) takeWarm(v *server) {
 	if v.announced == balance.StateCold {
-		v.sequence++
 		s.announce(v, balance.StateReady, v.sequence)
 	}
 }
