Judge late answers of a cold server by the typical work time

Cause: an answer counted as late above 2.5 times the fastest one; work times of equal requests differ by more, so the limit of a server that was wrongly taken for cold kept falling, and it stayed out for a second after it was fast again. Change: late is above 4 times the fastest answer or the typical work time.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -96,7 +96,7 @@
 		return
 	}
 	if a.cold {
-		c.load.cold.answered(now, ok, work, c.slots)
+		c.load.cold.answered(now, ok, work, typical, c.slots)
 	}
 	if o.Kind == OutcomeNotRun && o.Pause > 0 && !a.cold {
 		// The pause deals with a server that sheds load; its speed is not known to have changed.
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -9,8 +9,9 @@
 const (
 	// coldStep is the number of answers on time that raise the limit by one.
 	coldStep = 4
-	// lateFactor makes an answer of a cold server late, in times of its fastest answer since the start.
-	lateFactor = 2.5
+	// lateFactor makes an answer of a cold server late, in times of its fastest answer since the start or of the typical
+	// work time, whichever is longer. The fastest alone is too strict: work times of equal requests differ as much.
+	lateFactor = 4
 	// oddFactor makes an answer of a warm server odd, in times of its own history.
 	oddFactor = 4
 	// oddCount and oddTime are how many answers in a row, over how long, must be odd for a fallback. Noise of
@@ -65,14 +66,14 @@
 }
 
 // answered raises the limit after enough answers on time, and halves it after a late answer or a failure.
-func (c *coldStart) answered(now time.Duration, ok bool, work float64, most int64) {
+func (c *coldStart) answered(now time.Duration, ok bool, work, typical float64, most int64) {
 	c.usedAt.raise(now)
 	fastest := c.fastest.load()
 	if ok && (fastest == 0 || work < fastest) {
 		c.fastest.store(work)
 		fastest = work
 	}
-	if !ok || work > fastest*lateFactor {
+	if !ok || work > max(fastest, typical)*lateFactor {
 		c.onTime.Store(0)
 		c.extra.Store(c.extra.Load() / 2)
 		return
