Take the typical work time for a server in cold start

Cause: the owner avoided a server in cold start because of the slow answers from before it, so the limit did not rise, and a straggler that was taken for cold stayed out for seconds. Change: the history of a server does not count while it is cold.

--- a/balance/score.go
+++ b/balance/score.go
@@ -27,7 +27,7 @@
 	if typical == 0 {
 		typical = float64(minWork)
 	}
-	if s.config.Switches.NoLatency {
+	if s.config.Switches.NoLatency || s.isCold(c, now) {
 		return typical
 	}
 	return c.load.latency.estimate(now, typical)
