End a fallback only when the server is as fast as usual

Cause: a server that never reports its cold start was declared warm when its limit reached its slots, although it still worked at half its speed; all gateways then sent to it at once. Change: the fallback ends when the mean of 32 answers at the full limit is at most 1.3 typical work times, or after 5 s.

--- a/balance/atomics.go
+++ b/balance/atomics.go
@@ -12,6 +12,16 @@
 func (f *atomicFloat) load() float64   { return math.Float64frombits(f.bits.Load()) }
 func (f *atomicFloat) store(v float64) { f.bits.Store(math.Float64bits(v)) }
 
+// add adds to the value.
+func (f *atomicFloat) add(d float64) {
+	for {
+		old := f.bits.Load()
+		if f.bits.CompareAndSwap(old, math.Float64bits(math.Float64frombits(old)+d)) {
+			return
+		}
+	}
+}
+
 // blend moves the value towards a sample by a weight between 0 and 1.
 func (f *atomicFloat) blend(sample, weight float64) {
 	for {
--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -28,7 +28,7 @@
 		return
 	}
 	a.learnReachable(now)
-	a.learnState(o)
+	a.learnState(now, o)
 	a.learnPause(now, o)
 	a.learnLatency(now, o)
 	a.learnLoad(now, o)
@@ -52,7 +52,7 @@
 }
 
 // learnState takes the state header. It is evidence as of the time at which the request was sent.
-func (a Attempt) learnState(o Outcome) {
+func (a Attempt) learnState(now time.Duration, o Outcome) {
 	if !o.Reported {
 		return
 	}
@@ -62,7 +62,7 @@
 		l.evidence.raise(a.start)
 	}
 	if o.State == StateCold && before != StateCold && a.candidate.server.State != StateCold {
-		l.cold.begin()
+		l.cold.begin(now)
 		l.cold.told.Store(false)
 	}
 }
@@ -103,7 +103,10 @@
 		return
 	}
 	total := a.snapshot.total(a.view, c, now, c.load.inFlight.Load())
-	seen := work / max(1, (total+1)/float64(c.slots))
+	seen := work
+	if !a.cold { // at a cold server, the limit leaves no queue
+		seen /= max(1, (total+1)/float64(c.slots))
+	}
 	a.watchFallback(now, o, seen, total)
 	if !ok && !sw.NoFailurePenalty {
 		seen = max(seen, failurePenalty*typical)
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -22,6 +22,14 @@
 	cancelSettle = 5 * time.Millisecond
 	// suspicionTime is how long a gateway that does not own the server stops sending after it noticed a fallback.
 	suspicionTime = 2 * time.Second
+	// warmFactor is the work time, in typical work times, up to which a server that fell back counts as warm. A server in
+	// cold start is about half as fast as usual.
+	warmFactor = 1.3
+	// warmAnswers is the number of answers whose mean decides that; work times vary too much for fewer.
+	warmAnswers = 32
+	// longestFallback is the time after which a fallback ends even though the server is still slow; without it, a server
+	// that is slower than the others would stay limited for ever.
+	longestFallback = 5 * time.Second
 	// unusedFallback is how long the owner may leave a server that fell back without requests. An owner in another
 	// failure domain prefers its own servers; without this limit, nobody would ever send to such a server again.
 	unusedFallback = 5 * time.Second
@@ -44,6 +52,12 @@
 	// noticedAt is when the owner learned of a fallback by behaviour; 0 for none. It belongs to the owner goroutine.
 	noticedAt time.Duration
 
+	// begun is when the limit last fell to 1.
+	begun atomicTime
+	// works is the sum of the work times of the answers counted by judged, since the limit reached the server's slots.
+	works  atomicFloat
+	judged atomic.Int32
+
 	// settled is when the newest cancelled request has certainly ended at the server.
 	settled atomicTime
 
@@ -54,7 +68,10 @@
 func (c *coldStart) limit() int64 { return 1 + c.extra.Load() }
 
 // begin falls back to the limit at once.
-func (c *coldStart) begin() {
+func (c *coldStart) begin(now time.Duration) {
+	c.begun.store(now)
+	c.judged.Store(0)
+	c.works.store(0)
 	c.extra.Store(0)
 	c.onTime.Store(0)
 	c.fastest.store(0)
@@ -73,6 +90,9 @@
 		c.fastest.store(work)
 		fastest = work
 	}
+	if ok && c.limit() >= most {
+		c.judgeSpeed(work)
+	}
 	if !ok || work > max(fastest, typical)*lateFactor {
 		c.onTime.Store(0)
 		c.extra.Store(c.extra.Load() / 2)
@@ -86,6 +106,24 @@
 	c.extra.CompareAndSwap(limit-1, limit)
 }
 
+// judgeSpeed counts a work time towards the end of a fallback.
+func (c *coldStart) judgeSpeed(work float64) {
+	c.works.add(work)
+	c.judged.Add(1)
+}
+
+// isFast reports whether the answers since the last judgement show the usual speed; it needs enough of them.
+func (c *coldStart) isFast(typical float64) bool {
+	n := c.judged.Load()
+	if n < warmAnswers {
+		return false
+	}
+	mean := c.works.load() / float64(n)
+	c.judged.Store(0)
+	c.works.store(0)
+	return mean <= warmFactor*typical
+}
+
 // watch counts odd answers of a warm server and reports whether they amount to a fallback.
 func (c *coldStart) watch(now time.Duration, odd bool) bool {
 	if !odd {
@@ -102,7 +140,7 @@
 // suspect notes a fallback noticed by behaviour.
 func (c *coldStart) suspect(now time.Duration) {
 	c.odd.Store(0)
-	c.begin()
+	c.begin(now)
 	c.told.Store(false)
 	c.fallback.store(now)
 }
--- a/balance/engine.go
+++ b/balance/engine.go
@@ -113,7 +113,8 @@
 		r.load.reported.Store(uint32(StateReady))
 	}
 	if r.server.State == StateCold && old.State != StateCold {
-		r.load.cold.begin()
+		r.load.cold.begin(e.now)
+		r.load.latency.reset()
 		r.load.cold.noticedAt = 0
 		if r.server.Sequence == old.Sequence { // a fallback by behaviour; the server itself raises its sequence
 			r.load.cold.noticedAt = e.now
--- a/balance/pick_test.go
+++ b/balance/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -329,3 +330,39 @@
 		t.Errorf("estimate after 30 s is %v, want at most %v", time.Duration(got), time.Duration(usualSpread*typical))
 	}
 }
+
+// Guards against a server that is sent its full load while it still works at half its speed after a fallback, and
+// against one that stays limited although it is as fast as the others.
+func TestFallbackEndsAtUsualSpeed(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		work time.Duration
+		ends bool
+	}{{"half speed", 10 * time.Millisecond, false}, {"usual speed", 5 * time.Millisecond, true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			e := New(Config{Region: "r", FailureDomain: "d0"})
+			for i := range 3 {
+				e.Apply(ServerChanged{testServer(i)})
+				e.servers[testServer(i).Address].load.latency.add(second, float64(5*time.Millisecond))
+			}
+			cold := testServer(0)
+			cold.Owned, cold.State, cold.SendUntil, cold.Evidence = true, StateCold, time.Hour, time.Hour
+			e.Tick(second)
+			e.Apply(ServerChanged{cold})
+			q := Query{Now: second, Service: "s", AnyRegion: true, Excluded: [MaxExcluded]string{testServer(1).Address, testServer(2).Address}}
+			for range 2 * (warmAnswers + cold.Slots*coldStep) {
+				a, r := e.Current().Pick(q)
+				if r.Refused() {
+					t.Fatalf("refused: %v", r)
+				}
+				a.Done(Outcome{Latency: tt.work})
+				q.Now += tt.work
+				e.Tick(q.Now)
+			}
+			ended := slices.ContainsFunc(e.Notices(), func(n Notice) bool { return n.Kind == NoticeWarm })
+			if ended != tt.ends {
+				t.Errorf("fallback ended: %v, want %v", ended, tt.ends)
+			}
+		})
+	}
+}
--- a/balance/tick.go
+++ b/balance/tick.go
@@ -37,7 +37,7 @@
 	records, load := e.byService[name], e.services[name]
 	e.renewTypical(records, load)
 	e.eject(records, load.typical.load())
-	e.passFallbacks(records)
+	e.passFallbacks(records, load.typical.load())
 	e.wantProbes(name, records, load)
 	if after, ok := load.latencies.quantile(hedgeQuantile); ok {
 		load.hedgeAfter.store(after)
@@ -72,7 +72,7 @@
 
 // passFallbacks reports fallbacks to the gateway once, and their end: the owner's limit has risen to the server's slots,
 // or the owner has no use for the server, and the server itself does not report a cold start.
-func (e *Engine) passFallbacks(records []*record) {
+func (e *Engine) passFallbacks(records []*record, typical float64) {
 	e.capSuspicions(records)
 	for _, r := range records {
 		c := &r.load.cold
@@ -82,7 +82,7 @@
 			e.notice(NoticeFallback, r)
 		}
 		cold := suspected || r.server.State == StateCold
-		ended := c.limit() >= slots(r.server) || c.isUnused(e.now)
+		ended := e.isWarm(r, typical) || c.isUnused(e.now)
 		if cold && !reported && r.server.Owned && ended {
 			c.fallback.store(0)
 			e.notice(NoticeWarm, r)
@@ -90,6 +90,14 @@
 	}
 }
 
+// isWarm reports whether the owner's limit has risen to the server's slots, and the server is as fast as usual or has
+// been limited for long.
+func (e *Engine) isWarm(r *record, typical float64) bool {
+	c := &r.load.cold
+	full := c.limit() >= slots(r.server)
+	return full && (c.isFast(typical) || e.now-c.begun.load() > longestFallback)
+}
+
 // capSuspicions drops suspicions when too many servers of a service are cold: then the load is the likelier cause, and
 // limits would make it worse.
 func (e *Engine) capSuspicions(records []*record) {
