Smooth the typical work time of a service

Cause: the typical work time was the median of one tick; a gateway hears of a few servers only, so under noise it swung between 4.6 and 10 ms, and servers at half speed passed for warm. Change: it moves by 0.02 of the difference at each tick.

--- a/balance/tick.go
+++ b/balance/tick.go
@@ -10,6 +10,9 @@
 const (
 	// hedgeQuantile is the latency quantile after which a hedge is sent.
 	hedgeQuantile = 0.92
+	// typicalWeight moves the typical work time at each tick. A gateway hears of a few servers only, so that the median of
+	// one tick varies by a factor of two under noise.
+	typicalWeight = 0.02
 	// fadeInterval is the time after which the weight of counted latencies is halved.
 	fadeInterval = 500 * time.Millisecond
 	// probeMargin is the time before the end of evidence at which a probe is wanted.
@@ -63,7 +66,11 @@
 	}
 	if len(e.works) > 0 {
 		slices.Sort(e.works)
-		load.typical.store(e.works[(len(e.works)-1)/2])
+		median := e.works[(len(e.works)-1)/2]
+		if load.typical.load() == 0 {
+			load.typical.store(median)
+		}
+		load.typical.blend(median, typicalWeight)
 	}
 	if reports > 0 {
 		load.typicalOthers.store(others / float64(reports))
