Add scenarios in which pause, return, budget and ejection should matter

Change: servers that shed everything, a failure domain that comes back in an unreported cold start, a dependency that fails for all servers, servers that fail in part, and servers that hang.

--- a/testbed/policybench/scenario.go
+++ b/testbed/policybench/scenario.go
@@ -26,6 +26,8 @@
 	// noisySlowness is the factor of a noisy neighbour; stragglerSlowness that of a straggler.
 	noisySlowness     = 10
 	stragglerSlowness = 12
+	// hangingSlowness lets no request end before its deadline.
+	hangingSlowness = 1e4
 )
 
 var scenarios = []scenario{
@@ -45,6 +47,11 @@
 	{"false reports", usualLoad, usualTime, false, falseReports},
 	{"flapping announcements", usualLoad, usualTime, false, flapping},
 	{"noise and cold fallback", usualLoad, usualTime, false, func(s *simulation) { noise(s); coldFallbacks(s) }},
+	{"partly failing, run once", usualLoad, usualTime, true, partlyFailing},
+	{"hanging servers, run once", usualLoad, domainTime, true, hanging},
+	{"shedding servers", usualLoad, usualTime, false, shedding},
+	{"failing dependency", usualLoad, usualTime, false, failingDependency},
+	{"domain back, silently cold", domainLoad, domainTime, false, func(s *simulation) { domainOut(s); silentlyCold(s) }},
 	{"domain out and stragglers", domainLoad, domainTime, false, func(s *simulation) { domainOut(s); stragglers(s) }},
 }
 
@@ -82,6 +89,53 @@
 	}
 }
 
+// partlyFailing lets two servers fail seven of ten requests at once for 3 s.
+func partlyFailing(s *simulation) {
+	for _, i := range []int{2, 7} {
+		v := s.servers[i]
+		s.clock.at(s.begin()+500*time.Millisecond, func() { v.failShare = 0.7 })
+		s.clock.at(s.begin()+3500*time.Millisecond, func() { v.failShare = 0 })
+	}
+}
+
+// hanging stops two servers for 12 s: they accept requests and answer none.
+func hanging(s *simulation) {
+	for _, i := range []int{2, 7} {
+		v := s.servers[i]
+		s.clock.at(s.begin()+500*time.Millisecond, func() { v.setSlowness(hangingSlowness) })
+		s.clock.at(s.begin()+12500*time.Millisecond, func() { v.setSlowness(1) })
+	}
+}
+
+// shedding lets two servers shed every request for 1.5 s, as in maintenance.
+func shedding(s *simulation) {
+	for _, i := range []int{2, 7} {
+		v := s.servers[i]
+		s.clock.at(s.begin()+500*time.Millisecond, func() { v.shedding = true })
+		s.clock.at(s.begin()+2*time.Second, func() { v.shedding = false })
+	}
+}
+
+// failingDependency lets all servers fail nine of ten requests after their work for 2 s, as when something that they all
+// depend on is down.
+func failingDependency(s *simulation) {
+	for _, v := range s.servers {
+		s.clock.at(s.begin()+500*time.Millisecond, func() { v.failShare, v.failLate = 0.9, true })
+		s.clock.at(s.begin()+2500*time.Millisecond, func() { v.failShare, v.failLate = 0, false })
+	}
+}
+
+// silentlyCold lets the servers of the domain that was out come back in a cold start that they do not report.
+func silentlyCold(s *simulation) {
+	for _, v := range s.servers {
+		if v.place.domain != s.servers[0].place.domain {
+			continue
+		}
+		s.clock.at(s.begin()+4900*time.Millisecond, func() { v.fallBack(true, 0) })
+		s.clock.at(s.begin()+12*time.Second, v.warm)
+	}
+}
+
 // coldStarts begins with two servers that have announced a cold start; what they bear counts from the beginning.
 func coldStarts(s *simulation) {
 	for _, i := range []int{2, 7} {
--- a/testbed/policybench/server.go
+++ b/testbed/policybench/server.go
@@ -32,6 +32,11 @@
 	// slowness stretches all work; 1 is normal.
 	slowness float64
 	failing  bool
+	// failShare is the share of requests that fail, at once or, if failLate is set, after their work.
+	failShare float64
+	failLate  bool
+	// shedding: the server sheds every request with a Retry-After, whatever its load.
+	shedding bool
 	down     bool
 	cold     bool
 	silent   bool // reports ready although it is cold
@@ -82,10 +87,10 @@
 
 func (s *server) arrive(j *job) {
 	switch {
-	case s.failing:
+	case s.failing || !s.failLate && s.fails():
 		s.sim.clock.after(failTime, func() { s.finish(j, balance.OutcomeFailed) })
 		return
-	case !s.cold && s.inFlight() >= shedFactor*s.slots:
+	case s.shedding || !s.cold && s.inFlight() >= shedFactor*s.slots:
 		s.finish(j, balance.OutcomeNotRun)
 		return
 	}
@@ -149,11 +154,18 @@
 	s.update()
 	s.remove(j)
 	s.finished++
-	s.finish(j, balance.OutcomeOK)
+	kind := balance.OutcomeOK
+	if s.failLate && s.fails() {
+		kind = balance.OutcomeFailed
+	}
+	s.finish(j, kind)
 	s.fill()
 	s.schedule()
 }
 
+// fails draws whether a request fails.
+func (s *server) fails() bool { return s.failShare > 0 && s.sim.failures.Float64() < s.failShare }
+
 // cancel frees the place of a job that nobody waits for.
 func (s *server) cancel(j *job) {
 	if j.ended {
--- a/testbed/policybench/simulation.go
+++ b/testbed/policybench/simulation.go
@@ -32,15 +32,15 @@
 	byAddress  map[string]*server
 	gateways   []*gateway
 	// Separate sources keep arrivals, work and faults equal for all policies.
-	arrivals, faults, picks *rand.Rand
-	result                  result
+	arrivals, faults, picks, failures *rand.Rand
+	result                            result
 }
 
 func newSimulation(r run) *simulation {
 	s := &simulation{
 		deployment: r.deployment, scenario: r.scenario, policy: r.policy, byAddress: map[string]*server{},
 		arrivals: rand.New(rand.NewPCG(r.seed, 1)), faults: rand.New(rand.NewPCG(r.seed, 2)),
-		picks: rand.New(rand.NewPCG(r.seed, 3)),
+		picks: rand.New(rand.NewPCG(r.seed, 3)), failures: rand.New(rand.NewPCG(r.seed, 4)),
 	}
 	s.clock.now = start
 	s.result = newResult(r, start+warmUp, s.end())
