Eject only servers that hang

Change: the share of failures no longer counts, and a server must take 20 typical work times instead of 6.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -112,7 +112,6 @@
 		seen = max(seen, failurePenalty*typical)
 	}
 	c.load.latency.add(now, seen)
-	c.load.strikes.answered(!counts(o, total, c.slots))
 }
 
 // watchCancelled counts an attempt that a hedge overtook; otherwise hedging would hide a fallback.
@@ -126,14 +125,6 @@
 	}
 }
 
-// counts tells which outcomes count for ejection. A busy server that sheds load is healthy.
-func counts(o Outcome, total float64, slots int64) bool {
-	if o.Kind == OutcomeNotRun {
-		return o.Pause == 0 && total < float64(slots)/2
-	}
-	return o.Kind != OutcomeOK
-}
-
 // watchFallback compares an answer with the server's own history.
 func (a Attempt) watchFallback(now time.Duration, o Outcome, seen, total float64) {
 	c := a.candidate
--- a/balance/eject.go
+++ b/balance/eject.go
@@ -1,26 +1,20 @@
 package balance
 
-import (
-	"sync/atomic"
-	"time"
-)
+import "time"
 
 // Constants of ejection.
 const (
 	// ejectedShare: at most one server in this many of a service is ejected.
 	ejectedShare = 3
-	// stragglerFactor makes a server a straggler, in typical work times.
-	stragglerFactor = 6
-	// stragglerFloor keeps small differences from counting.
-	stragglerFloor = 4 * time.Millisecond
-	// stragglerTime is how long a server must be slow. Noise of neighbours shifts faster.
-	stragglerTime = 600 * time.Millisecond
-	// failureShare is the share of failures above which a server is ejected.
-	failureShare = 0.5
+	// hangFactor makes a server hang, in typical work times. Servers that are slow but answer are avoided by their expected
+	// wait; ejecting them as well takes capacity away, above all while a failure domain is out.
+	hangFactor = 20
+	// hangFloor keeps small differences from counting.
+	hangFloor = 4 * time.Millisecond
+	// hangTime is how long a server must hang. Noise of neighbours shifts faster.
+	hangTime = 600 * time.Millisecond
 	// minAnswers is the number of answers below which a server is not judged.
 	minAnswers = 4
-	// failureWeight moves the share of failures at each answer.
-	failureWeight = 0.2
 	// ejectFirst and ejectMost bound the time of ejection, which doubles with each ejection in a row.
 	ejectFirst = time.Second
 	ejectMost  = 30 * time.Second
@@ -29,29 +23,13 @@
 	forgiveAfter = time.Minute
 )
 
-// strikes is what counts against a server.
+// strikes is what counts against a server; it belongs to the owner goroutine.
 type strikes struct {
-	failures atomicFloat
-	answers  atomic.Uint32
-	// slowSince belongs to the owner goroutine; 0 for not slow.
-	slowSince time.Duration
-	ejections int
-	lastEnd   time.Duration
-	ejected   bool
-}
-
-func (s *strikes) answered(ok bool) {
-	s.answers.Add(1)
-	sample := 1.0
-	if ok {
-		sample = 0
-	}
-	s.failures.blend(sample, failureWeight)
-}
-
-// failing reports whether most of the recent answers were failures.
-func (s *strikes) failing() bool {
-	return s.answers.Load() >= minAnswers && s.failures.load() > failureShare
+	// hangsSince is 0 for a server that does not hang.
+	hangsSince time.Duration
+	ejections  int
+	lastEnd    time.Duration
+	ejected    bool
 }
 
 // eject decides for one service which servers receive nothing for a while; records are in the order of addresses.
@@ -82,9 +60,7 @@
 	}
 	s.ejected = false
 	s.lastEnd = e.now
-	s.failures.store(0)
-	s.answers.Store(0)
-	s.slowSince = 0
+	s.hangsSince = 0
 	r.load.latency.reset()
 	r.load.returnStart.store(e.now)
 	e.notice(NoticeReturned, r)
@@ -95,22 +71,19 @@
 		return false
 	}
 	s := &r.load.strikes
-	if s.failing() {
-		return true
-	}
-	if !e.slow(r, typical) {
-		s.slowSince = 0
+	if !e.hangs(r, typical) {
+		s.hangsSince = 0
 		return false
 	}
-	if s.slowSince == 0 {
-		s.slowSince = e.now
+	if s.hangsSince == 0 {
+		s.hangsSince = e.now
 	}
-	return e.now-s.slowSince >= stragglerTime
+	return e.now-s.hangsSince >= hangTime
 }
 
-// slow compares the newest answers and the age of what is outstanding, less the wait for slots, with the typical work
+// hangs compares the newest answers and the age of what is outstanding, less the wait for slots, with the typical work
 // time.
-func (e *Engine) slow(r *record, typical float64) bool {
+func (e *Engine) hangs(r *record, typical float64) bool {
 	if typical == 0 {
 		return false
 	}
@@ -121,7 +94,7 @@
 	if r.load.latency.samples.Load() >= minAnswers {
 		work = max(age, r.load.latency.fast.load())
 	}
-	return work > stragglerFactor*typical+float64(stragglerFloor)
+	return work > hangFactor*typical+float64(hangFloor)
 }
 
 func (e *Engine) startEjection(r *record) {
