Leave failures out of the typical work time

Cause: a failure counts as 6 typical work times, and the typical work time was the median of estimates that include this penalty; when most servers failed, it grew without bound and requests were refused as hopeless or overloaded. Change: the typical work time comes from answers and cancelled attempts only.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -112,6 +112,9 @@
 		seen = max(seen, failurePenalty*typical)
 	}
 	c.load.latency.add(now, seen)
+	if ok {
+		c.load.latency.addUsual(seen)
+	}
 }
 
 // watchCancelled counts an attempt that a hedge overtook; otherwise hedging would hide a fallback.
--- a/balance/latency.go
+++ b/balance/latency.go
@@ -29,7 +29,9 @@
 	samples atomic.Uint32
 	fast    atomicFloat
 	slow    atomicFloat
-	last    atomicTime
+	// usual leaves out failures: their penalty is a multiple of the typical work time, which is taken from here.
+	usual atomicFloat
+	last  atomicTime
 }
 
 func (l *latency) add(now time.Duration, work float64) {
@@ -43,10 +45,19 @@
 	l.last.raise(now)
 }
 
+// addUsual takes a work time that no penalty has changed.
+func (l *latency) addUsual(work float64) {
+	if l.usual.load() == 0 {
+		l.usual.store(work)
+	}
+	l.usual.blend(work, slowWeight)
+}
+
 // atLeast takes a lower bound, known from an attempt that was cancelled.
 func (l *latency) atLeast(now time.Duration, work float64) {
 	if work > l.fast.load() {
 		l.add(now, work)
+		l.addUsual(work)
 	}
 }
 
@@ -70,4 +81,7 @@
 }
 
 // reset forgets what was learnt, so that the typical work time applies.
-func (l *latency) reset() { l.samples.Store(0) }
+func (l *latency) reset() {
+	l.samples.Store(0)
+	l.usual.store(0)
+}
--- a/balance/pick_test.go
+++ b/balance/pick_test.go
@@ -158,12 +158,19 @@
 	}
 }
 
+// answer5ms lets a server have answered in 5 ms.
+func answer5ms(e *Engine, server int) {
+	l := &e.servers[testServer(server).Address].load.latency
+	l.add(second, float64(5*time.Millisecond))
+	l.addUsual(float64(5 * time.Millisecond))
+}
+
 // Guards against ejecting more than a third of a service, and against keeping servers that answer nothing.
 func TestEjectionCap(t *testing.T) {
 	e := engineWith(9, Config{})
 	now := second
 	for i := range 9 {
-		e.servers[testServer(i).Address].load.latency.add(now, float64(5*time.Millisecond))
+		answer5ms(e, i)
 	}
 	for range 60 { // as many as the servers left after three ejections take
 		now += 20 * time.Millisecond
@@ -377,7 +384,7 @@
 			e := New(Config{Region: "r", FailureDomain: "d0"})
 			for i := range 3 {
 				e.Apply(ServerChanged{testServer(i)})
-				e.servers[testServer(i).Address].load.latency.add(second, float64(5*time.Millisecond))
+				answer5ms(e, i)
 			}
 			cold := testServer(0)
 			cold.Owned, cold.State, cold.SendUntil, cold.Evidence = true, StateCold, time.Hour, time.Hour
--- a/balance/tick.go
+++ b/balance/tick.go
@@ -56,8 +56,8 @@
 	var others float64
 	reports := 0
 	for _, r := range records {
-		if r.load.latency.samples.Load() > 0 {
-			e.works = append(e.works, r.load.latency.slow.load())
+		if work := r.load.latency.usual.load(); work > 0 {
+			e.works = append(e.works, work)
 		}
 		if at := r.load.report.at.load(); at > 0 {
 			others += r.load.report.others.load()
