Judge the speed of a server from more of its answers

Cause: one answer overtaken by a hedge, or a few long requests, made a server look slow; under noise gateways then left good servers, and a cold server that never reports was avoided so soon that no gateway saw enough to detect it. Change: work times up to 2.5 times the typical one count as typical instead of 2 times, and the slow estimate moves by 0.05 for each answer instead of 0.1.

--- a/balance/latency.go
+++ b/balance/latency.go
@@ -9,7 +9,7 @@
 // Weights and time constants of the latency estimates.
 const (
 	fastWeight = 0.4
-	slowWeight = 0.1
+	slowWeight = 0.05
 	// fastAge is the age at which half of the fast estimate has given way to the slow one.
 	fastAge = 15 * time.Millisecond
 	// slowHalfLife is the time in which half of what the slow estimate exceeds the typical work time by is forgotten. It
@@ -17,7 +17,7 @@
 	slowHalfLife = 2 * time.Second
 	// usualSpread is the factor up to which a work time counts as typical; below it, differences are mostly those of the
 	// requests and not of the servers.
-	usualSpread = 2
+	usualSpread = 2.5
 	// minWork keeps estimates above zero.
 	minWork = 20 * time.Microsecond
 	// failurePenalty is the work time of a failure, in typical work times.
