Detect a fallback after five odd answers in 100 ms

Cause: at two slots a server gets few requests of one gateway, so eight odd answers in a row came too late or never. A false suspicion costs little since it ends at the usual speed. Change: 5 odd answers over 100 ms instead of 8 over 150 ms.

--- a/balance/cold.go
+++ b/balance/cold.go
@@ -14,10 +14,10 @@
 	lateFactor = 4
 	// oddFactor makes an answer of a warm server odd, in times of its own history.
 	oddFactor = 4
-	// oddCount and oddTime are how many answers in a row, over how long, must be odd for a fallback. Noise of
-	// neighbours shifts faster.
-	oddCount = 8
-	oddTime  = 150 * time.Millisecond
+	// oddCount and oddTime are how many answers in a row, over how long, must be odd for a fallback. Noise of neighbours
+	// shifts faster, and at two slots a server gets too few requests of one gateway for more answers.
+	oddCount = 5
+	oddTime  = 100 * time.Millisecond
 	// cancelSettle is how long a cancelled request may still occupy a cold server, beyond the round trip.
 	cancelSettle = 5 * time.Millisecond
 	// suspicionTime is how long a gateway that does not own the server stops sending after it noticed a fallback.
