Renew the estimate of a server that hangs

Cause: an attempt that was cancelled counted only if it took longer than the newest estimate; a server that hangs takes the same deadline each time, so its estimate aged while its requests went on failing. Change: the bound is compared with the aged estimate.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -90,7 +90,7 @@
 		a.view.load.latencies.add(o.Latency)
 	}
 	if o.Kind == OutcomeCanceled {
-		c.load.latency.atLeast(now, work)
+		c.load.latency.atLeast(now, work, typical)
 		a.watchCancelled(now, o)
 		c.load.cold.settled.raise(now + c.cost + cancelSettle)
 		return
--- a/balance/latency.go
+++ b/balance/latency.go
@@ -53,9 +53,10 @@
 	l.usual.blend(work, slowWeight)
 }
 
-// atLeast takes a lower bound, known from an attempt that was cancelled.
-func (l *latency) atLeast(now time.Duration, work float64) {
-	if work > l.fast.load() {
+// atLeast takes a lower bound, known from an attempt that was cancelled. It is compared with the aged estimate: the fast
+// one of a server that hangs is as high as the bound, and would not be renewed.
+func (l *latency) atLeast(now time.Duration, work, typical float64) {
+	if work > l.estimate(now, typical) {
 		l.add(now, work)
 		l.addUsual(work)
 	}
--- a/balance/pick_test.go
+++ b/balance/pick_test.go
@@ -407,3 +407,18 @@
 		})
 	}
 }
+
+// Guards against a server that hangs and is tried again all the time, because bounds equal to its estimate do not renew
+// it.
+func TestEqualBoundsRenewTheEstimate(t *testing.T) {
+	const typical, bound = float64(5 * time.Millisecond), float64(250 * time.Millisecond)
+	var l latency
+	now := second
+	for range 10 {
+		l.atLeast(now, bound, typical)
+		if got := l.estimate(now, typical); got < bound*0.99 {
+			t.Fatalf("estimate at %v after the bound is %v, want %v", now, time.Duration(got), time.Duration(bound))
+		}
+		now += 3 * second
+	}
+}
