Count the history of a server in cold start if it hangs

Cause: a server that hangs is taken for one that fell back into cold start, and its owner went on sending it a request after the other, because the history of a cold server does not count. Change: the history counts when it is at least 20 typical work times.

--- a/balance/score.go
+++ b/balance/score.go
@@ -21,16 +21,21 @@
 	return wait
 }
 
-// work is the work time of one request in ns.
+// work is the work time of one request in ns. The history of a server in cold start does not count, so that its limit can
+// rise, unless the server hangs.
 func (s *Snapshot) work(v *serviceView, c *candidate, now time.Duration) float64 {
 	typical := v.load.typical.load()
 	if typical == 0 {
 		typical = float64(minWork)
 	}
-	if s.config.Switches.NoLatency || s.isCold(c, now) {
+	if s.config.Switches.NoLatency {
 		return typical
 	}
-	return c.load.latency.estimate(now, typical)
+	work := c.load.latency.estimate(now, typical)
+	if work < hangFactor*typical && s.isCold(c, now) {
+		return typical
+	}
+	return work
 }
 
 // stretch is the factor by which requests in flight at a server lengthen the next one.
