--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -28,7 +28,7 @@
 		return
 	}
 	a.learnReachable(now)
-	a.learnState(o)
+	a.learnState(now, o)
 	a.learnPause(now, o)
 	a.learnLatency(now, o)
 	a.learnLoad(now, o)
@@ -52,7 +52,7 @@
 }
 
 // learnState takes the state header. It is evidence as of the time at which the request was sent.
-func (a Attempt) learnState(o Outcome) {
+func (a Attempt) learnState(now time.Duration, o Outcome) {
 	if !o.Reported {
 		return
 	}
@@ -62,7 +62,7 @@
 		l.evidence.raise(a.start)
 	}
 	if o.State == StateCold && before != StateCold && a.candidate.server.State != StateCold {
-		l.cold.begin()
+		l.cold.begin(now)
 		l.cold.told.Store(false)
 	}
 }
@@ -90,26 +90,31 @@
 		a.view.load.latencies.add(o.Latency)
 	}
 	if o.Kind == OutcomeCanceled {
-		c.load.latency.atLeast(now, work)
+		c.load.latency.atLeast(now, work, typical)
 		a.watchCancelled(now, o)
 		c.load.cold.settled.raise(now + c.cost + cancelSettle)
 		return
 	}
 	if a.cold {
-		c.load.cold.answered(now, ok, work, c.slots)
+		c.load.cold.answered(now, ok, work, typical, c.slots)
 	}
 	if o.Kind == OutcomeNotRun && o.Pause > 0 && !a.cold {
 		// The pause deals with a server that sheds load; its speed is not known to have changed.
 		return
 	}
 	total := a.snapshot.total(a.view, c, now, c.load.inFlight.Load())
-	seen := work / max(1, (total+1)/float64(c.slots))
+	seen := work
+	if !a.cold { // at a cold server, the limit leaves no queue
+		seen /= max(1, (total+1)/float64(c.slots))
+	}
 	a.watchFallback(now, o, seen, total)
 	if !ok && !sw.NoFailurePenalty {
 		seen = max(seen, failurePenalty*typical)
 	}
 	c.load.latency.add(now, seen)
-	c.load.strikes.answered(!counts(o, total, c.slots))
+	if ok {
+		c.load.latency.addUsual(seen)
+	}
 }
 
 // watchCancelled counts an attempt that a hedge overtook; otherwise hedging would hide a fallback.
@@ -123,14 +128,6 @@
 	}
 }
 
-// counts tells which outcomes count for ejection. A busy server that sheds load is healthy.
-func counts(o Outcome, total float64, slots int64) bool {
-	if o.Kind == OutcomeNotRun {
-		return o.Pause == 0 && total < float64(slots)/2
-	}
-	return o.Kind != OutcomeOK
-}
-
 // watchFallback compares an answer with the server's own history.
 func (a Attempt) watchFallback(now time.Duration, o Outcome, seen, total float64) {
 	c := a.candidate
--- a/balance/latency.go
+++ b/balance/latency.go
@@ -9,7 +9,7 @@
 // Weights and time constants of the latency estimates.
 const (
 	fastWeight = 0.4
-	slowWeight = 0.1
+	slowWeight = 0.05
 	// fastAge is the age at which half of the fast estimate has given way to the slow one.
 	fastAge = 15 * time.Millisecond
 	// slowHalfLife is the time in which half of what the slow estimate exceeds the typical work time by is forgotten. It
@@ -17,7 +17,7 @@
 	slowHalfLife = 2 * time.Second
 	// usualSpread is the factor up to which a work time counts as typical; below it, differences are mostly those of the
 	// requests and not of the servers.
-	usualSpread = 2
+	usualSpread = 2.5
 	// minWork keeps estimates above zero.
 	minWork = 20 * time.Microsecond
 	// failurePenalty is the work time of a failure, in typical work times.
@@ -29,7 +29,9 @@
 	samples atomic.Uint32
 	fast    atomicFloat
 	slow    atomicFloat
-	last    atomicTime
+	// usual leaves out failures: their penalty is a multiple of the typical work time, which is taken from here.
+	usual atomicFloat
+	last  atomicTime
 }
 
 func (l *latency) add(now time.Duration, work float64) {
@@ -43,10 +45,20 @@
 	l.last.raise(now)
 }
 
-// atLeast takes a lower bound, known from an attempt that was cancelled.
-func (l *latency) atLeast(now time.Duration, work float64) {
-	if work > l.fast.load() {
+// addUsual takes a work time that no penalty has changed.
+func (l *latency) addUsual(work float64) {
+	if l.usual.load() == 0 {
+		l.usual.store(work)
+	}
+	l.usual.blend(work, slowWeight)
+}
+
+// atLeast takes a lower bound, known from an attempt that was cancelled. It is compared with the aged estimate: the fast
+// one of a server that hangs is as high as the bound, and would not be renewed.
+func (l *latency) atLeast(now time.Duration, work, typical float64) {
+	if work > l.estimate(now, typical) {
 		l.add(now, work)
+		l.addUsual(work)
 	}
 }
 
@@ -70,4 +82,7 @@
 }
 
 // reset forgets what was learnt, so that the typical work time applies.
-func (l *latency) reset() { l.samples.Store(0) }
+func (l *latency) reset() {
+	l.samples.Store(0)
+	l.usual.store(0)
+}
--- a/balance/tick.go
+++ b/balance/tick.go
@@ -10,6 +10,9 @@
 const (
 	// hedgeQuantile is the latency quantile after which a hedge is sent.
 	hedgeQuantile = 0.92
+	// typicalWeight moves the typical work time at each tick. A gateway hears of a few servers only, so that the median of
+	// one tick varies by a factor of two under noise.
+	typicalWeight = 0.02
 	// fadeInterval is the time after which the weight of counted latencies is halved.
 	fadeInterval = 500 * time.Millisecond
 	// probeMargin is the time before the end of evidence at which a probe is wanted.
@@ -37,7 +40,7 @@
 	records, load := e.byService[name], e.services[name]
 	e.renewTypical(records, load)
 	e.eject(records, load.typical.load())
-	e.passFallbacks(records)
+	e.passFallbacks(records, load.typical.load())
 	e.wantProbes(name, records, load)
 	if after, ok := load.latencies.quantile(hedgeQuantile); ok {
 		load.hedgeAfter.store(after)
@@ -53,8 +56,8 @@
 	var others float64
 	reports := 0
 	for _, r := range records {
-		if r.load.latency.samples.Load() > 0 {
-			e.works = append(e.works, r.load.latency.slow.load())
+		if work := r.load.latency.usual.load(); work > 0 {
+			e.works = append(e.works, work)
 		}
 		if at := r.load.report.at.load(); at > 0 {
 			others += r.load.report.others.load()
@@ -63,7 +66,11 @@
 	}
 	if len(e.works) > 0 {
 		slices.Sort(e.works)
-		load.typical.store(e.works[(len(e.works)-1)/2])
+		median := e.works[(len(e.works)-1)/2]
+		if load.typical.load() == 0 {
+			load.typical.store(median)
+		}
+		load.typical.blend(median, typicalWeight)
 	}
 	if reports > 0 {
 		load.typicalOthers.store(others / float64(reports))
@@ -72,7 +79,7 @@
 
 // passFallbacks reports fallbacks to the gateway once, and their end: the owner's limit has risen to the server's slots,
 // or the owner has no use for the server, and the server itself does not report a cold start.
-func (e *Engine) passFallbacks(records []*record) {
+func (e *Engine) passFallbacks(records []*record, typical float64) {
 	e.capSuspicions(records)
 	for _, r := range records {
 		c := &r.load.cold
@@ -82,7 +89,7 @@
 			e.notice(NoticeFallback, r)
 		}
 		cold := suspected || r.server.State == StateCold
-		ended := c.limit() >= slots(r.server) || c.isUnused(e.now)
+		ended := e.isWarm(r, typical) || c.isUnused(e.now)
 		if cold && !reported && r.server.Owned && ended {
 			c.fallback.store(0)
 			e.notice(NoticeWarm, r)
@@ -90,6 +97,14 @@
 	}
 }
 
+// isWarm reports whether the owner's limit has risen to the server's slots, and the server is as fast as usual or has
+// been limited for long.
+func (e *Engine) isWarm(r *record, typical float64) bool {
+	c := &r.load.cold
+	full := c.limit() >= slots(r.server)
+	return full && (c.isFast(typical) || e.now-c.begun.load() > longestFallback)
+}
+
 // capSuspicions drops suspicions when too many servers of a service are cold: then the load is the likelier cause, and
 // limits would make it worse.
 func (e *Engine) capSuspicions(records []*record) {
