Give a restarted gateway its own crash marks back

Cause: gateways told each other their own counts only, so a restarted gateway lost the crashes that it had counted and one request could crash two more servers through it. Change: the answer to an introduction carries the counts that the introduced gateway had told before. Before: TestIntroductionSharesCrashMarks with a mark from before the restart fails. After: it passes, with the race detector. Conclusion: the two crashes of a poison request are counted across restarts of single gateways.

--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -76,14 +76,15 @@
 	return (&gossipService{state: e.to[p.ID]}).Introduce(fromPeer(e.from), q)
 }
 
-// Guards against a gateway that starts without the crash marks of the others, and against others that do not send it the
+// Guards against a gateway that starts without the crash marks of the others or its own from before a restart, and against others that do not send it the
 // later ones because the control replicas have not listed it yet.
 func TestIntroductionSharesCrashMarks(t *testing.T) {
 	rates := budget.Rates{WithinRegion: 1 << 20, AcrossRegions: 1 << 20}
 	older, newer := startState(t, "gw-1", rates), startState(t, "gw-2", rates)
 	states := map[string]*state{"gw-1": older, "gw-2": newer}
 	older.peers, newer.peers = &directExchanger{"gw-1", states}, &directExchanger{"gw-2", states}
-	before, after := fingerprint{1}, fingerprint{2}
+	before, after, lost := fingerprint{1}, fingerprint{2}, fingerprint{3}
+	older.poison.Merge(older.clock.now(), "gw-2", "near", []*gossippb.CrashMark{{Fingerprint: lost[:], Count: 2, RemainingMs: 60_000}})
 	older.poison.Suspect(older.clock.now(), before, nil)
 	older.poison.Suspect(older.clock.now(), before, nil)
 	newer.do(func(now time.Duration) {
@@ -96,6 +97,9 @@
 	if newer.poison.Remaining(newer.clock.now(), before) == 0 {
 		t.Error("a crash mark from before the introduction is unknown")
 	}
+	if newer.poison.Remaining(newer.clock.now(), lost) == 0 {
+		t.Error("a crash mark from before the restart is unknown")
+	}
 	older.poison.Suspect(older.clock.now(), after, nil)
 	older.poison.Suspect(older.clock.now(), after, nil)
 	older.spreadMarks()
--- a/gateway/introduce.go
+++ b/gateway/introduce.go
@@ -123,6 +123,7 @@
 		return err
 	}
 	s.poison.Merge(s.clock.now(), p.ID, s.region, answer.GetMarks())
+	s.poison.Merge(s.clock.now(), s.name, s.region, answer.GetEarlier())
 	return nil
 }
 
@@ -139,6 +140,7 @@
 		s.peerList.introduce(now, p)
 		s.updatePeers(now)
 		answer.Marks = s.poison.Own(now, p.Region)
+		answer.Earlier = s.poison.CountsOf(now, p.ID, p.Region)
 	})
 	if !ok {
 		return nil, status.Error(codes.Unavailable, "the gateway is stopping")
--- a/gateway/marks.go
+++ b/gateway/marks.go
@@ -9,20 +9,25 @@
 
 // Own returns the counts of this gateway that a gateway in a region may hold.
 func (m *poisonMarks) Own(now time.Duration, region string) []*gossippb.CrashMark {
+	return m.CountsOf(now, m.self, region)
+}
+
+// CountsOf returns the counts of one gateway that a gateway in a region may hold.
+func (m *poisonMarks) CountsOf(now time.Duration, gateway, region string) []*gossippb.CrashMark {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var own []*gossippb.CrashMark
+	var list []*gossippb.CrashMark
 	for f, mark := range m.marks {
-		if mark.counts[m.self] > 0 && mark.expires > now && permits(mark.regions, region) {
-			own = append(own, m.message(now, f, mark))
+		if mark.counts[gateway] > 0 && mark.expires > now && permits(mark.regions, region) {
+			list = append(list, mark.message(now, f, gateway))
 		}
 	}
-	return own
+	return list
 }
 
-func (m *poisonMarks) message(now time.Duration, f fingerprint, mark *crashMark) *gossippb.CrashMark {
+func (mark *crashMark) message(now time.Duration, f fingerprint, gateway string) *gossippb.CrashMark {
 	return &gossippb.CrashMark{
-		Fingerprint: f[:], Count: uint32(mark.counts[m.self]),
+		Fingerprint: f[:], Count: uint32(mark.counts[gateway]),
 		RemainingMs: uint32((mark.expires - now).Milliseconds()), Regions: mark.regions,
 	}
 }
@@ -51,12 +56,13 @@
 	return news
 }
 
-// Merge takes over the counts of another gateway. Marks that must not be held in the own region are dropped.
+// Merge takes over counts of a gateway; own ones are known to others after a restart. Marks that must not be held in the
+// own region are dropped.
 func (m *poisonMarks) Merge(now time.Duration, from, region string, marks []*gossippb.CrashMark) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, in := range marks {
-		if len(in.GetFingerprint()) != fingerprintBytes || !permits(in.GetRegions(), region) || from == m.self {
+		if len(in.GetFingerprint()) != fingerprintBytes || !permits(in.GetRegions(), region) {
 			continue
 		}
 		f := fingerprint(in.GetFingerprint())
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -64,7 +64,7 @@
 	mark := m.findOrAdd(now, f, regions)
 	mark.counts[m.self]++
 	mark.expires = now + markLifetime
-	m.addNews(m.message(now, f, mark))
+	m.addNews(mark.message(now, f, m.self))
 	return mark.total() >= poisonThreshold
 }
 
