Refuse only servers that restart soon when announcements are in debt

Cause: with 870 servers at 3 gateways and a budget of 64 KiB/s the renewals alone, 290 x 250 B/s, need more than half of the budget, so every new announcement was refused: the run of BenchmarkWorkers with 870 workers failed (registration not within 60 s), and a healthy server would never have been found. Change: announcements of new servers and of those that change owner are charged and never refused; one that restarts within 4 s of the last change of its record waits while the debt is above half a second's budget. Charges take saved budget above half of the burst first. The run with 870 workers was not repeated. Conclusion: the budget bounds servers that flap, and not the number of healthy ones; the gauge shows what is over.

--- a/balance/budget/budget.go
+++ b/balance/budget/budget.go
@@ -2,8 +2,9 @@
 // announcements of backend servers.
 //
 // One Limiter serves all of them. What may be refused (Take) waits for the budget. What must not be refused (Charge)
-// becomes a debt, which half of the budget pays off, so that the rest still permits exchanges. The sum stays within the
-// budget of the document and one BurstTime, unless the charges alone need more than half of it; Totals.Over tells so.
+// takes saved budget or becomes a debt, which half of the budget pays off, so that the rest still permits exchanges. The
+// sum stays within the budget of the document and one BurstTime, unless the charges alone need more than half of it;
+// Totals.Over tells so.
 package budget
 
 import (
@@ -149,9 +150,12 @@
 	}
 }
 
+// charge takes what is saved above half of the burst, and owes the rest.
 func (b *bucket) charge(bytes int) {
 	b.totals.Spent += uint64(max(bytes, 0))
-	b.owed += float64(max(bytes, 0))
+	saved := min(max(b.tokens-b.burst()/2, 0), float64(max(bytes, 0)))
+	b.tokens -= saved
+	b.owed += float64(max(bytes, 0)) - saved
 	if over := math.Ceil(b.owed - b.burst()); over > 0 {
 		b.totals.Over += uint64(over)
 		b.owed -= over
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -72,13 +72,15 @@
 // announceBytes is charged for the answer to an announcement, packet headers included.
 const announceBytes = 250
 
-// admit charges the answer to the budget of measuring. A renewal or a leaving is never refused: a healthy server would
-// seem lost after 4 s, and one that leaves would receive work. Renewals are bounded by one a second and owned server. A
-// new announcement, which also causes a push, is refused while announcements owe half a second's budget; the server goes
-// to the next gateway or tries again, so servers that flap cannot spend more than the budget.
-func (s *state) admit(kind announceKind, region string) error {
-	now, scope := s.clock.now(), s.scope(region)
-	if kind != kindAnnounce {
+// admit charges the answer to the budget of measuring. Nothing that a healthy server needs is refused, because it would
+// seem lost after 4 s: renewals, and announcements of new servers and of those that change owner. Leavings are not
+// refused either, because the server would receive work. The number of servers bounds these. Only a server that restarts
+// within serverSwitchTimeout of its last change waits while announcements owe half a second's budget, so servers that
+// flap cannot spend more than the budget.
+func (s *state) admit(now time.Duration, kind announceKind, a announcement) error {
+	scope := s.scope(a.Region)
+	flaps := kind == kindAnnounce && s.registry.Restarts(now, a.Address, a.Incarnation, serverSwitchTimeout)
+	if !flaps {
 		s.limiter.Charge(now, scope, announceBytes)
 		return nil
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -175,12 +175,12 @@
 
 // Register implements registrar.
 func (s *state) Register(kind announceKind, a announcement) (uint64, error) {
-	if err := s.admit(kind, a.Region); err != nil {
-		return 0, err
-	}
 	var answer membership.Answer
 	err := error(&AnnounceError{http.StatusServiceUnavailable, announceNotReady, "the gateway is stopping"})
 	s.do(func(now time.Duration) {
+		if err = s.admit(now, kind, a); err != nil {
+			return
+		}
 		in := membership.Announcement{Server: a.record(), Grant: a.Grant}
 		switch kind {
 		case kindAnnounce:
--- a/membership/owner.go
+++ b/membership/owner.go
@@ -110,6 +110,12 @@
 	return nil
 }
 
+// Restarts tells whether an announcement is that of a restart within a time of the last change of the server's record.
+func (r *Registry) Restarts(now time.Duration, address string, incarnation uint64, within time.Duration) bool {
+	rec := r.records[address]
+	return rec != nil && incarnation > rec.server.Incarnation && now-rec.changed < within
+}
+
 // SetCold records that a server of this gateway has fallen back into cold start (cold true), or has warmed up after a
 // fallback without telling so (cold false).
 func (r *Registry) SetCold(address string, incarnation uint64, cold bool) {
