Leave the times out of the answers to renewals

Cause: an answer to a renewal repeats renew_ms and switch_ms each second, although the answer to the announcement has told them. Change: renew_ms and switch_ms are in the answer to an announcement only.

--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -42,11 +42,12 @@
 	Grant         uint64 `json:"grant"`
 }
 
-// announceAnswer tells the server how to go on.
+// announceAnswer tells the server how to go on. The times are in the answer to an announcement only; they hold for its
+// renewals.
 type announceAnswer struct {
 	Grant    uint64 `json:"grant"`
-	RenewMs  int64  `json:"renew_ms"`
-	SwitchMs int64  `json:"switch_ms"`
+	RenewMs  int64  `json:"renew_ms,omitempty"`
+	SwitchMs int64  `json:"switch_ms,omitempty"`
 }
 
 // AnnounceError is the body of a refused announcement; Status is the HTTP status.
@@ -133,13 +134,15 @@
 			s.refuse(w, err)
 			return
 		}
+		answer := announceAnswer{Grant: grant}
 		if kind == kindAnnounce {
+			answer.RenewMs, answer.SwitchMs = serverRenewInterval.Milliseconds(), serverSwitchTimeout.Milliseconds()
 			s.log.Log(eventServerAnnounced, telemetry.F("service", a.Service), telemetry.F("address", a.Address), telemetry.F("state", a.State))
 		}
 		if kind == kindLeave {
 			s.log.Log(eventServerLeft, telemetry.F("service", a.Service), telemetry.F("address", a.Address))
 		}
-		writeJSON(w, http.StatusOK, announceAnswer{Grant: grant, RenewMs: serverRenewInterval.Milliseconds(), SwitchMs: serverSwitchTimeout.Milliseconds()})
+		writeJSON(w, http.StatusOK, answer)
 	}
 }
 
--- a/gateway/budget_test.go
+++ b/gateway/budget_test.go
@@ -130,3 +130,16 @@
 		t.Errorf("%d bytes over the budget", over)
 	}
 }
+
+// Guards against a server that does not learn its times, and against renewals that repeat them each second.
+func TestTimesAreInTheAnswerToAnAnnouncement(t *testing.T) {
+	c := newCertificates(t)
+	g := startGateway(t, c, "gw-1", startControl(t, c, "control-1", testSections(t)))
+	a := serverAnnouncement("127.0.0.1:9")
+	if _, answer := g.announce(t, "announce", a); answer.RenewMs != 1000 || answer.SwitchMs != 4000 {
+		t.Errorf("answer to the announcement: %+v", answer)
+	}
+	if status, answer := g.announce(t, "renew", a); status != http.StatusOK || answer != (announceAnswer{Grant: 2}) {
+		t.Errorf("answer to the renewal: %d %+v", status, answer)
+	}
+}
