Treat a connection that breaks at the deadline as a missed deadline

Cause: backend servers get the deadline in whole milliseconds, so theirs may pass before the gateway's. One that then closes the connection earned the request a crash mark, and the caller was told backend_failed, not deadline_exceeded. Before: TestMissedDeadlineIsNoCrash is refused as poison at the third request. After: all four get deadline_exceeded. Conclusion: slow servers do not make requests poison.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -86,6 +86,10 @@
 // selection, so a server that leaves receives no new work after 3 s, even if the connection opens slowly.
 const maxSelectionAge = 500 * time.Millisecond
 
+// deadlineSlack is how long before the deadline a broken connection counts as a missed deadline. Backend servers get the
+// deadline in whole milliseconds, so theirs may pass first, and one that then closes the connection has not crashed.
+const deadlineSlack = 5 * time.Millisecond
+
 // send runs the attempt up to the header of the answer.
 func (p *requestPath) send(c *call, a *attempt, retriesLeft int) {
 	started := time.Now()
@@ -102,6 +106,9 @@
 		a.result.kind = classifyAnswer(response)
 	}
 	a.result.latency = time.Since(started)
+	if a.result.kind == resultBroken && time.Until(c.deadline) < deadlineSlack {
+		a.result.kind = resultTimeout
+	}
 	if a.result.kind == resultBroken {
 		p.suspect(c)
 	}
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -529,3 +530,19 @@
 		t.Errorf("the request arrived at %d servers, want %d", total, poisonThreshold)
 	}
 }
+
+// Guards against a request that is refused as poison because servers close its connection when its deadline, which they
+// get in whole milliseconds, has passed.
+func TestMissedDeadlineIsNoCrash(t *testing.T) {
+	address, _ := rawServer(t, func(c net.Conn, r *http.Request) {
+		left, err := strconv.Atoi(r.Header.Get(headerDeadline))
+		if err == nil {
+			time.Sleep(time.Duration(left) * time.Millisecond)
+		}
+		reset(c)
+	})
+	f := newPathFixture(t, address)
+	for range 2 * poisonThreshold {
+		f.expect(t, f.request(t, "POST", "/free", "slow", headerDeadline, "60"), 504, `"ran":"unknown"`)
+	}
+}
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -128,7 +128,7 @@
 	switch {
 	case c.r.Context().Err() != nil:
 		return resultCanceled
-	case c.ctx.Err() != nil:
+	case time.Until(c.deadline) < deadlineSlack:
 		return resultTimeout
 	}
 	return resultBroken
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -183,10 +183,11 @@
 
 func (r *runner) finalRefusal(a *attempt) *Refusal {
 	var forbidden *SendForbiddenError
+	late := a.result.kind == resultTimeout || errors.Is(r.c.ctx.Err(), context.DeadlineExceeded)
 	switch {
-	case errors.Is(r.c.ctx.Err(), context.DeadlineExceeded) && r.maybeRan:
+	case late && r.maybeRan:
 		return refuse(DeadlineExceeded, "no answer within the deadline").withRan(RanUnknown)
-	case errors.Is(r.c.ctx.Err(), context.DeadlineExceeded):
+	case late:
 		return refuse(DeadlineExceeded, "the request could not be sent within the deadline")
 	case r.maybeRan:
 		return refuse(BackendFailed, "the connection to the backend server broke before the answer")
