Leave half of the saved budget of measuring to exchanges

Cause: probes are small and asked for all the time, so between regions they spent each byte before enough was saved for an answer with several servers. Change: probes leave half of the bucket; a message above one second's budget, such as a handshake, needs half a bucket. Before: TestSpareLeavesHalf fails with Take in place of TakeSpare. After: it passes, and so does TestNeverExceeded.

--- a/balance/budget/budget.go
+++ b/balance/budget/budget.go
@@ -76,14 +76,14 @@
 
 // Take charges bytes to a scope at a monotonic time and reports whether they may be sent. Nothing is charged when it
 // returns false. A message above the budget of one BurstTime, which could never be sent otherwise, may be sent from a
-// full bucket without debt; what is missing becomes a debt of at most one BurstTime.
+// bucket that is half full and without debt; what is missing becomes a debt of at most one BurstTime.
 func (l *Limiter) Take(now time.Duration, s Scope, bytes int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := &l.buckets[s]
 	b.fill(now)
 	missing := float64(bytes) - b.tokens
-	large := b.rate > 0 && b.owed == 0 && b.tokens == b.burst() && missing <= b.burst()
+	large := float64(bytes) > b.burst() && b.owed == 0 && b.tokens >= b.burst()/2 && b.rate > 0 && missing <= b.burst()
 	if bytes < 0 || missing > 0 && !large {
 		b.totals.Denied += uint64(max(bytes, 0))
 		return false
@@ -94,6 +94,22 @@
 	return true
 }
 
+// TakeSpare is Take for messages that matter less than others, such as probes: it leaves half of the bucket to them.
+// Otherwise many small messages would spend each byte before enough is saved for a larger one.
+func (l *Limiter) TakeSpare(now time.Duration, s Scope, bytes int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := &l.buckets[s]
+	b.fill(now)
+	if bytes < 0 || float64(bytes) > b.tokens-b.burst()/2 {
+		b.totals.Denied += uint64(max(bytes, 0))
+		return false
+	}
+	b.tokens -= float64(bytes)
+	b.totals.Spent += uint64(bytes)
+	return true
+}
+
 // Charge books bytes that must not be refused.
 func (l *Limiter) Charge(now time.Duration, s Scope, bytes int) {
 	l.mu.Lock()
