Measure the selection on real gateway processes

cause: the selection of backend servers was measured in virtual time only change: testbed/scenario runs each scenario on gateway processes and stand-in servers over loopback, once with the shipped selection and once with two choices by local in-flight counts. The baseline is a field of gateway.BenchOptions that only testbed/cmd/benchgateway sets.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -48,10 +48,26 @@
 // Run serves until ctx ends, then drains and returns. ready is called once when all listeners are open; it may be nil.
 // Failures before that are *ListenError or *settings.FileError; a drain that ran out of time is no failure.
 func Run(ctx context.Context, s *settings.Gateway, log *telemetry.Logger, ready func(Addresses)) error {
+	return RunBench(ctx, s, log, ready, BenchOptions{})
+}
+
+// BenchOptions replace parts of a gateway by the baselines that benches compare it with. No settings file and no flag of
+// the shipped program sets them; the zero value is the shipped gateway.
+type BenchOptions struct {
+	// TwoChoices selects the less used of two random servers by the requests of this gateway in flight. It knows no
+	// evidence, no limit of a cold start and no ejection, so it keeps neither of the 3 s bounds of docs/design.md.
+	TwoChoices bool
+}
+
+// RunBench is Run with a baseline in place of a part of the gateway.
+func RunBench(ctx context.Context, s *settings.Gateway, log *telemetry.Logger, ready func(Addresses), o BenchOptions) error {
 	d, err := newDaemon(s, log)
 	if err != nil {
 		return err
 	}
+	if o.TwoChoices {
+		d.path.selector = &twoChoices{state: d.state, configuration: d.lease}
+	}
 	if err := d.listen(); err != nil {
 		d.closeListeners()
 		return err
--- a/testbed/answer/answer.go
+++ b/testbed/answer/answer.go
@@ -15,6 +15,8 @@
 	RequestHeader = "Standin-Request"
 	SendingHeader = "Standin-Sending"
 	CrashHeader   = "Standin-Crash"
+	// OriginHeader names the place of the gateway as REGION/DOMAIN, for the latency between the two.
+	OriginHeader = "Standin-Origin"
 )
 
 // Head is the first line of an answer.
--- a/testbed/backend/announce.go
+++ b/testbed/backend/announce.go
@@ -166,6 +166,11 @@
 	a.sequence = 0
 	a.repeat = true
 	a.mu.Unlock()
+	a.wakeUp()
+}
+
+// wakeUp has the next exchange made at once.
+func (a *announcer) wakeUp() {
 	select {
 	case a.wake <- struct{}{}:
 	default:
--- a/testbed/backend/load.go
+++ b/testbed/backend/load.go
@@ -15,10 +15,23 @@
 	value string
 }
 
+// fullLoad is the load that FullReport claims, in times of the slots.
+const fullLoad = 3
+
+func (l *loadReport) set(kind Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kind = kind
+}
+
 func (l *loadReport) text(now time.Time, inFlight, slots int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	switch l.kind {
 	case FalseReport:
 		return fmt.Sprintf("0/%d", slots)
+	case FullReport:
+		return fmt.Sprintf("%d/%d", fullLoad*slots, slots)
 	case LaggingReport:
 		return l.lagging(now, inFlight, slots)
 	}
@@ -26,8 +39,6 @@
 }
 
 func (l *loadReport) lagging(now time.Time, inFlight, slots int) string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if l.value == "" || now.Sub(l.taken) >= l.lag {
 		l.taken = now
 		l.value = fmt.Sprintf("%d/%d", inFlight, slots)
--- a/testbed/backend/options.go
+++ b/testbed/backend/options.go
@@ -4,6 +4,7 @@
 package backend
 
 import (
+	"strings"
 	"time"
 
 	"heatherwall.example/testbed/journal"
@@ -35,6 +36,18 @@
 	Cold time.Duration
 	// ColdRequests ends a cold start early, after so many completed runs.
 	ColdRequests int
+	// ColdStep replaces the model of a cold start: the server bears one request and one more for each ColdStep finished
+	// ones, works at half speed, and slows down with the square of the excess. It stays cold for the whole of Cold,
+	// unless a fault ends it, and never falls over. 0 keeps the usual model.
+	ColdStep int
+	// ColdGrace is the time after a fallback in which requests do not count against what the server bears.
+	ColdGrace time.Duration
+	// DomainDelay and RegionDelay are the one-way latencies from a sender in another failure domain of the region, and
+	// in another region.
+	DomainDelay time.Duration
+	RegionDelay time.Duration
+	// RetryAfter is sent in seconds when a request is shed; 0 for none.
+	RetryAfter int
 	// Restart is how long a server that fell over stays away.
 	Restart time.Duration
 	// AnswerBytes is the filler of an answer.
@@ -48,7 +61,9 @@
 	// ExitOnCrash ends the process on a request that carries the crash header.
 	ExitOnCrash bool
 	Seed        uint64
-	Journal     *journal.Writer
+	// Stream tells the random streams of servers with one seed apart; 0 for the hash of the address.
+	Stream  uint64
+	Journal *journal.Writer
 }
 
 // Report tells how load reports deviate from the truth.
@@ -60,6 +75,8 @@
 	LaggingReport Report = "lagging"
 	// FalseReport claims an idle server.
 	FalseReport Report = "false"
+	// FullReport claims three times as many requests as slots.
+	FullReport Report = "full"
 )
 
 // Defaults of the command line.
@@ -67,3 +84,15 @@
 	DefaultDrain   = 4 * time.Second
 	DefaultRestart = 500 * time.Millisecond
 )
+
+// distance is the one-way latency from a sender at "REGION/DOMAIN"; an empty origin is near.
+func (o Options) distance(origin string) time.Duration {
+	region, domain, known := strings.Cut(origin, "/")
+	switch {
+	case !known, domain == o.FailureDomain:
+		return 0
+	case region == o.Region:
+		return o.DomainDelay
+	}
+	return o.RegionDelay
+}
--- a/testbed/backend/pace.go
+++ b/testbed/backend/pace.go
@@ -22,8 +22,12 @@
 }
 
 func newPace(o Options) *pace {
+	stream := o.Stream
+	if stream == 0 {
+		stream = hash(o.Address)
+	}
 	return &pace{
-		rand:   rand.New(rand.NewPCG(o.Seed, hash(o.Address))),
+		rand:   rand.New(rand.NewPCG(o.Seed, stream)),
 		median: o.ServiceTime,
 		every:  o.ShiftEvery,
 		factor: max(o.ShiftFactor, 1),
--- a/testbed/backend/request.go
+++ b/testbed/backend/request.go
@@ -35,14 +35,30 @@
 	}
 	ctx, cancel := withDeadline(r)
 	defer cancel()
+	if !s.travel(ctx, r.Header.Get(answer.OriginHeader)) {
+		s.refuse(w, r)
+		return
+	}
+	if s.faults.isFailing() {
+		s.fail(w)
+		return
+	}
+	s.warmth.arrived(time.Now(), int(s.present.Add(1)), s.options.Slots)
 	if !s.takeSlot(ctx) {
+		s.present.Add(-1)
 		s.refuse(w, r)
 		return
 	}
-	defer s.freeSlot()
 	s.run(ctx, w, r, body)
 }
 
+// fail answers at once with an error that does not say "not run".
+func (s *Server) fail(w http.ResponseWriter) {
+	s.failed.Add(1)
+	s.setHeaders(w)
+	http.Error(w, "failing", http.StatusServiceUnavailable)
+}
+
 func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
 	ms, err := strconv.Atoi(r.Header.Get(DeadlineHeader))
 	if err != nil {
@@ -77,6 +93,7 @@
 }
 
 func (s *Server) freeSlot() {
+	s.present.Add(-1)
 	s.running.Add(-1)
 	<-s.slots
 }
@@ -87,6 +104,9 @@
 	s.record(s.about(r, journal.Shed))
 	s.setHeaders(w)
 	w.Header().Set(NotRunHeader, "true")
+	if s.options.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(s.options.RetryAfter))
+	}
 	http.Error(w, "overloaded", http.StatusServiceUnavailable)
 }
 
@@ -103,10 +123,15 @@
 	}
 	work := float64(s.pace.draw(now)) * s.warmth.slowdown(now, running, s.options.Slots)
 	ended := s.about(r, journal.Ended)
-	ended.Completed = wait(ctx, time.Duration(work)) && s.reply(w, r, body)
+	done := s.work(ctx, time.Duration(work))
+	if done {
+		s.warmth.done()
+	}
+	s.busy.Add(int64(time.Since(now)))
+	s.freeSlot()
+	ended.Completed = done && s.travel(ctx, r.Header.Get(answer.OriginHeader)) && s.reply(w, r, body)
 	if ended.Completed {
 		s.completed.Add(1)
-		s.warmth.done()
 	}
 	s.record(ended)
 	if !ended.Completed {
--- a/testbed/backend/server.go
+++ b/testbed/backend/server.go
@@ -34,12 +34,17 @@
 	pace      *pace
 	warmth    warmth
 	report    loadReport
+	faults    faults
 	slots     chan struct{}
 	waiting   atomic.Int64
 	running   atomic.Int64
 	started   atomic.Int64
 	completed atomic.Int64
 	shed      atomic.Int64
+	failed    atomic.Int64
+	// present counts requests between arrival and the end of their run, busy the nanoseconds in slots.
+	present   atomic.Int64
+	busy      atomic.Int64
 	fellOver  atomic.Int64
 	sequence  *atomic.Uint64
 	announcer *announcer
@@ -57,7 +62,7 @@
 	s := &Server{
 		options:  o,
 		pace:     newPace(o),
-		warmth:   warmth{coldTime: o.Cold, coldRequests: o.ColdRequests},
+		warmth:   warmth{coldTime: o.Cold, coldRequests: o.ColdRequests, step: o.ColdStep, grace: o.ColdGrace},
 		report:   loadReport{kind: o.Report, lag: o.ReportLag},
 		slots:    make(chan struct{}, o.Slots),
 		sequence: sequence,
@@ -122,6 +127,7 @@
 	mux.HandleFunc("GET /.standin/counts", s.serveCounts)
 	mux.HandleFunc("GET /.standin/registered", s.serveRegistered)
 	mux.HandleFunc("POST /.standin/fallback", s.serveFallback)
+	mux.HandleFunc("POST /.standin/fault", s.serveFault)
 	mux.HandleFunc("/", s.serveRequest)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	s.mu.Lock()
@@ -168,9 +174,9 @@
 	case s.draining.Load():
 		return "draining"
 	case s.warmth.isCold(time.Now()):
-		return "cold"
+		return s.faults.shown("cold")
 	}
-	return "ready"
+	return s.faults.shown("ready")
 }
 
 func (s *Server) inFlight() int { return int(s.running.Load() + s.waiting.Load()) }
--- a/testbed/backend/warmth.go
+++ b/testbed/backend/warmth.go
@@ -10,6 +10,8 @@
 	coldSlowdown = 4.0
 	// fallOverWarmth is the warmth below which a fully loaded server falls over.
 	fallOverWarmth = 0.5
+	// stepSlowdown is the factor on the service time of a cold server with ColdStep.
+	stepSlowdown = 2
 )
 
 // warmth tells how far a cold start has come. A server warms up with time and with completed runs, whichever is
@@ -21,6 +23,58 @@
 	completed    int
 	coldTime     time.Duration
 	coldRequests int
+	// step is Options.ColdStep, grace Options.ColdGrace.
+	step  int
+	grace time.Duration
+	// peak is the highest number of requests at the cold server in times of what it bore, over the number of arrivals
+	// above what it bore.
+	peak float64
+	over int64
+}
+
+// crowding is the factor on the service time with ColdStep, for so many requests at the server.
+func (w *warmth) crowding(now time.Time, present, slots int) float64 {
+	if w.step == 0 || w.level(now) >= 1 {
+		return 1
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	excess := max(1, float64(present)/float64(w.bears(slots)))
+	return stepSlowdown * excess * excess
+}
+
+// bears is the number of requests that the cold server can bear with ColdStep. The caller holds mu.
+func (w *warmth) bears(slots int) int { return min(1+w.completed/w.step, slots) }
+
+// arrived compares the number of requests at a cold server with what it bears.
+func (w *warmth) arrived(now time.Time, present, slots int) {
+	if w.step == 0 || w.level(now) >= 1 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now.Sub(w.since) < w.grace {
+		return
+	}
+	ratio := float64(present) / float64(w.bears(slots))
+	w.peak = max(w.peak, ratio)
+	if ratio > 1 {
+		w.over++
+	}
+}
+
+// excess returns the peak and the number of arrivals above what the cold server bore.
+func (w *warmth) excess() (float64, int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.peak, w.over
+}
+
+// warm ends a cold start.
+func (w *warmth) warm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cold = false
 }
 
 // chill starts a cold start at now; without a cold time the server stays warm.
@@ -63,7 +117,7 @@
 // slowdown is the factor on the service time with so many requests running.
 func (w *warmth) slowdown(now time.Time, running, slots int) float64 {
 	level := w.level(now)
-	if level >= 1 {
+	if level >= 1 || w.step > 0 {
 		return 1
 	}
 	capacity := 1 + float64(slots-1)*level
@@ -72,5 +126,5 @@
 
 // fallsOver reports whether a server with so many requests running breaks down.
 func (w *warmth) fallsOver(now time.Time, running, slots int) bool {
-	return running >= slots && w.level(now) < fallOverWarmth
+	return w.step == 0 && running >= slots && w.level(now) < fallOverWarmth
 }
--- /dev/null
+++ b/testbed/cmd/benchgateway/main.go
@@ -0,0 +1,57 @@
+// Command benchgateway is a gateway whose selection of backend servers is the baseline that testbed/scenario compares
+// the shipped one with. It is for benches only and keeps none of the bounds of selection. Exit codes: 0 done, 1 failed,
+// 2 wrong usage or settings.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"heatherwall.example/gateway"
+	"heatherwall.example/settings"
+	"heatherwall.example/telemetry"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	file := flag.String("settings", "", "YAML `file` with the settings of the gateway (required)")
+	flag.Parse()
+	os.Exit(run(*file))
+}
+
+func run(file string) int {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return fail(err, exitUsage)
+	}
+	s, err := settings.ParseGateway(file, text)
+	if err != nil {
+		return fail(err, exitUsage)
+	}
+	level, err := telemetry.ParseLevel(s.LogLevel)
+	if err != nil {
+		return fail(err, exitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	baseline := gateway.BenchOptions{TwoChoices: true}
+	if err := gateway.RunBench(ctx, s, telemetry.NewLogger(os.Stderr, level), nil, baseline); err != nil {
+		return fail(err, exitFailed)
+	}
+	return exitDone
+}
+
+func fail(err error, code int) int {
+	fmt.Fprintln(os.Stderr, "benchgateway:", err)
+	return code
+}
--- a/testbed/harness/build.go
+++ b/testbed/harness/build.go
@@ -11,6 +11,8 @@
 type Binaries struct {
 	Heatherwall string
 	Standin     string
+	// BenchGateway is a gateway with the baseline selection.
+	BenchGateway string
 }
 
 // BuildError reports a failed build.
@@ -26,11 +28,15 @@
 
 // Build builds the programs from the workspace at root into folder.
 func Build(root, folder string) (Binaries, error) {
-	c := exec.Command("go", "build", "-o", folder+string(os.PathSeparator), "./cmd/heatherwall", "./testbed/cmd/standin")
+	c := exec.Command("go", "build", "-o", folder+string(os.PathSeparator), "./cmd/heatherwall", "./testbed/cmd/standin", "./testbed/cmd/benchgateway")
 	c.Dir = root
 	c.Env = append(os.Environ(), "CGO_ENABLED=1")
 	if output, err := c.CombinedOutput(); err != nil {
 		return Binaries{}, &BuildError{Output: string(output), Cause: err}
 	}
-	return Binaries{Heatherwall: filepath.Join(folder, "heatherwall"), Standin: filepath.Join(folder, "standin")}, nil
+	return Binaries{
+		Heatherwall:  filepath.Join(folder, "heatherwall"),
+		Standin:      filepath.Join(folder, "standin"),
+		BenchGateway: filepath.Join(folder, "benchgateway"),
+	}, nil
 }
--- a/testbed/harness/cluster.go
+++ b/testbed/harness/cluster.go
@@ -34,7 +34,9 @@
 	Relayed bool
 	// WithoutGateways leaves the start of the gateways to the test.
 	WithoutGateways bool
-	LogLevel        string
+	// BaselineGateways runs gateways with the baseline selection in place of the shipped ones.
+	BaselineGateways bool
+	LogLevel         string
 }
 
 // DefaultOptions has three control replicas and two gateways in the near region and one gateway in the far one.
@@ -58,6 +60,7 @@
 	key      string
 	relays   map[string]*relay.Relay
 	operator *Operator
+	baseline bool
 
 	mu sync.Mutex
 	// processes holds the newest process of each instance, by instance name.
@@ -69,7 +72,7 @@
 // NewCluster writes the settings, starts every process and waits until the control group has a leader.
 func NewCluster(t testing.TB, b Binaries, o Options) *Cluster {
 	t.Helper()
-	c := &Cluster{Binaries: b, Folder: t.TempDir(), processes: map[string]*Process{}, relays: map[string]*relay.Relay{}}
+	c := &Cluster{Binaries: b, Folder: t.TempDir(), baseline: o.BaselineGateways, processes: map[string]*Process{}, relays: map[string]*relay.Relay{}}
 	setup := localsetup.Options{
 		Folder: c.Folder, FirstPort: Ports(t, portsPerBlock),
 		Controls: o.Controls, Gateways: o.Gateways, ControlPlaces: o.ControlPlaces, GatewayPlaces: o.GatewayPlaces,
@@ -135,18 +138,21 @@
 	if bootstrap {
 		arguments = append(arguments, "-bootstrap")
 	}
-	return c.start(t, i, arguments)
+	return c.start(t, i, c.Binaries.Heatherwall, arguments)
 }
 
 // StartGateway starts a gateway.
 func (c *Cluster) StartGateway(t testing.TB, i localsetup.Instance) *Process {
 	t.Helper()
-	return c.start(t, i, []string{"gateway", "-settings", i.SettingsFile})
+	if c.baseline {
+		return c.start(t, i, c.Binaries.BenchGateway, []string{"-settings", i.SettingsFile})
+	}
+	return c.start(t, i, c.Binaries.Heatherwall, []string{"gateway", "-settings", i.SettingsFile})
 }
 
-func (c *Cluster) start(t testing.TB, i localsetup.Instance, arguments []string) *Process {
+func (c *Cluster) start(t testing.TB, i localsetup.Instance, program string, arguments []string) *Process {
 	t.Helper()
-	p := Start(t, c.Folder, i.Name, c.Binaries.Heatherwall, arguments...)
+	p := Start(t, c.Folder, i.Name, program, arguments...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.processes[i.Name] = p
--- a/testbed/harness/document.go
+++ b/testbed/harness/document.go
@@ -86,9 +86,13 @@
 `
 
 // Document returns the text of the test document.
-func Document() string {
+func Document() string { return FillDocument(documentForm) }
+
+// FillDocument puts the public key of the test member, the hash of the token and that of the credential into the places
+// %[1]s, %[2]s and %[3]s of a document of its own.
+func FillDocument(form string) string {
 	public := ed25519.NewKeyFromSeed(seed()).Public().(ed25519.PublicKey)
-	return fmt.Sprintf(documentForm, base64.StdEncoding.EncodeToString(public), hexSum(Token), hexSum(Credential))
+	return fmt.Sprintf(form, base64.StdEncoding.EncodeToString(public), hexSum(Token), hexSum(Credential))
 }
 
 // seed is the private key of the test member.
--- a/testbed/harness/servers.go
+++ b/testbed/harness/servers.go
@@ -101,7 +101,7 @@
 func (c *Cluster) Callers() []load.Gateway {
 	var gateways []load.Gateway
 	for _, g := range c.Setup.Gateways {
-		gateways = append(gateways, load.Gateway{Address: g.Callers, Region: g.Region})
+		gateways = append(gateways, load.Gateway{Address: g.Callers, Region: g.Region, FailureDomain: g.FailureDomain})
 	}
 	return gateways
 }
--- a/testbed/load/options.go
+++ b/testbed/load/options.go
@@ -16,6 +16,8 @@
 	Address string
 	// Region is known to the comparison only; it may be empty.
 	Region string
+	// FailureDomain tells stand-in servers, together with Region, how far away the gateway is; empty for no latency.
+	FailureDomain string
 }
 
 // Target is one kind of request.
--- a/testbed/load/send.go
+++ b/testbed/load/send.go
@@ -34,14 +34,14 @@
 		Once: r.target.Once, Path: r.target.Path, Home: r.target.Home,
 		Gateway: g.Address, GatewayRegion: g.Region, SentAt: journal.Now(),
 	}
-	l.exchange(ctx, r, &c)
+	l.exchange(ctx, r, g, &c)
 	c.ToldAt = journal.Now()
 	l.options.Journal.Write(c)
 	l.tally.sending(c)
 	return c
 }
 
-func (l *generator) exchange(ctx context.Context, r *request, c *journal.Call) {
+func (l *generator) exchange(ctx context.Context, r *request, g Gateway, c *journal.Call) {
 	ctx, cancel := context.WithTimeout(ctx, l.options.Timeout)
 	defer cancel()
 	var connected atomic.Bool
@@ -54,6 +54,9 @@
 		return
 	}
 	setHeaders(request, r.target, c)
+	if g.FailureDomain != "" {
+		request.Header.Set(answer.OriginHeader, g.Region+"/"+g.FailureDomain)
+	}
 	response, err := l.client.Do(request)
 	if err != nil {
 		c.Told, c.Failure = toldByFailure(err, connected.Load()), err.Error()
--- a/testbed/load/summary.go
+++ b/testbed/load/summary.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -25,19 +26,21 @@
 	Requests int `json:"requests"`
 	Sendings int `json:"sendings"`
 	// OK, RefusedNotRun and Unknown count requests by the outcome of the last sending.
-	OK            int            `json:"ok"`
-	RefusedNotRun int            `json:"refused_not_run"`
-	Unknown       int            `json:"unknown"`
-	Mismatched    int            `json:"mismatched"`
-	Cut           int            `json:"cut"`
-	Unreached     int            `json:"unreached"`
-	Reasons       map[string]int `json:"reasons"`
-	P50           float64        `json:"p50_us"`
-	P99           float64        `json:"p99_us"`
-	P999          float64        `json:"p999_us"`
-	Max           float64        `json:"max_us"`
-	Seconds       float64        `json:"seconds"`
-	Seed          uint64         `json:"seed"`
+	OK            int `json:"ok"`
+	RefusedNotRun int `json:"refused_not_run"`
+	Unknown       int `json:"unknown"`
+	// Failed counts requests that a backend server answered with a status of 500 or above.
+	Failed     int            `json:"failed"`
+	Mismatched int            `json:"mismatched"`
+	Cut        int            `json:"cut"`
+	Unreached  int            `json:"unreached"`
+	Reasons    map[string]int `json:"reasons"`
+	P50        float64        `json:"p50_us"`
+	P99        float64        `json:"p99_us"`
+	P999       float64        `json:"p999_us"`
+	Max        float64        `json:"max_us"`
+	Seconds    float64        `json:"seconds"`
+	Seed       uint64         `json:"seed"`
 }
 
 // Line is the summary on one line.
@@ -100,6 +103,8 @@
 	defer t.mu.Unlock()
 	t.summary.Requests++
 	switch {
+	case last.Told == journal.OK && last.Status >= http.StatusInternalServerError:
+		t.summary.Failed++
 	case last.Told == journal.OK:
 		t.summary.OK++
 		t.latency.RecordValue(min(max(int64(latency), minLatency), maxLatency))
