--- /dev/null
+++ b/testbed/scenario/evidence.go
@@ -0,0 +1,86 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"heatherwall.example/testbed/localsetup"
+)
+
+const (
+	sampleInterval = 500 * time.Millisecond
+	// evidenceLifetimeMs is the age above which a gateway does not select a server.
+	evidenceLifetimeMs = 2500
+)
+
+// evidence counts servers seen by gateways in samples, and those of them that the gateway must not select because its
+// evidence is too old.
+type evidence struct {
+	far, farOutdated   int
+	near, nearOutdated int
+}
+
+// sampleEvidence reads /servers of every gateway until the load ends.
+func (r *run) sampleEvidence() {
+	var e evidence
+	for r.underway() {
+		for _, g := range r.setup.cluster.Setup.Gateways {
+			r.addEvidence(&e, g)
+		}
+		r.pause(sampleInterval)
+	}
+	r.note(fmt.Sprintf("evidence too old to select a server: %d of %d samples in other regions, %d of %d in the own region",
+		e.farOutdated, e.far, e.nearOutdated, e.near))
+}
+
+func (r *run) addEvidence(e *evidence, g localsetup.Instance) {
+	response, err := faultClient.Get("http://" + g.Admin + "/servers")
+	if err != nil {
+		r.t.Errorf("servers: %v", err)
+		return
+	}
+	defer response.Body.Close()
+	var view struct {
+		Servers []struct {
+			Region        string `json:"region"`
+			EvidenceAgeMs int64  `json:"evidence_age_ms"`
+		} `json:"servers"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&view); err != nil {
+		r.t.Errorf("servers: %v", err)
+	}
+	for _, s := range view.Servers {
+		outdated := 0
+		if s.EvidenceAgeMs >= evidenceLifetimeMs {
+			outdated = 1
+		}
+		if s.Region == g.Region {
+			e.near++
+			e.nearOutdated += outdated
+		} else {
+			e.far++
+			e.farOutdated += outdated
+		}
+	}
+}
+
+// logEvents counts the events of the gateways' logs that tell of suspicions and ejections.
+func (r *run) logEvents() {
+	counts := map[string]int{}
+	for _, g := range r.setup.cluster.Setup.Gateways {
+		text, err := os.ReadFile(r.setup.cluster.Process(g.Name).Log)
+		if err != nil {
+			r.t.Error(err)
+			continue
+		}
+		for _, event := range []string{"server_fell_back", "server_ejected"} {
+			counts[event] += strings.Count(string(text), event)
+		}
+	}
+	if len(counts) > 0 {
+		r.note(fmt.Sprintf("events at all gateways, warm-up included: %v", counts))
+	}
+}
--- a/testbed/scenario/run.go
+++ b/testbed/scenario/run.go
@@ -34,8 +34,10 @@
 	left     int64
 	returned int64
 	// lost tells that the domain leaves without notice.
-	lost  bool
-	notes []string
+	lost bool
+
+	notesMu sync.Mutex
+	notes   []string
 }
 
 // Run measures one scenario with the shipped selection, or with the baseline.
@@ -53,9 +55,11 @@
 	var loads sync.WaitGroup
 	loads.Go(func() { measured = r.load(mainPath, "main", s.Load*d.capacity(), s.Length, seed) })
 	loads.Go(func() { aside = r.load(sidePath, "side", sideRate, s.Length, seed+2) })
+	loads.Go(r.sampleEvidence)
 	s.faults(r)
 	r.beside.Wait()
 	loads.Wait()
+	r.logEvents()
 	row := r.row(measured, aside, before, r.gauge())
 	row.Baseline = baseline
 	r.times(&row, began)
@@ -93,7 +97,11 @@
 
 func (r *run) since(moment int64) time.Duration { return time.Duration(journal.Now() - moment) }
 
-func (r *run) note(text string) { r.notes = append(r.notes, text) }
+func (r *run) note(text string) {
+	r.notesMu.Lock()
+	defer r.notesMu.Unlock()
+	r.notes = append(r.notes, text)
+}
 
 // each calls f for the victims.
 func (r *run) each(f func(address string)) {
