--- a/gateway/run.go
+++ b/gateway/run.go
@@ -51,14 +51,6 @@
 	return RunBench(ctx, s, log, ready, BenchOptions{})
 }
 
-// BenchOptions replace parts of a gateway by the baselines that benches compare it with. No settings file and no flag of
-// the shipped program sets them; the zero value is the shipped gateway.
-type BenchOptions struct {
-	// TwoChoices selects the less used of two random servers by the requests of this gateway in flight. It knows no
-	// evidence, no limit of a cold start and no ejection, so it keeps neither of the 3 s bounds of docs/design.md.
-	TwoChoices bool
-}
-
 // RunBench is Run with a baseline in place of a part of the gateway.
 func RunBench(ctx context.Context, s *settings.Gateway, log *telemetry.Logger, ready func(Addresses), o BenchOptions) error {
 	d, err := newDaemon(s, log)
