--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -112,6 +112,9 @@
 		seen = max(seen, failurePenalty*typical)
 	}
 	c.load.latency.add(now, seen)
+	if !ok && !sw.NoFailurePenalty {
+		c.load.latency.slow.blend(seen, failureWeight)
+	}
 	if ok {
 		c.load.latency.addUsual(seen)
 	}
--- a/balance/latency.go
+++ b/balance/latency.go
@@ -22,6 +22,9 @@
 	minWork = 20 * time.Microsecond
 	// failurePenalty is the work time of a failure, in typical work times.
 	failurePenalty = 6
+	// failureWeight moves the slow estimate at a failure in addition. The weight of answers is too small for it: the fast
+	// estimate is forgotten within milliseconds, and the server would be tried again at once.
+	failureWeight = 0.4
 )
 
 // latency estimates the work time of one server in ns: without the network and without waiting for a slot.
