End the first sentence of the help of domain

Cause: the help of domain has two paragraphs, and the first one had no full stop. Change: it has one. Conclusion: the help reads as the one of other commands does.

--- a/cmd/heatherwall/internal/operator/domain.go
+++ b/cmd/heatherwall/internal/operator/domain.go
@@ -2,7 +2,7 @@
 
 import "heatherwall.example/api/controlpb"
 
-const domainSummary = `take a failure domain out or bring it back
+const domainSummary = `take a failure domain out or bring it back.
 
 Before a failure domain goes out, its load is compared with the slots that remain. The command warns of each service
 whose load would take more than 80% of them and then refuses, unless -force is given or the change is sent again with
