--- /dev/null
+++ b/testbed/process/regionpaths_test.go
@@ -0,0 +1,155 @@
+package process
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"heatherwall.example/testbed/harness"
+	"heatherwall.example/testbed/localsetup"
+	"heatherwall.example/testbed/relay"
+)
+
+// regionPaths carries the traffic between gateways and backend servers, so that it can be cut between regions. A server
+// announces itself through a forwarder, which puts the address of a relay in the place of the server's own.
+type regionPaths struct {
+	c   *harness.Cluster
+	cut atomic.Bool
+
+	mu sync.Mutex
+	// relays in front of the servers, by address of the server.
+	relays map[string]*serverRelay
+}
+
+type serverRelay struct {
+	*relay.Relay
+	region string
+}
+
+func newRegionPaths(t *testing.T, c *harness.Cluster) *regionPaths {
+	p := &regionPaths{c: c, relays: map[string]*serverRelay{}}
+	t.Cleanup(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, r := range p.relays {
+			r.Close()
+		}
+	})
+	return p
+}
+
+// startServers starts a group whose traffic takes the paths.
+func (p *regionPaths) startServers(t *testing.T, service string, place localsetup.Place, count int) *harness.ServerGroup {
+	t.Helper()
+	var announce []string
+	for _, g := range p.c.Setup.Gateways {
+		forwarder := httptest.NewServer(p.forward(g, place.Region))
+		t.Cleanup(forwarder.Close)
+		announce = append(announce, strings.TrimPrefix(forwarder.URL, "http://"))
+	}
+	flags := append([]string{"-announce", strings.Join(announce, ",")}, serverFlags...)
+	return p.c.StartServers(t, service, place, count, flags...)
+}
+
+// forward passes calls of servers in a region on to the announce listener of a gateway. During a cut between the two, a
+// call gets no answer.
+func (p *regionPaths) forward(g localsetup.Instance, region string) http.HandlerFunc {
+	isCut := func() bool { return p.cut.Load() && g.Region != region }
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		status, answer := http.StatusBadGateway, []byte(nil)
+		if err == nil && !isCut() {
+			status, answer, err = p.pass(g, region, r, body)
+		}
+		if isCut() {
+			<-r.Context().Done()
+			return
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		w.WriteHeader(status)
+		w.Write(answer)
+	}
+}
+
+func (p *regionPaths) pass(g localsetup.Instance, region string, r *http.Request, body []byte) (int, []byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return 0, nil, err
+	}
+	var address string
+	if err := json.Unmarshal(fields["address"], &address); err != nil {
+		return 0, nil, err
+	}
+	advertised, err := p.advertise(address, region)
+	if err != nil {
+		return 0, nil, err
+	}
+	fields["address"] = json.RawMessage(fmt.Sprintf("%q", advertised))
+	if body, err = json.Marshal(fields); err != nil {
+		return 0, nil, err
+	}
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+g.Announce+r.URL.Path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	request.Header = r.Header.Clone()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	return response.StatusCode, answer, err
+}
+
+// advertise returns the address of the relay in front of a server and starts the relay at the first call.
+func (p *regionPaths) advertise(address, region string) (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.relays[address] == nil {
+		r, err := relay.Start(harness.Address(0), address, relay.OwnerAmong(p.gatewayIDs))
+		if err != nil {
+			return "", err
+		}
+		p.relays[address] = &serverRelay{Relay: r, region: region}
+	}
+	return p.relays[address].Address(), nil
+}
+
+func (p *regionPaths) gatewayIDs() map[string]int {
+	ids := map[string]int{}
+	for _, g := range p.c.Setup.Gateways {
+		ids[g.Name] = p.c.Process(g.Name).ID()
+	}
+	return ids
+}
+
+// cutRegions silently drops all traffic between the regions: among gateways and control replicas, and between gateways
+// and backend servers.
+func (p *regionPaths) cutRegions(t *testing.T, d relay.Direction) {
+	t.Helper()
+	p.cut.Store(d != relay.None)
+	p.mu.Lock()
+	for _, r := range p.relays {
+		for _, g := range p.c.Setup.Gateways {
+			if g.Region == r.region {
+				continue
+			}
+			if err := r.CutFrom(g.Name, d); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	p.mu.Unlock()
+	cutRegions(t, p.c, d)
+}
