--- a/cmd/heatherwall/internal/operator/domain.go
+++ b/cmd/heatherwall/internal/operator/domain.go
@@ -6,7 +6,7 @@
 	"heatherwall.example/api/controlpb"
 )
 
-const domainSummary = `take a failure domain out or bring it back
+const domainSummary = `take a failure domain out or bring it back.
 
 Before a failure domain goes out, its load is compared with the slots that remain. The command warns of each service
 whose load would take more than 80% of them, and when the load is not known, and goes on. With -capacity=require it
