--- a/gateway/events.go
+++ b/gateway/events.go
@@ -18,7 +18,7 @@
 	eventServerAnnounced = telemetry.Define(2020, "server_announced", telemetry.Info, "A backend server announced itself to this gateway.")
 	eventServerLeft      = telemetry.Define(2021, "server_left", telemetry.Info, "A backend server said that it leaves.")
 	eventAnnounceRefused = telemetry.Define(2022, "announce_refused", telemetry.Warn, "A request to the announce endpoint was refused.")
-	eventServerEjected   = telemetry.Define(2023, "server_ejected", telemetry.Warn, "A backend server is slow or fails and receives no more requests for a while.")
+	eventServerEjected   = telemetry.Define(2023, "server_ejected", telemetry.Warn, "A backend server hangs and receives no more requests for a while.")
 	eventServerReturned  = telemetry.Define(2024, "server_returned", telemetry.Info, "An ejected backend server receives requests again.")
 	eventServerFellBack  = telemetry.Define(2025, "server_fell_back", telemetry.Warn, "A backend server behaves as in cold start without having announced it.")
 	eventGossipFailed    = telemetry.Define(2030, "gossip_failed", telemetry.Debug, "An exchange with another gateway failed.")
