Fix the flow-control windows between gateways and towards control replicas

Change: fixed windows of 1 MiB at the gateway's connections and its peer listener, as at control replicas.

--- a/gateway/peertls.go
+++ b/gateway/peertls.go
@@ -44,6 +44,8 @@
 		return grpc.NewClient("passthrough:///"+address,
 			grpc.WithTransportCredentials(credentials.NewTLS(api.PeerTLS([]tls.Certificate{i.certificate}, i.roots, name))),
 			grpc.WithNoProxy(),
+			grpc.WithStaticStreamWindowSize(peerWindowBytes),
+			grpc.WithStaticConnWindowSize(peerWindowBytes),
 			grpc.WithDisableRetry(),
 			grpc.WithDisableServiceConfig(),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessageBytes)),
@@ -51,5 +53,9 @@
 	}
 }
 
+// peerWindowBytes is the fixed flow-control window of a stream and of a connection. Without a fixed window the library
+// pings the peer after nearly every message to estimate the bandwidth.
+const peerWindowBytes = 1 << 20
+
 // maxPeerMessageBytes bounds one message from a peer; a whole document with its gateway list fits.
 const maxPeerMessageBytes = 16 << 20
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -177,7 +177,12 @@
 			return err
 		}
 	}
-	d.peers = grpc.NewServer(grpc.Creds(credentials.NewTLS(d.identity.serverConfig())), grpc.MaxRecvMsgSize(maxPeerMessageBytes))
+	d.peers = grpc.NewServer(
+		grpc.Creds(credentials.NewTLS(d.identity.serverConfig())),
+		grpc.MaxRecvMsgSize(maxPeerMessageBytes),
+		grpc.StaticStreamWindowSize(peerWindowBytes),
+		grpc.StaticConnWindowSize(peerWindowBytes),
+	)
 	gossippb.RegisterGossipServer(d.peers, &gossipService{state: d.state})
 	controlpb.RegisterGatewayLoadsServer(d.peers, &loadService{d: d})
 	return nil
