Wait until every gateway knows the servers before a domain goes out

Cause: TestDomainOut asked for the capacity some 100 ms after the servers had announced themselves, and the gateway that was asked had not heard yet of the servers of the service in question; the command then said that it does not know. Change: the test waits until each gateway lists every server as ready. Its checks stay as they are. Conclusion: a race of the test; the answer of young gateways was right.

--- a/testbed/harness/servers.go
+++ b/testbed/harness/servers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -87,6 +88,35 @@
 	return sum
 }
 
+// ReadyEverywhere reports whether every gateway lists all servers of the group as ready.
+func (g *ServerGroup) ReadyEverywhere(c *Cluster) bool {
+	client := http.Client{Timeout: time.Second}
+	for _, gateway := range c.Setup.Gateways {
+		var view struct {
+			Servers []struct{ Address, State string }
+		}
+		response, err := client.Get("http://" + gateway.Admin + "/servers")
+		if err != nil {
+			return false
+		}
+		err = json.NewDecoder(response.Body).Decode(&view)
+		response.Body.Close()
+		if err != nil {
+			return false
+		}
+		ready := 0
+		for _, s := range view.Servers {
+			if s.State == "ready" && slices.Contains(g.Addresses, s.Address) {
+				ready++
+			}
+		}
+		if ready < len(g.Addresses) {
+			return false
+		}
+	}
+	return true
+}
+
 // Registered reports whether every server of the group has an owner.
 func (g *ServerGroup) Registered() bool {
 	for _, c := range g.Counts() {
--- a/testbed/process/service_test.go
+++ b/testbed/process/service_test.go
@@ -183,6 +183,9 @@
 		for _, g := range out {
 			harness.Eventually(t, limit, "work for "+g.Name, func() bool { return g.Started() > 0 })
 		}
+		for _, g := range groups {
+			harness.Eventually(t, limit, g.Name+" known to every gateway", func() bool { return g.ReadyEverywhere(c) })
+		}
 		if r := c.Domain(t, "out", harness.NearFirst, "-capacity=require"); r.Code != 1 || !strings.Contains(r.Output, "service "+harness.Vault) {
 			t.Errorf("domain out without other servers of a service: %s", r)
 		}
