Let exchanges between regions fit into their part of the budget

Cause: at 2 KiB/s between regions, nearly all exchanges were denied after a start: introductions spent the budget on handshakes and were repeated every 100 ms while the peer refused the answer, an answer with its digest and frames was larger than the half of the bucket that probes leave, and the handshake of an accepted connection was charged to an answer that could still be refused. Change: introductions stay within the region; accepted handshakes are charged without regard to the budget; the records of an answer take at most a quarter second's budget.

--- a/balance/budget/budget.go
+++ b/balance/budget/budget.go
@@ -134,12 +134,12 @@
 	return true
 }
 
-// MessageLimit is half of the budget of one BurstTime: a message of that size waits at most that long for an unused
-// budget and leaves room for others.
+// MessageLimit is a quarter of the budget of one BurstTime. With its digest and frames, a message of that size fits into
+// the half of the bucket that TakeSpare leaves.
 func (l *Limiter) MessageLimit(s Scope) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return int(l.buckets[s].burst() / 2)
+	return int(l.buckets[s].burst() / 4)
 }
 
 // Totals returns the counts of a scope.
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -215,7 +215,8 @@
 	return answer, nil
 }
 
-// permits charges an answer, and with the first one on a connection the handshake that this gateway has sent.
+// permits charges an answer. The handshake of a new connection has been sent when the first answer on it is due, so it is
+// charged without regard to the budget: refusing the answer would not save it.
 func (g *gossipService) permits(ctx context.Context, from string, scope budget.Scope, bytes int) bool {
 	remote := ""
 	if p, ok := peer.FromContext(ctx); ok && p.Addr != nil {
@@ -223,18 +224,14 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	isNew := g.charged[from] != remote
-	if isNew {
-		bytes += handshakeBytes
-	}
-	ok := g.state.limiter.Take(g.state.clock.now(), scope, bytes)
-	if ok && isNew {
+	if g.charged[from] != remote {
 		if g.charged == nil {
 			g.charged = map[string]string{}
 		}
 		g.charged[from] = remote
+		g.state.limiter.Charge(g.state.clock.now(), scope, handshakeBytes)
 	}
-	return ok
+	return g.state.limiter.Take(g.state.clock.now(), scope, bytes)
 }
 
 // peerRegion returns "" for a gateway that is not listed; its traffic is charged to the budget between regions.
--- a/gateway/introduce.go
+++ b/gateway/introduce.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,12 +68,15 @@
 	return peers
 }
 
-// introduce makes this gateway known to every peer and takes over their crash marks. Of two gateways that start together
-// at least the later one has the other on its list, so afterwards each of them knows the other. It returns the number of
-// peers and how many of them answered.
+// introduce makes this gateway known to every peer of its region and takes over their crash marks. Of two gateways that
+// start together at least the later one has the other on its list, so afterwards each of them knows the other. The
+// handshakes with other regions would take the budget of many seconds, which the exchanges need to learn of the servers
+// there. It returns the number of peers and how many of them answered.
 func (s *state) introduce(ctx context.Context, address string) (peers, answered int) {
 	var list []membership.Peer
-	s.do(func(time.Duration) { list = s.registry.Peers() })
+	s.do(func(time.Duration) {
+		list = slices.DeleteFunc(slices.Clone(s.registry.Peers()), func(p membership.Peer) bool { return p.Region != s.region })
+	})
 	request := &gossippb.IntroduceRequest{From: s.name, Region: s.region, Address: address}
 	ctx, cancel := context.WithTimeout(ctx, introductionTimeout)
 	defer cancel()
