Open connections and check certificate chains in one place

Cause: control replicas, gateways and the operators' client each had the same options of the gRPC library, the first two also the same flow-control windows, and the check of a certificate chain stood twice. Change: Dial, DialDaemon, NewServer and VerifyChain of the package api serve all of them. Before: three lists of options, two windows, two checks. After: one each; the options of every connection are the same as before. Unit tests of control, gateway and the operators' client pass. Conclusion: no change of behaviour.

--- a/api/peertls.go
+++ b/api/peertls.go
@@ -31,16 +31,24 @@
 }
 
 func verifyPeer(s tls.ConnectionState, roots *x509.CertPool, name string) error {
+	got, err := VerifyChain(s, roots)
+	if err != nil {
+		return fmt.Errorf("peer certificate: %w", err)
+	}
+	if name != "" && got != name {
+		return &PeerNameError{Expected: name, Got: got}
+	}
+	return nil
+}
+
+// VerifyChain checks that the certificate of the other side is signed by an authority in roots. It returns its common
+// name, also with an error; the errors are those of x509.Certificate.Verify.
+func VerifyChain(s tls.ConnectionState, roots *x509.CertPool) (commonName string, err error) {
 	intermediates := x509.NewCertPool()
 	for _, c := range s.PeerCertificates[1:] {
 		intermediates.AddCert(c)
 	}
 	leaf := s.PeerCertificates[0]
-	if _, err := leaf.Verify(x509.VerifyOptions{Roots: roots, Intermediates: intermediates}); err != nil {
-		return fmt.Errorf("peer certificate: %w", err)
-	}
-	if name != "" && leaf.Subject.CommonName != name {
-		return &PeerNameError{Expected: name, Got: leaf.Subject.CommonName}
-	}
-	return nil
+	_, err = leaf.Verify(x509.VerifyOptions{Roots: roots, Intermediates: intermediates})
+	return leaf.Subject.CommonName, err
 }
--- a/cmd/heatherwall/internal/operator/connection.go
+++ b/cmd/heatherwall/internal/operator/connection.go
@@ -12,9 +12,9 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/status"
 
+	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 )
 
@@ -95,13 +95,8 @@
 }
 
 func verifyReplica(s tls.ConnectionState, roots *x509.CertPool, names []string) error {
-	leaf := s.PeerCertificates[0]
-	intermediates := x509.NewCertPool()
-	for _, c := range s.PeerCertificates[1:] {
-		intermediates.AddCert(c)
-	}
-	name := leaf.Subject.CommonName
-	if _, err := leaf.Verify(x509.VerifyOptions{Roots: roots, Intermediates: intermediates}); err != nil {
+	name, err := api.VerifyChain(s, roots)
+	if err != nil {
 		return &CertificateError{Name: name, Cause: err}
 	}
 	if len(names) > 0 && !slices.Contains(names, name) {
@@ -114,9 +109,8 @@
 	conn, ok := r.open[address]
 	if !ok {
 		var err error
-		conn, err = grpc.NewClient("passthrough:///"+address,
-			grpc.WithTransportCredentials(credentials.NewTLS(r.tls)), grpc.WithNoProxy(), grpc.WithDisableRetry(),
-			grpc.WithDisableServiceConfig(), grpc.WithConnectParams(connectParams()), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
+		conn, err = api.Dial(address, r.tls,
+			grpc.WithConnectParams(connectParams()), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
 		if err != nil {
 			return nil, fmt.Errorf("replica %s: %w", address, err)
 		}
--- a/control/replica.go
+++ b/control/replica.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/raftpb"
 	"heatherwall.example/raft/wal"
@@ -19,7 +20,6 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/status"
 )
 
@@ -172,13 +172,7 @@
 }
 
 func (r *replica) server() *grpc.Server {
-	server := grpc.NewServer(
-		grpc.Creds(credentials.NewTLS(r.tls)),
-		grpc.MaxRecvMsgSize(maxMessageBytes),
-		grpc.StaticStreamWindowSize(windowBytes),
-		grpc.StaticConnWindowSize(windowBytes),
-		grpc.ConnectionTimeout(5*time.Second),
-	)
+	server := api.NewServer(r.tls, maxMessageBytes, grpc.ConnectionTimeout(5*time.Second))
 	controlpb.RegisterPeersServer(server, &peerServer{r: r})
 	controlpb.RegisterConfigurationsServer(server, &configurationServer{r: r})
 	controlpb.RegisterClaimsServer(server, &claimServer{r: r})
--- a/gateway/peertls.go
+++ b/gateway/peertls.go
@@ -5,7 +5,6 @@
 	"crypto/x509"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials"
 
 	"heatherwall.example/api"
 	"heatherwall.example/settings"
@@ -38,24 +37,13 @@
 // dialFunc opens a connection to the peer listener of an instance; it does not wait for the connection.
 type dialFunc func(name, address string) (*grpc.ClientConn, error)
 
-// dialPeers returns a dialFunc with mutual TLS. grpc-go's name resolution, balancing, retries and proxies stay unused.
+// dialPeers returns a dialFunc with mutual TLS.
 func dialPeers(i *identity) dialFunc {
 	return func(name, address string) (*grpc.ClientConn, error) {
-		return grpc.NewClient("passthrough:///"+address,
-			grpc.WithTransportCredentials(credentials.NewTLS(api.PeerTLS([]tls.Certificate{i.certificate}, i.roots, name))),
-			grpc.WithNoProxy(),
-			grpc.WithStaticStreamWindowSize(peerWindowBytes),
-			grpc.WithStaticConnWindowSize(peerWindowBytes),
-			grpc.WithDisableRetry(),
-			grpc.WithDisableServiceConfig(),
-			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessageBytes)),
-		)
+		c := api.PeerTLS([]tls.Certificate{i.certificate}, i.roots, name)
+		return api.DialDaemon(address, c, grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessageBytes)))
 	}
 }
 
-// peerWindowBytes is the fixed flow-control window of a stream and of a connection. Without a fixed window the library
-// pings the peer after nearly every message to estimate the bandwidth.
-const peerWindowBytes = 1 << 20
-
 // maxPeerMessageBytes bounds one message from a peer; a whole document with its gateway list fits.
 const maxPeerMessageBytes = 16 << 20
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials"
 
+	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/gossippb"
 	"heatherwall.example/balance"
@@ -177,12 +177,7 @@
 			return err
 		}
 	}
-	d.peers = grpc.NewServer(
-		grpc.Creds(credentials.NewTLS(d.identity.serverConfig())),
-		grpc.MaxRecvMsgSize(maxPeerMessageBytes),
-		grpc.StaticStreamWindowSize(peerWindowBytes),
-		grpc.StaticConnWindowSize(peerWindowBytes),
-	)
+	d.peers = api.NewServer(d.identity.serverConfig(), maxPeerMessageBytes)
 	gossippb.RegisterGossipServer(d.peers, &gossipService{state: d.state})
 	controlpb.RegisterGatewayLoadsServer(d.peers, &loadService{d: d})
 	return nil
