Charge and check the calls between gateways in one place

Cause: the introduction had copies of what the exchange does: the call over the kept connection, the check of the sender's certificate, and the charge of request and answer with their counters. Change: callGossip, checkSender, chargeRequest and chargeAnswer serve both calls. Before: each of the four stood twice. After: once; kinds of counters and status codes are the same, and the tests of gateway pass. The text of a refused introduction says "request" like that of an exchange.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -49,23 +49,26 @@
 
 // Exchange implements exchanger.
 func (g *grpcExchanger) Exchange(ctx context.Context, p membership.Peer, request *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error) {
-	conn, err := g.connections.get(p.ID, p.Address)
-	if err != nil {
-		return nil, err
-	}
-	answer, err := gossippb.NewGossipClient(conn).Exchange(ctx, request)
-	g.connections.report(conn, err)
-	return answer, err
+	return callGossip(g.connections, p, func(c gossippb.GossipClient) (*gossippb.ExchangeAnswer, error) {
+		return c.Exchange(ctx, request)
+	})
 }
 
 // Introduce implements exchanger.
 func (g *grpcExchanger) Introduce(ctx context.Context, p membership.Peer, request *gossippb.IntroduceRequest) (*gossippb.IntroduceAnswer, error) {
-	conn, err := g.connections.get(p.ID, p.Address)
+	return callGossip(g.connections, p, func(c gossippb.GossipClient) (*gossippb.IntroduceAnswer, error) {
+		return c.Introduce(ctx, request)
+	})
+}
+
+// callGossip calls a method of a peer over the connection kept for it, and notes how the call ended.
+func callGossip[A any](c *connections, p membership.Peer, method func(gossippb.GossipClient) (*A, error)) (*A, error) {
+	conn, err := c.get(p.ID, p.Address)
 	if err != nil {
 		return nil, err
 	}
-	answer, err := gossippb.NewGossipClient(conn).Introduce(ctx, request)
-	g.connections.report(conn, err)
+	answer, err := method(gossippb.NewGossipClient(conn))
+	c.report(conn, err)
 	return answer, err
 }
 
@@ -147,8 +150,7 @@
 func (s *state) transmit(ctx context.Context, now time.Duration, p membership.Peer, request *gossippb.ExchangeRequest,
 	take func(at time.Duration, answer *gossippb.ExchangeAnswer)) <-chan struct{} {
 	done := make(chan struct{})
-	if !s.limiter.Take(now, s.scope(p.Region), proto.Size(request)+frameOverheadBytes+s.peers.OpeningBytes(p)) {
-		s.counters.Counter("measuring_denied", "kind", "gossip").Inc(1)
+	if s.chargeRequest(now, p, request, "gossip") != nil {
 		close(done)
 		return done
 	}
@@ -168,6 +170,22 @@
 	return done
 }
 
+// chargeRequest fails with ResourceExhausted when the budget of measuring does not permit a request to a peer, opening a
+// connection included.
+func (s *state) chargeRequest(now time.Duration, p membership.Peer, request proto.Message, kind string) error {
+	bytes := proto.Size(request) + frameOverheadBytes + s.peers.OpeningBytes(p)
+	if s.limiter.Take(now, s.scope(p.Region), bytes) {
+		return nil
+	}
+	return s.deny(kind)
+}
+
+// deny counts what the budget of measuring did not permit.
+func (s *state) deny(kind string) error {
+	s.counters.Counter("measuring_denied", "kind", kind).Inc(1)
+	return status.Error(codes.ResourceExhausted, (&budgetSpentError{}).Error())
+}
+
 func (s *state) scope(region string) budget.Scope {
 	if region == s.region {
 		return budget.WithinRegion
@@ -193,8 +211,8 @@
 // Exchange implements gossippb.GossipServer. When the budget is spent, the answer is ResourceExhausted without content;
 // what the request told is taken in all the same.
 func (g *gossipService) Exchange(ctx context.Context, request *gossippb.ExchangeRequest) (*gossippb.ExchangeAnswer, error) {
-	if name := api.PeerName(ctx); name != request.GetFrom() {
-		return nil, status.Error(codes.PermissionDenied, fmt.Sprintf("certificate of %q, request of %q", name, request.GetFrom()))
+	if err := checkSender(ctx, request.GetFrom()); err != nil {
+		return nil, err
 	}
 	s := g.state
 	s.poison.Merge(s.clock.now(), request.GetFrom(), s.region, request.GetMarks())
@@ -208,16 +226,25 @@
 	if !ok {
 		return nil, status.Error(codes.Unavailable, "the gateway is stopping")
 	}
-	if !g.permits(ctx, request.GetFrom(), s.scope(region), proto.Size(answer)+frameOverheadBytes) {
-		s.counters.Counter("measuring_denied", "kind", "gossip_answer").Inc(1)
-		return nil, status.Error(codes.ResourceExhausted, (&budgetSpentError{}).Error())
+	if err := g.chargeAnswer(ctx, request.GetFrom(), region, answer, "gossip_answer"); err != nil {
+		return nil, err
 	}
 	return answer, nil
 }
 
-// permits charges an answer. The handshake of a new connection has been sent when the first answer on it is due, so it is
-// charged without regard to the budget: refusing the answer would not save it.
-func (g *gossipService) permits(ctx context.Context, from string, scope budget.Scope, bytes int) bool {
+// checkSender refuses a request in the name of another gateway.
+func checkSender(ctx context.Context, from string) error {
+	if name := api.PeerName(ctx); name != from {
+		return status.Error(codes.PermissionDenied, fmt.Sprintf("certificate of %q, request of %q", name, from))
+	}
+	return nil
+}
+
+// chargeAnswer fails with ResourceExhausted when the budget of measuring does not permit an answer. The handshake of a
+// new connection has been sent when the first answer on it is due, so it is charged without regard to the budget:
+// refusing the answer would not save it.
+func (g *gossipService) chargeAnswer(ctx context.Context, from, region string, answer proto.Message, kind string) error {
+	s, scope := g.state, g.state.scope(region)
 	remote := ""
 	if p, ok := peer.FromContext(ctx); ok && p.Addr != nil {
 		remote = p.Addr.String()
@@ -229,9 +256,12 @@
 			g.charged = map[string]string{}
 		}
 		g.charged[from] = remote
-		g.state.limiter.Charge(g.state.clock.now(), scope, handshakeBytes)
+		s.limiter.Charge(s.clock.now(), scope, handshakeBytes)
+	}
+	if s.limiter.Take(s.clock.now(), scope, proto.Size(answer)+frameOverheadBytes) {
+		return nil
 	}
-	return g.state.limiter.Take(g.state.clock.now(), scope, bytes)
+	return s.deny(kind)
 }
 
 // peerRegion returns "" for a gateway that is not listed; its traffic is charged to the budget between regions.
--- a/gateway/introduce.go
+++ b/gateway/introduce.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,9 +9,7 @@
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
-	"google.golang.org/protobuf/proto"
 
-	"heatherwall.example/api"
 	"heatherwall.example/api/gossippb"
 	"heatherwall.example/membership"
 	"heatherwall.example/telemetry"
@@ -115,10 +112,8 @@
 
 // introduceTo fails with ResourceExhausted when the budget of measuring is spent here or at the peer.
 func (s *state) introduceTo(ctx context.Context, p membership.Peer, request *gossippb.IntroduceRequest) error {
-	bytes := proto.Size(request) + frameOverheadBytes + s.peers.OpeningBytes(p)
-	if !s.limiter.Take(s.clock.now(), s.scope(p.Region), bytes) {
-		s.counters.Counter("measuring_denied", "kind", "introduction").Inc(1)
-		return status.Error(codes.ResourceExhausted, (&budgetSpentError{}).Error())
+	if err := s.chargeRequest(s.clock.now(), p, request, "introduction"); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -134,8 +129,8 @@
 // Introduce implements gossippb.GossipServer. Crash marks are pushed to the new peer from now on; the answer carries the
 // earlier ones.
 func (g *gossipService) Introduce(ctx context.Context, request *gossippb.IntroduceRequest) (*gossippb.IntroduceAnswer, error) {
-	if name := api.PeerName(ctx); name != request.GetFrom() {
-		return nil, status.Error(codes.PermissionDenied, fmt.Sprintf("certificate of %q, introduction of %q", name, request.GetFrom()))
+	if err := checkSender(ctx, request.GetFrom()); err != nil {
+		return nil, err
 	}
 	s := g.state
 	p := membership.Peer{ID: request.GetFrom(), Region: request.GetRegion(), Address: request.GetAddress()}
@@ -149,9 +144,8 @@
 	if !ok {
 		return nil, status.Error(codes.Unavailable, "the gateway is stopping")
 	}
-	if !g.permits(ctx, p.ID, s.scope(p.Region), proto.Size(answer)+frameOverheadBytes) {
-		s.counters.Counter("measuring_denied", "kind", "introduction_answer").Inc(1)
-		return nil, status.Error(codes.ResourceExhausted, (&budgetSpentError{}).Error())
+	if err := g.chargeAnswer(ctx, p.ID, p.Region, answer, "introduction_answer"); err != nil {
+		return nil, err
 	}
 	return answer, nil
 }
