Look up a caller's token in one place and remove what nothing uses

Cause: the gateway hashed the bearer token itself, beside CallerByToken of the document, which only tests called. FloorMS of the claims and StopLimit of the test harness had no users. Change: the gateway calls CallerByToken; the look-up by hash, FloorMS and StopLimit are gone. Before: two ways to the same table and two unused names. Conclusion: no change of behaviour.

--- a/controlstate/claims.go
+++ b/controlstate/claims.go
@@ -325,8 +325,5 @@
 // Applied returns the index of the last entry.
 func (c *Claims) Applied() uint64 { return c.applied }
 
-// FloorMS returns the floor in Unix milliseconds.
-func (c *Claims) FloorMS() uint64 { return c.floorMS }
-
 // Len returns the number of claims.
 func (c *Claims) Len() int { return len(c.claims) }
--- a/document/config.go
+++ b/document/config.go
@@ -180,14 +180,10 @@
 	return true
 }
 
-// CallerByToken returns the caller with a bearer token.
+// CallerByToken returns the caller with a bearer token. The table is keyed by the hash of the token, so the time of the
+// look-up tells nothing about other tokens.
 func (c *Config) CallerByToken(token string) (*Caller, bool) {
-	return c.CallerByTokenHash(sha256.Sum256([]byte(token)))
-}
-
-// CallerByTokenHash returns the caller whose bearer token has this SHA-256 hash.
-func (c *Config) CallerByTokenHash(sum [32]byte) (*Caller, bool) {
-	caller, ok := c.callers[sum]
+	caller, ok := c.callers[sha256.Sum256([]byte(token))]
 	return caller, ok
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -90,8 +90,7 @@
 	if !ok {
 		return refuse(Unauthenticated, "expected a bearer token")
 	}
-	// The table is keyed by the hash of the token, so the time of the look-up tells nothing about other tokens.
-	c.caller, ok = c.lease.config.CallerByTokenHash(sha256.Sum256([]byte(token)))
+	c.caller, ok = c.lease.config.CallerByToken(token)
 	if !ok {
 		return refuse(Unauthenticated, "the token belongs to no caller")
 	}
--- a/testbed/harness/cluster.go
+++ b/testbed/harness/cluster.go
@@ -18,7 +18,6 @@
 const (
 	StartLimit = 30 * time.Second
 	CallLimit  = 40 * time.Second
-	StopLimit  = 60 * time.Second
 )
 
 // relayOffset lies above the ports of the largest setup, 3 control replicas and 18 gateways.
