Separate the list of gateways from its comparison with a digest

Cause: the whole list was asked for by comparing it with digest 0, so a list whose digest is 0 would have been left out. Before: gateways called gatewaysUnless with a number that stood for none. Conclusion: no change of behaviour, but for that one digest.

--- a/control/directory.go
+++ b/control/directory.go
@@ -190,27 +190,35 @@
 	return slices.SortedFunc(maps.Values(newest), func(a, b seenGateway) int { return cmp.Compare(a.status.Name, b.status.Name) })
 }
 
+// snapshot is listed for callers that do not hold mu.
+func (d *directory) snapshot(now time.Time) []seenGateway {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed(now)
+}
+
 // gateways returns what listed returns, as messages with the present age.
 func (d *directory) gateways(now time.Time) []*controlpb.GatewayStatus {
-	_, list := d.gatewaysUnless(0, now)
-	return list
+	return messagesOf(d.snapshot(now), now)
 }
 
 // gatewaysUnless returns the digest of the list of gateways, and the list itself unless the digest is the known one.
 func (d *directory) gatewaysUnless(known uint64, now time.Time) (uint64, []*controlpb.GatewayStatus) {
-	d.mu.Lock()
-	listed := d.listed(now)
-	d.mu.Unlock()
+	listed := d.snapshot(now)
 	digest := digestOf(listed)
 	if digest == known {
 		return digest, nil
 	}
+	return digest, messagesOf(listed, now)
+}
+
+func messagesOf(listed []seenGateway, now time.Time) []*controlpb.GatewayStatus {
 	list := make([]*controlpb.GatewayStatus, len(listed))
 	for i, g := range listed {
 		list[i] = proto.Clone(g.status).(*controlpb.GatewayStatus)
 		list[i].AgeMs = uint64(max(0, now.Sub(g.at)).Milliseconds())
 	}
-	return digest, list
+	return list
 }
 
 // isNewer prefers the higher incarnation, then the higher revision: neither ever goes back.
