Decide once whether a failure is penalised

Cause: the same condition stood twice around one call, and the judgement of a cold server's speed was reset by the same two lines in two places. Change: one variable and a switch; forgetSpeed for the reset. Conclusion: no change of behaviour.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -82,7 +82,7 @@
 
 // learnLatency updates the estimates, the limit of a cold start, and the watch for a fallback.
 func (a Attempt) learnLatency(now time.Duration, o Outcome) {
-	c, sw := a.candidate, a.snapshot.config.Switches
+	c := a.candidate
 	work := max(float64(o.Latency-c.cost), float64(minWork))
 	typical := a.view.load.typical.load()
 	ok := o.Kind == OutcomeOK
@@ -108,15 +108,16 @@
 		seen /= max(1, (total+1)/float64(c.slots))
 	}
 	a.watchFallback(now, o, seen, total)
-	if !ok && !sw.NoFailurePenalty {
+	penalised := !ok && !a.snapshot.config.Switches.NoFailurePenalty
+	if penalised {
 		seen = max(seen, failurePenalty*typical)
 	}
 	c.load.latency.add(now, seen)
-	if !ok && !sw.NoFailurePenalty {
-		c.load.latency.slow.blend(seen, failureWeight)
-	}
-	if ok {
+	switch {
+	case ok:
 		c.load.latency.addUsual(seen)
+	case penalised:
+		c.load.latency.slow.blend(seen, failureWeight)
 	}
 }
 
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -70,8 +70,7 @@
 // begin falls back to the limit at once.
 func (c *coldStart) begin(now time.Duration) {
 	c.begun.store(now)
-	c.judged.Store(0)
-	c.works.store(0)
+	c.forgetSpeed()
 	c.extra.Store(0)
 	c.onTime.Store(0)
 	c.fastest.store(0)
@@ -112,6 +111,12 @@
 	c.judged.Add(1)
 }
 
+// forgetSpeed starts a new judgement.
+func (c *coldStart) forgetSpeed() {
+	c.judged.Store(0)
+	c.works.store(0)
+}
+
 // isFast reports whether the answers since the last judgement show the usual speed; it needs enough of them.
 func (c *coldStart) isFast(typical float64) bool {
 	n := c.judged.Load()
@@ -119,8 +124,7 @@
 		return false
 	}
 	mean := c.works.load() / float64(n)
-	c.judged.Store(0)
-	c.works.store(0)
+	c.forgetSpeed()
 	return mean <= warmFactor*typical
 }
 
