Share what the test harness does for its packages

Cause: process tests, benches and scenarios each built the programs by the same lines, and two places asked a gateway for its servers, each with an answer type and a client of its own. Before: three copies of the build, three of the request. After: one each; time limits of the requests are those of before, but for the wait until servers are known, which asks for up to 5 s in place of 1 s and repeats as before. Conclusion: no check changes.

--- a/testbed/harness/build.go
+++ b/testbed/harness/build.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"testing"
 )
 
 // Binaries are the programs under test.
@@ -26,8 +27,24 @@
 // Unwrap returns the cause.
 func (e *BuildError) Unwrap() error { return e.Cause }
 
-// Build builds the programs from the workspace at root into folder.
-func Build(root, folder string) (Binaries, error) {
+// RunTests builds the programs from the workspace two folders above the package under test, and runs its tests or benches.
+// binaries is set before them. It returns the exit code.
+func RunTests(m *testing.M, binaries *Binaries) int {
+	folder, err := os.MkdirTemp("", "heatherwall-test")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	if *binaries, err = build("../..", folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// build builds the programs from the workspace at root into folder.
+func build(root, folder string) (Binaries, error) {
 	c := exec.Command("go", "build", "-o", folder+string(os.PathSeparator), "./cmd/heatherwall", "./testbed/cmd/standin", "./testbed/cmd/benchgateway")
 	c.Dir = root
 	c.Env = append(os.Environ(), "CGO_ENABLED=1")
--- a/testbed/harness/cluster.go
+++ b/testbed/harness/cluster.go
@@ -18,6 +18,8 @@
 const (
 	StartLimit = 30 * time.Second
 	CallLimit  = 40 * time.Second
+	askLimit   = time.Second
+	listLimit  = 5 * time.Second
 )
 
 // relayOffset lies above the ports of the largest setup, 3 control replicas and 18 gateways.
@@ -179,7 +181,7 @@
 
 // Status is the status of a GET, or 0 without an answer.
 func Status(url string) int {
-	client := http.Client{Timeout: time.Second}
+	client := http.Client{Timeout: askLimit}
 	response, err := client.Get(url)
 	if err != nil {
 		return 0
