--- a/balance/atomics.go
+++ b/balance/atomics.go
@@ -49,3 +49,10 @@
 		}
 	}
 }
+
+// advance moves the time to one interval after now if now is not before it, and reports whether it did. Of several
+// calls at the same time one succeeds.
+func (t *atomicTime) advance(now, interval time.Duration) bool {
+	old := t.ns.Load()
+	return now >= time.Duration(old) && t.ns.CompareAndSwap(old, int64(now+interval))
+}
--- /dev/null
+++ b/balance/coldshare.go
@@ -0,0 +1,54 @@
+package balance
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// coldUse is the part of what a cold server bears in a second that gateways use. The rest covers requests whose ways
+	// differ in length, and a gateway that does not know of a new one yet.
+	coldUse = 0.8
+	// coldSpread lengthens the interval so that no second holds one request more than its share.
+	coldSpread = 1.05
+)
+
+// ColdShare divides what a server in cold start bears among gateways: those with the highest hash of server and gateway,
+// as many as there are whole requests per second. Each may send one request in an interval. permitted is false for a
+// gateway that has no share. It answers cold servers that every gateway would send to at once, because they seem idle.
+// bearable is in requests in any second.
+func ColdShare(server, self string, gateways []string, bearable float64) (interval time.Duration, permitted bool) {
+	requests := int(bearable * coldUse)
+	if requests < 1 {
+		return 0, false
+	}
+	if !slices.Contains(gateways, self) {
+		return 0, false
+	}
+	ranked := slices.SortedFunc(slices.Values(gateways), func(a, b string) int {
+		if x, y := coldRank(server, a), coldRank(server, b); x != y {
+			if x < y {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a, b)
+	})
+	sharing := min(requests, len(ranked))
+	if !slices.Contains(ranked[:sharing], self) {
+		return 0, false
+	}
+	perSecond := requests / sharing
+	return time.Duration(coldSpread * float64(time.Second) / float64(perSecond)), true
+}
+
+func coldRank(server, gateway string) uint64 {
+	h := fnv.New64a()
+	for _, part := range []string{server, gateway} {
+		_, _ = h.Write([]byte(part)) // never fails
+		_, _ = h.Write([]byte{0})
+	}
+	return mix(h.Sum64(), 0)
+}
--- a/balance/config.go
+++ b/balance/config.go
@@ -51,6 +51,8 @@
 	RetryShare float64
 	// HedgeShare is the number of hedges per first attempt; default 0.1.
 	HedgeShare float64
+	// RetryBurst is the number of retries that can be saved for each service; default 20.
+	RetryBurst int64
 }
 
 // Defaults of Config.
@@ -61,6 +63,7 @@
 	DefaultReturnTime       = 8 * time.Second
 	DefaultRetryShare       = 0.1
 	DefaultHedgeShare       = 0.1
+	DefaultRetryBurst       = 20
 )
 
 func (c Config) withDefaults() Config {
@@ -70,6 +73,9 @@
 	c.ReturnTime = defaultDuration(c.ReturnTime, DefaultReturnTime)
 	c.RetryShare = defaultShare(c.RetryShare, DefaultRetryShare)
 	c.HedgeShare = defaultShare(c.HedgeShare, DefaultHedgeShare)
+	if c.RetryBurst == 0 {
+		c.RetryBurst = DefaultRetryBurst
+	}
 	return c
 }
 
--- a/balance/eligible.go
+++ b/balance/eligible.go
@@ -105,7 +105,7 @@
 func (s *Snapshot) judgeLoad(v *serviceView, c *candidate, q *Query) verdict {
 	own := c.load.inFlight.Load()
 	if s.isCold(c, q.Now) {
-		if own >= c.load.cold.limit() || q.Now < c.load.cold.settled.load() {
+		if own >= c.load.cold.limit() || q.Now < c.load.cold.settled.load() || q.Now < c.coldTurn() {
 			return verdictBusy
 		}
 		return verdictYes
@@ -125,6 +125,14 @@
 	return verdictYes
 }
 
+// coldTurn is when a cold server may get its next request from this gateway.
+func (c *candidate) coldTurn() time.Duration {
+	if c.server.ColdInterval == 0 {
+		return 0
+	}
+	return c.load.coldTurn.load()
+}
+
 // total estimates the requests at a server, of this gateway and of others. Where the report has aged, the mean of the
 // service takes its place.
 func (s *Snapshot) total(v *serviceView, c *candidate, now time.Duration, own int64) float64 {
--- a/balance/event.go
+++ b/balance/event.go
@@ -18,7 +18,9 @@
 
 // Server describes a backend server to the engine. Address (IP address and port) identifies it.
 type Server struct {
-	Address       string
+	Address string
+	// ID is the server's own identifier; empty where servers have none.
+	ID            string
 	Service       string
 	Region        string
 	FailureDomain string
@@ -34,6 +36,9 @@
 	Owned bool
 	// SendUntil ends the owner's right to send to the cold server; monotonic time of this gateway.
 	SendUntil time.Duration
+	// ColdInterval is the shortest time between two requests of this gateway to the server while it is cold; 0 for no
+	// such limit.
+	ColdInterval time.Duration
 	// Evidence is the monotonic time of the newest evidence that the server is not leaving.
 	Evidence time.Duration
 }
--- a/balance/load.go
+++ b/balance/load.go
@@ -12,6 +12,8 @@
 	// startSum is the sum of the start times in µs of the requests in flight; with inFlight it yields their mean age.
 	startSum atomic.Int64
 
+	// coldTurn is when the next request may be sent to the server while it is cold.
+	coldTurn         atomicTime
 	evidence         atomicTime
 	sendUntil        atomicTime
 	pausedUntil      atomicTime
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -65,7 +65,7 @@
 			return nil, false, ReasonDeadline
 		}
 		cold := s.isCold(best.candidate, q.Now)
-		if reserve(&best.candidate.load.inFlight, s.hardLimit(best.candidate, cold)) {
+		if s.take(best.candidate, cold, q.Now) {
 			return best.candidate, cold, ReasonNone
 		}
 		q.Random = mix(q.Random, 1)
@@ -73,6 +73,18 @@
 	return nil, false, ReasonOverloaded
 }
 
+// take reserves a place at a server and, while it is cold, its next turn.
+func (s *Snapshot) take(c *candidate, cold bool, now time.Duration) bool {
+	if !reserve(&c.load.inFlight, s.hardLimit(c, cold)) {
+		return false
+	}
+	if !cold || c.server.ColdInterval == 0 || c.load.coldTurn.advance(now, c.server.ColdInterval) {
+		return true
+	}
+	c.load.inFlight.Add(-1)
+	return false
+}
+
 // hardLimit is the limit of this gateway's requests at a server, which concurrent picks must not exceed either.
 func (s *Snapshot) hardLimit(c *candidate, cold bool) int64 {
 	if cold {
@@ -164,7 +176,7 @@
 		v.load.first.Add(1)
 	}
 	return Attempt{
-		Address: c.server.Address, FailureDomain: c.server.FailureDomain, Region: c.server.Region,
+		Address: c.server.Address, ID: c.server.ID, FailureDomain: c.server.FailureDomain, Region: c.server.Region,
 		State: c.server.State, Owned: c.server.Owned,
 		snapshot: s, view: v, candidate: c, member: m,
 		start: q.Now, ticket: c.load.tickets.issue(), cold: cold,
@@ -178,8 +190,10 @@
 		return s.config.Switches.NoRetryBudget || v.load.retries.take()
 	case AttemptHedge:
 		return q.Idempotent && !s.config.Switches.NoHedging && v.load.hedges.take()
+	case AttemptRepeat:
+		return true
 	}
-	v.load.retries.earn(s.config.RetryShare, retryBurst)
+	v.load.retries.earn(s.config.RetryShare, s.config.RetryBurst)
 	v.load.hedges.earn(s.config.HedgeShare, hedgeBurst)
 	return true
 }
--- a/balance/query.go
+++ b/balance/query.go
@@ -13,6 +13,8 @@
 	AttemptFirst AttemptKind = iota
 	AttemptRetry
 	AttemptHedge
+	// AttemptRepeat follows an attempt that reached no server; it costs no budget and fills none.
+	AttemptRepeat
 )
 
 // Query describes one attempt to send a request.
@@ -131,7 +133,9 @@
 // effect.
 type Attempt struct {
 	// Address of the server.
-	Address       string
+	Address string
+	// ID is the server's own identifier.
+	ID            string
 	FailureDomain string
 	Region        string
 	// State of the server when it was picked.
--- a/balance/rapid_test.go
+++ b/balance/rapid_test.go
@@ -165,7 +165,7 @@
 	var b tokens
 	taken := 0
 	for range 10000 {
-		b.earn(0.1, retryBurst)
+		b.earn(0.1, DefaultRetryBurst)
 		if b.take() {
 			taken++
 		}
--- a/balance/tokens.go
+++ b/balance/tokens.go
@@ -5,9 +5,8 @@
 // Token counts are in thousandths.
 const (
 	wholeToken = 1000
-	// retryBurst and hedgeBurst are the numbers of tokens that can be saved. Hedges need more: while a neighbour is noisy,
-	// many requests need one within the same second.
-	retryBurst = 20
+	// hedgeBurst is the number of tokens for hedges that can be saved. It exceeds DefaultRetryBurst: while a neighbour is
+	// noisy, many requests need a hedge within the same second.
 	hedgeBurst = 60
 	// tokenStart is the number of tokens at the start.
 	tokenStart = 5
--- a/cmd/heatherwall/main.go
+++ b/cmd/heatherwall/main.go
@@ -17,6 +17,7 @@
 	"heatherwall.example/cmd/heatherwall/internal/operator"
 	"heatherwall.example/control"
 	"heatherwall.example/gateway"
+	"heatherwall.example/platform"
 	"heatherwall.example/settings"
 	"heatherwall.example/telemetry"
 )
@@ -69,10 +70,12 @@
 type daemonFlags struct {
 	settings  string
 	checkOnly bool
+	platform  bool
 }
 
 func (f *daemonFlags) register(set *flag.FlagSet) {
 	set.StringVar(&f.settings, "settings", "", "YAML `file` with the settings of this instance (required)")
+	set.BoolVar(&f.platform, "platform", false, "speak the language of the users' platform instead of the product's own; see docs/platform.md")
 	set.BoolVar(&f.checkOnly, "check", false, "validate the settings and exit")
 }
 
@@ -112,7 +115,11 @@
 		return exitUsage
 	}
 	return serve(flags, s.Instance, stdout, stderr, func(ctx context.Context, log *telemetry.Logger) error {
-		return control.Run(ctx, s, *bootstrap, log)
+		options := control.Options{Bootstrap: *bootstrap, Reload: reloads(ctx, flags.settings, settings.ParseControl, log)}
+		if flags.platform {
+			options.Catalogue = platform.ControlHandler
+		}
+		return control.Run(ctx, s, log, options)
 	})
 }
 
@@ -130,7 +137,11 @@
 		return exitUsage
 	}
 	return serve(flags, s.Instance, stdout, stderr, func(ctx context.Context, log *telemetry.Logger) error {
-		return gateway.Run(ctx, s, log, func(gateway.Addresses) {})
+		options := gateway.Options{Reload: reloads(ctx, flags.settings, settings.ParseGateway, log)}
+		if flags.platform {
+			options.Dialect = platform.Dialect()
+		}
+		return gateway.Run(ctx, s, log, nil, options)
 	})
 }
 
@@ -148,7 +159,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	context.AfterFunc(ctx, cancel)
-	if err := daemon(ctx, telemetry.NewLogger(stderr, level)); err != nil {
+	if err := daemon(ctx, telemetry.NewLogger(stdout, level)); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitRefused
 	}
--- /dev/null
+++ b/control/catalogue.go
@@ -0,0 +1,172 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/controlstate"
+	"heatherwall.example/routes"
+	"heatherwall.example/telemetry"
+)
+
+const (
+	// leaderPoll is the time between two looks for a leader that takes a command.
+	leaderPoll = 50 * time.Millisecond
+	// catalogueHeaderTimeout bounds the header of a request at the catalogue listener.
+	catalogueHeaderTimeout = 5 * time.Second
+	// catalogueIdleTimeout closes idle connections of backend servers and operators.
+	catalogueIdleTimeout = 30 * time.Second
+)
+
+// UnavailableError reports a command or a read that no quorum decided in time. A command may still take effect; it is
+// idempotent and may be sent again.
+type UnavailableError struct {
+	Cause error
+}
+
+func (e *UnavailableError) Error() string { return "no quorum decided in time: " + e.Cause.Error() }
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// NoRoutesError reports a read before the first route table.
+type NoRoutesError struct{}
+
+func (e *NoRoutesError) Error() string { return "no route table has been accepted yet" }
+
+// Catalogue is what a replica offers to backend servers and to operators of a route table. Every method returns within
+// the deadline of its context. It is safe for use by several goroutines.
+type Catalogue struct {
+	r *replica
+}
+
+// PutRoutes stores a route table. A version that is not higher than the stored one changes nothing and is no error.
+// Errors: *routes.InvalidError, *UnavailableError.
+func (c *Catalogue) PutRoutes(ctx context.Context, t *controlpb.RouteTable) error {
+	if err := routes.Validate(t); err != nil {
+		return err
+	}
+	err := c.decide(ctx, controlstate.PutRoutesEntry(t))
+	c.r.log.Log(eventRoutesPut, telemetry.F("version", t.GetVersion()), telemetry.F("routes", len(t.GetRoutes())), telemetry.F("error", errorText(err)))
+	return err
+}
+
+// Routes returns the newest route table, confirmed by a quorum after the call. Errors: *NoRoutesError,
+// *UnavailableError.
+func (c *Catalogue) Routes(ctx context.Context) (*controlpb.RouteTable, error) {
+	table, err := call(ctx, c.r.loop, func(finish func(*controlpb.RouteTable, error)) {
+		c.r.readConfiguration(func(err error) {
+			if err != nil {
+				finish(nil, err)
+				return
+			}
+			finish(c.r.configuration.state.Routes(), nil)
+		})
+	})
+	switch {
+	case err != nil:
+		return nil, &UnavailableError{Cause: err}
+	case table == nil:
+		return nil, &NoRoutesError{}
+	}
+	return table, nil
+}
+
+// SetDomainOut takes a failure domain out of service or back in. The error is an *UnavailableError.
+func (c *Catalogue) SetDomainOut(ctx context.Context, domain string, out bool) error {
+	err := c.decide(ctx, controlstate.SetDomainOutEntry(domain, out))
+	c.r.log.Log(eventDomainSet, telemetry.F("failure_domain", domain), telemetry.F("out", out), telemetry.F("error", errorText(err)))
+	return err
+}
+
+// Report takes a report of a backend server. It returns once a quorum knows what the report changes; a report that
+// changes nothing, or was overtaken, is only noted here. The error is an *UnavailableError.
+func (c *Catalogue) Report(ctx context.Context, s *controlpb.BackendServer) error {
+	_, err := call(ctx, c.r.loop, func(finish func(struct{}, error)) {
+		c.r.takeReport(s, func(err error) { finish(struct{}{}, err) })
+	})
+	return unavailable(err)
+}
+
+// Leave ends a backend server for good. Incarnation 0 stands for the one that is known. The error is an
+// *UnavailableError.
+func (c *Catalogue) Leave(ctx context.Context, id string, incarnation uint64) error {
+	_, err := call(ctx, c.r.loop, func(finish func(struct{}, error)) {
+		c.r.takeLeave(id, incarnation, func(err error) { finish(struct{}{}, err) })
+	})
+	c.r.log.Log(eventServerLeft, telemetry.F("server", id), telemetry.F("incarnation", incarnation), telemetry.F("error", errorText(err)))
+	return unavailable(err)
+}
+
+// Region returns the region of a failure domain.
+func (c *Catalogue) Region(domain string) (string, bool) {
+	region, ok := c.r.settings.Catalogue.FailureDomains[domain]
+	return region, ok
+}
+
+// Address is where this replica takes reports.
+func (c *Catalogue) Address() string { return c.r.settings.Catalogue.Listen.Advertised() }
+
+// Log is the log of the replica.
+func (c *Catalogue) Log() *telemetry.Logger { return c.r.log }
+
+// decide has an idempotent entry committed. It waits for a leader as long as ctx permits.
+func (c *Catalogue) decide(ctx context.Context, entry []byte) error {
+	for {
+		_, err := call(ctx, c.r.loop, func(finish func(struct{}, error)) {
+			c.r.loop.groups[configurationGroup].forward(entry, func(_ any, err error) { finish(struct{}{}, err) })
+		})
+		if !isNotLeader(err) {
+			return unavailable(err)
+		}
+		pause(ctx, leaderPoll)
+		if ctx.Err() != nil {
+			return unavailable(err)
+		}
+	}
+}
+
+func unavailable(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &UnavailableError{Cause: err}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// serveCatalogue opens the catalogue listener if the settings have one. stop lets requests in flight end.
+func (r *replica) serveCatalogue(wg *sync.WaitGroup) (stop func(), err error) {
+	s := r.settings.Catalogue
+	if s == nil || r.options.Catalogue == nil {
+		return func() {}, nil
+	}
+	listener, err := net.Listen("tcp", s.Listen.Address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Handler:           r.options.Catalogue(&Catalogue{r: r}),
+		ReadHeaderTimeout: catalogueHeaderTimeout, IdleTimeout: catalogueIdleTimeout,
+	}
+	wg.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			r.log.Log(eventListenerFailed, telemetry.F("listener", "catalogue"), telemetry.F("error", err))
+		}
+	})
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close() // what is still in flight ends here; the replica stops
+		}
+	}, nil
+}
--- a/control/counters_test.go
+++ b/control/counters_test.go
@@ -31,9 +31,10 @@
 	s.Name, s.Region = "c1", "near"
 	s.Peers = []settings.Peer{{Name: "c1", Region: "near"}}
 	r := newReplica(s, &tls.Config{}, telemetry.NewLogger(io.Discard, telemetry.Error))
+	r.options.Bootstrap = true
 	ctx, cancel := context.WithCancel(t.Context())
 	stopped := make(chan error, 1)
-	go func() { stopped <- r.run(ctx, peers, admin, true) }()
+	go func() { stopped <- r.run(ctx, peers, admin) }()
 	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(tickInterval) {
 		page := getPage(t, "http://"+admin.Addr().String()+"/metrics")
 		if strings.Contains(page, `heatherwall_leadership_changes_total{change="gained"} 1`) {
--- a/control/creategroup_test.go
+++ b/control/creategroup_test.go
@@ -85,7 +85,8 @@
 		t.Fatal(err)
 	}
 	openLog(t, r.groupFolder(configurationGroup), func(*wal.Log) error { return nil })
-	id, err := r.identity(t.Context(), nil, true)
+	r.options.Bootstrap = true
+	id, err := r.identity(t.Context(), nil)
 	if err != nil || id != saved {
 		t.Fatalf("identity %+v, %v; want %+v", id, err, saved)
 	}
--- a/control/dial.go
+++ b/control/dial.go
@@ -13,9 +13,16 @@
 // Reconnecting waits at most this long, so that a healed cut is noticed soon.
 const maxReconnectDelay = time.Second
 
+// dialer opens connections in the name of this replica.
+type dialer struct {
+	// tls is nil on a network without certificates; name and address introduce the replica there.
+	tls           *tls.Config
+	name, address string
+}
+
 // dial opens a connection to one address.
-func dial(address string, c *tls.Config) (*grpc.ClientConn, error) {
-	return api.DialDaemon(address, c,
+func (d dialer) dial(address string) (*grpc.ClientConn, error) {
+	return api.DialDaemon(address, d.tls, api.Introduction(d.name, d.address),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnectDelay},
 			MinConnectTimeout: time.Second,
--- a/control/events.go
+++ b/control/events.go
@@ -30,6 +30,24 @@
 		"A connection was refused because of its certificate or setup.")
 	eventAccepted = telemetry.Define(1040, "change_decided", telemetry.Info,
 		"A change of the document was decided; the outcome is in the fields.")
+	eventReloaded = telemetry.Define(1005, "settings_reloaded", telemetry.Info,
+		"The settings file has changed; the addresses to ask about the setup are in the fields.")
+	eventListenerFailed = telemetry.Define(1021, "listener_failed", telemetry.Error,
+		"A listener ended by itself and takes no more requests.")
+	eventRoutesPut = telemetry.Define(1050, "routes_put", telemetry.Info,
+		"An operator put a route table; without an error, a quorum holds it or a higher version.")
+	eventDomainSet = telemetry.Define(1051, "domain_set", telemetry.Info,
+		"An operator took a failure domain out of service or back in.")
+	eventServerReported = telemetry.Define(1052, "server_reported", telemetry.Info,
+		"A report of a backend server changes what is known of it and is proposed.")
+	eventServerLeft = telemetry.Define(1053, "server_left", telemetry.Info,
+		"A backend server said that it ends.")
+	eventServerLost = telemetry.Define(1054, "server_lost", telemetry.Warn,
+		"A backend server has not reported for long and is proposed as lost.")
+	eventReportOutdated = telemetry.Define(1055, "report_outdated", telemetry.Info,
+		"A report of a backend server was overtaken by a newer one and changes nothing.")
+	eventPoisonLost = telemetry.Define(1056, "poison_report_lost", telemetry.Warn,
+		"Crash counts of requests may not have been recorded; gateways go on counting.")
 	eventStale = telemetry.Define(1041, "confirmation_refused", telemetry.Warn,
 		"A renewal or read was refused because no quorum confirmed that the state is current.")
 )
--- a/control/group.go
+++ b/control/group.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
+	"time"
 
 	"heatherwall.example/api/raftpb"
 	"heatherwall.example/raft"
@@ -33,6 +34,16 @@
 
 type proposalResult func(result any, err error)
 
+// proposal is an entry whose outcome is not known yet.
+type proposal struct {
+	done proposalResult
+	at   time.Time
+}
+
+// proposalTimeout bounds how long a proposal waits for its outcome. One that was forwarded to a leader which could not
+// take it would wait for ever.
+const proposalTimeout = 5 * time.Second
+
 // group is one raft group on this replica: its node, log and state machine.
 type group struct {
 	id      uint64
@@ -50,8 +61,10 @@
 	bytesSince   int
 	snapshotSize int
 	leading      bool
+	// leaderAt is when a leader was last known.
+	leaderAt time.Time
 
-	proposals    map[uint64]proposalResult
+	proposals    map[uint64]proposal
 	nextProposal uint64
 
 	// Readers that arrived while a round was running wait for the next one: a round confirms only what was asked
@@ -64,7 +77,7 @@
 func newGroup(id uint64, region string, self uint64, node *raft.Node, log groupLog, machine stateMachine) *group {
 	return &group{
 		id: id, region: region, self: self, node: node, log: log, machine: machine, policy: policyOf(id),
-		proposals:    map[uint64]proposalResult{},
+		proposals:    map[uint64]proposal{},
 		nextProposal: randomNumber(),
 		nextID:       randomNumber(),
 	}
@@ -81,16 +94,36 @@
 // propose appends data to the log. done is called once: with the result of the state machine, with a
 // *raft.NotLeaderError, or with *OutcomeUnknownError.
 func (g *group) propose(data []byte, done proposalResult) {
+	g.submit(data, g.node.Propose, done)
+}
+
+// forward is propose that a follower passes on to the leader. The entry must be idempotent: when its outcome is not
+// known, the proposer sends it again.
+func (g *group) forward(data []byte, done proposalResult) {
+	g.submit(data, g.node.Forward, done)
+}
+
+func (g *group) submit(data []byte, hand func([]byte) error, done proposalResult) {
 	number := g.nextProposal
 	g.nextProposal++
 	entry := make([]byte, proposalHeader, proposalHeader+len(data))
 	binary.LittleEndian.PutUint64(entry, g.self)
 	binary.LittleEndian.PutUint64(entry[8:], number)
-	if err := g.node.Propose(append(entry, data...)); err != nil {
+	if err := hand(append(entry, data...)); err != nil {
 		done(nil, err)
 		return
 	}
-	g.proposals[number] = done
+	g.proposals[number] = proposal{done: done, at: time.Now()}
+}
+
+// expireProposals gives up proposals whose outcome has not become known in time.
+func (g *group) expireProposals(now time.Time) {
+	for number, p := range g.proposals {
+		if now.Sub(p.at) > proposalTimeout {
+			delete(g.proposals, number)
+			p.done(nil, &OutcomeUnknownError{Group: g.id})
+		}
+	}
 }
 
 // advance handles one Ready of the node: sync, then send, then apply.
@@ -162,9 +195,9 @@
 		return nil
 	}
 	number := binary.LittleEndian.Uint64(e.Data[8:])
-	if done, ok := g.proposals[number]; ok {
+	if p, ok := g.proposals[number]; ok {
 		delete(g.proposals, number)
-		done(result, nil)
+		p.done(result, nil)
 	}
 	return nil
 }
@@ -181,9 +214,9 @@
 		return
 	}
 	l.log.Log(eventNotLeading, telemetry.F("group", g.id), telemetry.F("waiting", len(g.proposals)))
-	for number, done := range g.proposals {
+	for number, p := range g.proposals {
 		delete(g.proposals, number)
-		done(nil, &OutcomeUnknownError{Group: g.id})
+		p.done(nil, &OutcomeUnknownError{Group: g.id})
 	}
 }
 
--- a/control/identity.go
+++ b/control/identity.go
@@ -2,22 +2,19 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
 	"path/filepath"
 	"strconv"
 	"time"
 
+	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/raftpb"
 	"heatherwall.example/raft"
 	"heatherwall.example/raft/wal"
 	"heatherwall.example/settings"
 	"heatherwall.example/telemetry"
-
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials"
 )
 
 const (
@@ -39,7 +36,8 @@
 
 // identity loads the identity of the data folder. Without one it bootstraps, or waits until a peer tells the setup's
 // number; meanwhile it answers probes of peers that bootstrap.
-func (r *replica) identity(ctx context.Context, listener *net.TCPListener, bootstrap bool) (wal.Identity, error) {
+func (r *replica) identity(ctx context.Context, listener *net.TCPListener) (wal.Identity, error) {
+	bootstrap := r.options.Bootstrap || r.isFounder()
 	saved, err := wal.LoadIdentity(r.settings.DataFolder)
 	var missing *wal.NoIdentityError
 	switch {
@@ -86,7 +84,7 @@
 
 // answerProbes serves Probe, and nothing else, until stop is called.
 func (r *replica) answerProbes(listener *net.TCPListener) (stop func()) {
-	server := grpc.NewServer(grpc.Creds(credentials.NewTLS(r.tls)))
+	server := api.NewServer(r.tls, maxMessageBytes)
 	controlpb.RegisterPeersServer(server, &peerServer{r: r})
 	done := make(chan struct{})
 	go func() {
@@ -129,10 +127,10 @@
 		if p.Name == r.settings.Name {
 			continue
 		}
-		answer, err := probe(ctx, p.Address, r.tls)
+		answer, err := r.probe(ctx, p.Address)
 		for err != nil && ctx.Err() == nil {
 			pause(ctx, joinInterval)
-			answer, err = probe(ctx, p.Address, r.tls)
+			answer, err = r.probe(ctx, p.Address)
 		}
 		if err != nil {
 			return &BootstrapError{Peer: p.Name, Reason: "no answer: " + err.Error()}
@@ -179,11 +177,8 @@
 // learnCluster asks the peers for the setup's number until one of them belongs to a setup.
 func (r *replica) learnCluster(ctx context.Context) (wal.Identity, error) {
 	for ctx.Err() == nil {
-		for _, p := range r.settings.Peers {
-			if p.Name == r.settings.Name {
-				continue
-			}
-			answer, err := probe(ctx, p.Address, r.tls)
+		for _, address := range r.candidates() {
+			answer, err := r.probe(ctx, address)
 			if err != nil || answer.ClusterId == 0 {
 				continue
 			}
@@ -194,10 +189,10 @@
 	return wal.Identity{}, ctx.Err()
 }
 
-func probe(ctx context.Context, address string, c *tls.Config) (*controlpb.ProbeAnswer, error) {
+func (r *replica) probe(ctx context.Context, address string) (*controlpb.ProbeAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := dial(address, c)
+	conn, err := r.dialer().dial(address)
 	if err != nil {
 		return nil, err
 	}
@@ -214,8 +209,11 @@
 			pause(ctx, joinInterval)
 			continue
 		}
+		candidates := r.candidates()
 		for _, g := range groups {
-			r.askToJoin(ctx, g, r.settings.Peers[next%len(r.settings.Peers)].Address)
+			if len(candidates) > 0 {
+				r.askToJoin(ctx, g, candidates[next%len(candidates)])
+			}
 		}
 		next++
 		pause(ctx, joinInterval)
@@ -226,7 +224,7 @@
 func (r *replica) groupsToJoin() []uint64 {
 	var ids []uint64
 	for _, g := range r.loop.ordered {
-		if memberOf(g.node.Status().Membership, g.self) == nil {
+		if memberOf(g.node.Status().Membership, g.self) == nil || r.isForgotten(g) {
 			ids = append(ids, g.id)
 		}
 	}
@@ -248,7 +246,7 @@
 func (r *replica) join(ctx context.Context, group uint64, address string) (*controlpb.JoinAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := dial(address, r.tls)
+	conn, err := r.dialer().dial(address)
 	if err != nil {
 		return nil, err
 	}
--- a/control/load.go
+++ b/control/load.go
@@ -73,7 +73,11 @@
 }
 
 func (r *replica) askLoad(ctx context.Context, q loadQuestion) (*controlpb.GatewayLoad, error) {
-	conn, err := dial(q.address, api.PeerTLS(r.tls.Certificates, r.tls.RootCAs, q.name))
+	to := r.dialer()
+	if r.tls != nil {
+		to.tls = api.PeerTLS(r.tls.Certificates, r.tls.RootCAs, q.name)
+	}
+	conn, err := to.dial(q.address)
 	if err != nil {
 		return nil, err
 	}
--- a/control/load_test.go
+++ b/control/load_test.go
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	for name, want := range map[string]bool{"gateway-1": true, "gateway-2": false} {
-		_, err := (&replica{tls: own}).askLoad(ctx, loadQuestion{name: name, address: l.Addr().String()})
+		_, err := (&replica{tls: own, settings: &settings.Control{}}).askLoad(ctx, loadQuestion{name: name, address: l.Addr().String()})
 		if (err == nil) != want {
 			t.Errorf("asked for %s: %v", name, err)
 		}
--- a/control/loop.go
+++ b/control/loop.go
@@ -43,6 +43,8 @@
 	contacts map[uint64]string
 	// beforeSettle runs before each round of syncs, for work that is collected during a turn.
 	beforeSettle func()
+	// afterSettle runs at the end of each turn, when everything committed has been applied.
+	afterSettle func()
 	// everyTick runs after each tick, for work that depends on time.
 	everyTick []func(now time.Time)
 
@@ -127,6 +129,9 @@
 		if err := l.settle(); err != nil {
 			l.fail(err)
 		}
+		if l.afterSettle != nil {
+			l.afterSettle()
+		}
 		if l.fatal != nil {
 			l.log.Log(eventStorageFailed, telemetry.F("error", l.fatal))
 			return
@@ -155,7 +160,9 @@
 func (l *loop) tick(now time.Time) {
 	for _, g := range l.ordered {
 		g.node.Tick()
+		g.noteLeader(now)
 		g.expireRead(now)
+		g.expireProposals(now)
 	}
 	for _, f := range l.everyTick {
 		f(now)
--- a/control/membership.go
+++ b/control/membership.go
@@ -3,6 +3,7 @@
 import (
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/raftpb"
+	"heatherwall.example/raft"
 	"heatherwall.example/telemetry"
 )
 
@@ -49,7 +50,13 @@
 		telemetry.F("replica", change.Member.Name), telemetry.F("id", change.Member.Id))
 }
 
-// promoteLearners makes a learner a voter once it has synced everything that is committed now.
+// replaceAfterTicks is the silence of a voter, in ticks, after which a learner that is ready takes its place. A restart
+// of a machine takes less, so that replicas which come back keep their places.
+const replaceAfterTicks = 60
+
+// promoteLearners makes a learner a voter once it has synced everything that is committed now. A voter that has been
+// silent for long is removed before, so that the number of voters does not grow with each replica that is replaced, and
+// a majority of them does not come to consist of lost ones.
 func (l *loop) promoteLearners(g *group) {
 	if !g.leading {
 		return
@@ -59,6 +66,10 @@
 		if !replica.Learner || replica.Match < st.Commit {
 			continue
 		}
+		if lost := lostVoter(st); lost != nil {
+			l.proposeMembership(g, &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_REMOVE, Member: lost})
+			return
+		}
 		l.proposeMembership(g, &raftpb.MembershipChange{
 			Type:   raftpb.MembershipChangeType_MEMBERSHIP_PROMOTE,
 			Member: memberOf(st.Membership, replica.ID),
@@ -67,6 +78,24 @@
 	}
 }
 
+// lostVoter returns the voter that has been silent for the longest time, if that is long enough to replace it.
+func lostVoter(st raft.Status) *raftpb.Member {
+	var lost *raftpb.Member
+	var longest uint64
+	for _, replica := range st.Replicas {
+		m := memberOf(st.Membership, replica.ID)
+		if isReplaceable(m, replica.SilentTicks) && replica.SilentTicks > longest {
+			lost, longest = m, replica.SilentTicks
+		}
+	}
+	return lost
+}
+
+// isReplaceable tells whether a replica that is ready may take the place of a voter.
+func isReplaceable(m *raftpb.Member, silentTicks uint64) bool {
+	return !m.Learner && silentTicks > replaceAfterTicks
+}
+
 func memberOf(membership *raftpb.Membership, id uint64) *raftpb.Member {
 	for _, m := range membership.GetMembers() {
 		if m.Id == id {
--- a/control/peers.go
+++ b/control/peers.go
@@ -25,6 +25,9 @@
 // checkReplica refuses certificates that do not belong to a configured replica.
 func (s *peerServer) checkReplica(ctx context.Context) (string, error) {
 	name := api.PeerName(ctx)
+	if r := s.r; name != "" && r.settings.Discovery != nil {
+		return name, nil
+	}
 	if slices.ContainsFunc(s.r.settings.Peers, peerNamed(name)) {
 		return name, nil
 	}
@@ -39,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	return s.r.untilStopped(func() error { return s.receive(stream, s.r.peerAddress(name)) })
+	return s.r.untilStopped(func() error { return s.receive(stream, s.r.peerAddress(stream.Context(), name)) })
 }
 
 func (s *peerServer) receive(stream grpc.BidiStreamingServer[controlpb.PeerBatch, controlpb.PeerBatchAck], address string) error {
@@ -88,7 +91,11 @@
 	})
 }
 
-func (r *replica) peerAddress(name string) string {
+// peerAddress is where the replica that makes a call listens for its peers. With discovery, the replica says so itself.
+func (r *replica) peerAddress(ctx context.Context, name string) string {
+	if r.settings.Discovery != nil {
+		return api.PeerAddress(ctx)
+	}
 	return r.settings.Peers[slices.IndexFunc(r.settings.Peers, peerNamed(name))].Address
 }
 
--- a/control/replica.go
+++ b/control/replica.go
@@ -42,6 +42,13 @@
 	log      *telemetry.Logger
 	counters *counters
 	tls      *tls.Config
+	options  Options
+	// seeds are the addresses of discovery; they change with the settings file.
+	seeds atomic.Pointer[[]string]
+	// servers holds what this replica heard from backend servers; it belongs to the loop.
+	servers *serverReports
+	// watchers are told when the catalogue changes.
+	watchers watchers
 
 	loop          *loop
 	transport     *transport
@@ -66,15 +73,33 @@
 	stopping chan struct{}
 }
 
-// Run starts a control replica and serves until ctx ends, then hands over its leaderships and stops. bootstrap creates
-// the configuration group in an empty data folder, once all peers have answered that they belong to no setup. Errors are of the types of this package and of
-// settings, raft and wal.
-func Run(ctx context.Context, s *settings.Control, bootstrap bool, log *telemetry.Logger) error {
-	tlsConfig, err := s.Peer.TLS.Load()
-	if err != nil {
-		return err
+// Options of Run; the zero value is that of a replica that joins an existing setup.
+type Options struct {
+	// Bootstrap creates the configuration group in an empty data folder, once all configured peers have answered that
+	// they belong to no setup.
+	Bootstrap bool
+	// Catalogue makes the handler of the catalogue listener; it is needed where the settings have one.
+	Catalogue func(*Catalogue) http.Handler
+	// Reload delivers the settings after each change of the settings file; only the seeds of discovery take effect
+	// without a restart. It may be nil.
+	Reload <-chan *settings.Control
+}
+
+// Run starts a control replica and serves until ctx ends, then hands over its leaderships and stops. Errors are of the
+// types of this package and of settings, raft and wal.
+func Run(ctx context.Context, s *settings.Control, log *telemetry.Logger, o Options) error {
+	var tlsConfig *tls.Config
+	if s.Peer.TLS != nil {
+		var err error
+		if tlsConfig, err = s.Peer.TLS.Load(); err != nil {
+			return err
+		}
 	}
 	r := newReplica(s, tlsConfig, log)
+	r.options = o
+	if s.Discovery != nil {
+		r.setSeeds(s.Discovery.Addresses())
+	}
 	peers, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort(s.Peer.Address)))
 	if err != nil {
 		return err
@@ -89,23 +114,24 @@
 	if err != nil {
 		return err
 	}
-	return errors.Join(r.run(ctx, peers, admin, bootstrap), lock.Unlock())
+	return errors.Join(r.run(ctx, peers, admin), lock.Unlock())
 }
 
 func newReplica(s *settings.Control, tlsConfig *tls.Config, log *telemetry.Logger) *replica {
 	return &replica{
 		settings: s, log: log, counters: newCounters(), tls: tlsConfig,
 		batches: map[uint64]*claimBatch{}, outbox: map[string]part{}, creating: map[string]bool{}, stopping: make(chan struct{}),
+		servers: newServerReports(),
 	}
 }
 
-func (r *replica) run(ctx context.Context, peers *net.TCPListener, admin net.Listener, bootstrap bool) error {
+func (r *replica) run(ctx context.Context, peers *net.TCPListener, admin net.Listener) error {
 	var wg sync.WaitGroup
 	web := &http.Server{Handler: r.adminMux(), ReadHeaderTimeout: adminHeaderTimeout}
 	wg.Go(func() { _ = web.Serve(admin) })
 	defer wg.Wait()
 	defer web.Close()
-	identity, err := r.identity(ctx, peers, bootstrap)
+	identity, err := r.identity(ctx, peers)
 	if err != nil {
 		return err
 	}
@@ -115,16 +141,23 @@
 		return err
 	}
 	r.opened.Store(true)
+	stopCatalogue, err := r.serveCatalogue(&wg)
+	if err != nil {
+		return errors.Join(err, r.closeLogs())
+	}
 	server := r.server()
 	wg.Go(func() { r.loop.run() })
 	wg.Go(func() { _ = server.Serve(peers) })
 	wg.Go(func() { r.keepJoining(background) })
+	wg.Go(func() { r.takeReloads(background) })
 	r.log.Log(eventStarted, telemetry.F("id", identity.ID), telemetry.F("cluster", identity.ClusterID), telemetry.F("address", peers.Addr().String()))
 
 	select {
 	case <-ctx.Done():
+		stopCatalogue()
 		r.handOver()
 	case <-r.loop.done:
+		stopCatalogue()
 	}
 	close(r.stopping)
 	stopServer(server)
@@ -183,7 +216,7 @@
 // open opens every group that the data folder holds.
 func (r *replica) open(ctx context.Context, id wal.Identity) error {
 	r.loop = newLoop(r.member(id.ID), id.ClusterID, r.log, r.counters)
-	r.transport = newTransport(ctx, r.tls, id.ClusterID, r.log, r.counters)
+	r.transport = newTransport(ctx, r.dialer(), id.ClusterID, r.log, r.counters)
 	r.directory = newDirectory(id.ID, time.Now())
 	r.transport.report = func(base uint64) *controlpb.ReplicaReport { return r.directory.report(base, time.Now()) }
 	r.loop.send = r.collectMessages
@@ -195,7 +228,11 @@
 	if err := r.openClaimGroups(); err != nil {
 		return err
 	}
-	r.loop.beforeSettle = r.flushClaims
+	r.loop.beforeSettle = func() {
+		r.flushClaims()
+		r.flushServerReports()
+	}
+	r.loop.afterSettle = func() { r.watchers.notify(r.configuration.state.CatalogueIndex()) }
 	r.loop.everyTick = append(r.loop.everyTick, r.everyTick)
 	return nil
 }
@@ -240,6 +277,7 @@
 		r.loop.promoteLearners(g)
 	}
 	r.maintainClaimGroups()
+	r.expireServers(now)
 	r.raiseFloors(now)
 	r.limitMemory(now)
 }
--- /dev/null
+++ b/control/serverreports.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/statepb"
+	"heatherwall.example/controlstate"
+	"heatherwall.example/telemetry"
+)
+
+const (
+	// lostReports is the number of report intervals without a report after which a server counts as lost. Reports may
+	// arrive seconds late, and gateways avoid a server that does not answer long before.
+	lostReports = 6
+	// expiryInterval is the time between two looks for lost servers.
+	expiryInterval = time.Second
+	// coldSlack is how much later than expected a cold start may end before it is taken for a new one.
+	coldSlack = 500 * time.Millisecond
+	// silentHolderTicks is the silence of a replica, in ticks, after which the leader looks after its servers.
+	silentHolderTicks = 50
+)
+
+// serverReports is what one replica heard from backend servers. It belongs to the loop. Reports that change nothing
+// are only noted here; the log holds what other replicas and gateways must know.
+type serverReports struct {
+	heard map[string]heardServer
+	// batch collects the reports of this turn of the loop; one entry carries them all.
+	batch     []*statepb.ServerReport
+	waiting   []func(error)
+	expiredAt time.Time
+}
+
+// heardServer is the last sign of life of a server.
+type heardServer struct {
+	at time.Time
+	// coldUntil is the expected end of its cold start.
+	coldUntil time.Time
+}
+
+func newServerReports() *serverReports {
+	return &serverReports{heard: map[string]heardServer{}}
+}
+
+// takeReport notes a report and calls done, at once if it changes nothing.
+func (r *replica) takeReport(s *controlpb.BackendServer, done func(error)) {
+	state := r.configuration.state
+	if state.IsOutdated(s) {
+		r.log.Log(eventReportOutdated, telemetry.F("server", s.GetId()), telemetry.F("incarnation", s.GetIncarnation()), telemetry.F("sequence", s.GetSequence()))
+		done(nil)
+		return
+	}
+	now := time.Now()
+	known := state.BackendServer(s.GetId())
+	before := r.servers.heard[s.GetId()]
+	r.servers.heard[s.GetId()] = heardServer{at: now, coldUntil: now.Add(time.Duration(s.GetColdMs()) * time.Millisecond)}
+	s.Holder = r.loop.self.Id
+	if known != nil && isSameReport(known, s) && !before.startsCold(now, known, s) {
+		done(nil)
+		return
+	}
+	r.log.Log(eventServerReported, telemetry.F("server", s.GetId()), telemetry.F("service", s.GetService()), telemetry.F("address", s.GetAddress()),
+		telemetry.F("state", s.GetState().String()), telemetry.F("cold_ms", int(s.GetColdMs())), telemetry.F("incarnation", s.GetIncarnation()))
+	r.servers.add(&statepb.ServerReport{Report: &statepb.ServerReport_Present{Present: s}}, done)
+}
+
+// isSameReport compares what gateways and other replicas must know, but for the rest of a cold start.
+func isSameReport(a, b *controlpb.BackendServer) bool {
+	return a.GetIncarnation() == b.GetIncarnation() && a.GetService() == b.GetService() && a.GetAddress() == b.GetAddress() &&
+		a.GetFailureDomain() == b.GetFailureDomain() && a.GetVersion() == b.GetVersion() && a.GetSlots() == b.GetSlots() &&
+		a.GetState() == b.GetState() && a.GetHolder() == b.GetHolder() && (a.GetColdMs() > 0) == (b.GetColdMs() > 0)
+}
+
+// startsCold tells whether a cold server has fallen back into cold start since its last report.
+func (h heardServer) startsCold(now time.Time, known, s *controlpb.BackendServer) bool {
+	if s.GetColdMs() == 0 || known.GetColdMs() == 0 {
+		return false
+	}
+	end := now.Add(time.Duration(s.GetColdMs()) * time.Millisecond)
+	return h.coldUntil.IsZero() || end.Sub(h.coldUntil) > coldSlack
+}
+
+// takeLeave ends a server and calls done once that is committed.
+func (r *replica) takeLeave(id string, incarnation uint64, done func(error)) {
+	if incarnation == 0 {
+		known := r.configuration.state.BackendServer(id)
+		if known == nil {
+			done(nil)
+			return
+		}
+		incarnation = known.GetIncarnation()
+	}
+	end := &statepb.ServerEnd{Id: id, Incarnation: incarnation}
+	r.servers.add(&statepb.ServerReport{Report: &statepb.ServerReport_Ended{Ended: end}}, done)
+}
+
+func (s *serverReports) add(report *statepb.ServerReport, done func(error)) {
+	s.batch = append(s.batch, report)
+	s.waiting = append(s.waiting, done)
+}
+
+// flushServerReports proposes what this turn of the loop collected.
+func (r *replica) flushServerReports() {
+	s := r.servers
+	if len(s.batch) == 0 {
+		return
+	}
+	waiting := s.waiting
+	entry := controlstate.ServerReportsEntry(s.batch)
+	s.batch, s.waiting = nil, nil
+	r.loop.groups[configurationGroup].forward(entry, func(_ any, err error) {
+		for _, done := range waiting {
+			done(err)
+		}
+	})
+}
+
+// expireServers ends the servers that report to this replica and have been silent for long. The leader also looks after
+// those of replicas that are gone or silent.
+func (r *replica) expireServers(now time.Time) {
+	s := r.servers
+	if r.settings.Catalogue == nil || now.Sub(s.expiredAt) < expiryInterval {
+		return
+	}
+	stalled := now.Sub(s.expiredAt) > 2*expiryInterval
+	s.expiredAt = now
+	limit := lostReports * r.settings.Catalogue.ReportInterval()
+	mine := r.lookedAfter()
+	kept := make(map[string]heardServer, len(s.heard))
+	for _, server := range r.configuration.state.BackendServers() {
+		id := server.GetId()
+		heard, ok := s.heard[id]
+		if !mine(server.GetHolder()) {
+			continue
+		}
+		if !ok || stalled {
+			// This process has not listened for the whole time: it just started, took over, or stood still.
+			heard.at = now
+		}
+		kept[id] = heard
+		if now.Sub(heard.at) > limit {
+			r.log.Log(eventServerLost, telemetry.F("server", id), telemetry.F("service", server.GetService()), telemetry.F("silent", now.Sub(heard.at)))
+			end := &statepb.ServerEnd{Id: id, Incarnation: server.GetIncarnation(), Lost: true, Changed: server.GetChanged()}
+			s.add(&statepb.ServerReport{Report: &statepb.ServerReport_Ended{Ended: end}}, func(error) {})
+		}
+	}
+	s.heard = kept
+}
+
+// lookedAfter returns whether this replica looks after the servers that report to a replica.
+func (r *replica) lookedAfter() func(holder uint64) bool {
+	g := r.loop.groups[configurationGroup]
+	st := g.node.Status()
+	if !g.leading {
+		return func(holder uint64) bool { return holder == g.self }
+	}
+	alive := map[uint64]bool{}
+	for _, replica := range st.Replicas {
+		alive[replica.ID] = replica.SilentTicks < silentHolderTicks
+	}
+	return func(holder uint64) bool { return holder == g.self || !alive[holder] }
+}
+
+// reportPoison passes on crash counts of a gateway. They are lost with the leader; gateways count on.
+func (r *replica) reportPoison(reports []*controlpb.PoisonReport) {
+	if len(reports) == 0 {
+		return
+	}
+	r.loop.groups[configurationGroup].forward(controlstate.PoisonReportsEntry(reports), func(_ any, err error) {
+		if err != nil {
+			r.log.Log(eventPoisonLost, telemetry.F("requests", len(reports)), telemetry.F("error", err))
+		}
+	})
+}
--- a/control/transport.go
+++ b/control/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"sync"
 	"time"
 
@@ -20,7 +19,7 @@
 
 // transport sends batches to the other replicas. One sender per address; send never blocks.
 type transport struct {
-	tls     *tls.Config
+	dialer  dialer
 	log     *telemetry.Logger
 	dropped map[drop]counter
 	ctx     context.Context
@@ -39,8 +38,8 @@
 	report   bool
 }
 
-func newTransport(ctx context.Context, c *tls.Config, cluster uint64, log *telemetry.Logger, counters *counters) *transport {
-	return &transport{tls: c, log: log, dropped: counters.peerMessagesDropped, ctx: ctx, cluster: cluster, senders: map[string]*sender{}}
+func newTransport(ctx context.Context, d dialer, cluster uint64, log *telemetry.Logger, counters *counters) *transport {
+	return &transport{dialer: d, log: log, dropped: counters.peerMessagesDropped, ctx: ctx, cluster: cluster, senders: map[string]*sender{}}
 }
 
 // send queues a part for an address and drops it when the queue is full.
@@ -114,7 +113,7 @@
 
 // stream sends batches over one connection until it fails.
 func (s *sender) stream(t *transport, first part) error {
-	conn, err := dial(s.address, t.tls)
+	conn, err := t.dialer.dial(s.address)
 	if err != nil {
 		return err
 	}
--- a/control/watch.go
+++ b/control/watch.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/raftpb"
 	"heatherwall.example/telemetry"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 )
 
 // confirmTimeout bounds the confirmation of one renewal; the gateway then asks another replica.
@@ -22,61 +25,152 @@
 	r *replica
 }
 
+type renewStream = grpc.BidiStreamingServer[controlpb.RenewRequest, controlpb.RenewAnswer]
+
+// watcher is the stream of one gateway. Answers are made and sent under mu, so that each builds on the one before.
+type watcher struct {
+	r      *replica
+	stream renewStream
+	name   string
+
+	mu sync.Mutex
+	// catalogue is the index of the catalogue that the gateway holds after everything sent so far.
+	catalogue uint64
+	// confirmed is set with the first confirmed answer; nothing is pushed before, because this replica may be behind
+	// what the gateway holds.
+	confirmed bool
+	replicas  *raftpb.Membership
+}
+
 // Watch answers each renewal after a quorum has confirmed, later than the renewal arrived, that the applied
-// configuration is current. When no quorum confirms, the stream ends with Unavailable.
-func (s *configurationServer) Watch(stream grpc.BidiStreamingServer[controlpb.RenewRequest, controlpb.RenewAnswer]) error {
-	return s.r.untilStopped(func() error { return s.answer(stream, api.PeerName(stream.Context())) })
+// configuration is current. When no quorum confirms, the stream ends with Unavailable. Changes of the catalogue are
+// passed on as soon as they are applied.
+func (s *configurationServer) Watch(stream renewStream) error {
+	w := &watcher{r: s.r, stream: stream, name: api.PeerName(stream.Context())}
+	return s.r.untilStopped(w.run)
 }
 
-func (s *configurationServer) answer(stream grpc.BidiStreamingServer[controlpb.RenewRequest, controlpb.RenewAnswer], name string) error {
-	for {
-		request, err := stream.Recv()
+func (w *watcher) run() error {
+	ctx, cancel := context.WithCancel(w.stream.Context())
+	var pushing sync.WaitGroup
+	defer pushing.Wait()
+	defer cancel()
+	pushing.Go(func() { w.push(ctx) })
+	for first := true; ; first = false {
+		request, err := w.stream.Recv()
 		if err != nil {
 			return err
 		}
-		if request.GetGateway().GetName() != name {
-			err := &IdentityError{Certificate: name, Expected: request.GetGateway().GetName()}
-			s.r.counters.countRenewal(err)
-			return status.Error(codes.PermissionDenied, err.Error())
-		}
-		answer, err := s.confirm(stream.Context(), request)
-		s.r.counters.countRenewal(err)
-		if err != nil {
-			s.r.log.Log(eventStale, telemetry.F("gateway", name), telemetry.F("error", err))
-			return status.Error(codes.Unavailable, err.Error())
+		if first {
+			w.catalogue = request.GetCatalogueIndex()
 		}
-		if err := stream.Send(answer); err != nil {
+		if err := w.answer(ctx, request); err != nil {
 			return err
 		}
 	}
 }
 
-func (s *configurationServer) confirm(ctx context.Context, request *controlpb.RenewRequest) (*controlpb.RenewAnswer, error) {
+func (w *watcher) answer(ctx context.Context, request *controlpb.RenewRequest) error {
+	if request.GetGateway().GetName() != w.name {
+		err := &IdentityError{Certificate: w.name, Expected: request.GetGateway().GetName()}
+		w.r.counters.countRenewal(err)
+		return status.Error(codes.PermissionDenied, err.Error())
+	}
+	err := w.confirm(ctx, request)
+	w.r.counters.countRenewal(err)
+	if err != nil {
+		w.r.log.Log(eventStale, telemetry.F("gateway", w.name), telemetry.F("error", err))
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	return nil
+}
+
+func (w *watcher) confirm(ctx context.Context, request *controlpb.RenewRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	now := time.Now()
-	if s.r.directory.renewed(request.Gateway, now) {
-		s.r.requestReport()
+	if w.r.directory.renewed(request.Gateway, now) {
+		w.r.requestReport()
 	}
-	answer, err := call(ctx, s.r.loop, func(finish func(*controlpb.RenewAnswer, error)) {
-		s.r.readConfiguration(func(err error) {
-			if err != nil {
-				finish(nil, err)
-				return
-			}
-			finish(s.r.configuration.delta(request.Gateway.Revision), nil)
-		})
+	_, err := call(ctx, w.r.loop, func(finish func(struct{}, error)) {
+		w.r.reportPoison(request.GetPoison())
+		w.r.readConfiguration(func(err error) { finish(struct{}{}, err) })
 	})
 	if err != nil {
-		return nil, err
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.confirmed = true
+	answer, err := w.delta(ctx, request.Gateway.Revision)
+	if err != nil {
+		return err
 	}
 	answer.Nonce = request.Nonce
-	answer.ClusterId = s.r.loop.cluster
-	answer.ClaimLeaders = s.r.directory.claimLeaders()
-	answer.GatewaysDigest, answer.Gateways = s.r.directory.gatewaysUnless(request.GatewaysDigest, now)
+	answer.ClaimLeaders = w.r.directory.claimLeaders()
+	answer.GatewaysDigest, answer.Gateways = w.r.directory.gatewaysUnless(request.GatewaysDigest, now)
+	return w.stream.Send(answer)
+}
+
+// delta makes an answer with what the gateway lacks. The caller holds mu.
+func (w *watcher) delta(ctx context.Context, revision uint64) (*controlpb.RenewAnswer, error) {
+	answer, err := call(ctx, w.r.loop, func(finish func(*controlpb.RenewAnswer, error)) {
+		a := w.r.configuration.delta(revision)
+		// A clone, because the loop goes on to change records while the answer is sent.
+		a.Catalogue = proto.CloneOf(w.r.configuration.state.CatalogueSince(w.catalogue))
+		a.Replicas = w.newReplicas()
+		finish(a, nil)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if answer.Catalogue != nil {
+		w.catalogue = answer.Catalogue.GetIndex()
+	}
+	answer.ClusterId = w.r.loop.cluster
 	return answer, nil
 }
 
+// newReplicas returns the members of the configuration group if they changed since the last answer.
+func (w *watcher) newReplicas() []*raftpb.Member {
+	membership := w.r.loop.groups[configurationGroup].node.Status().Membership
+	if w.r.settings.Discovery == nil || membership == w.replicas {
+		return nil
+	}
+	w.replicas = membership
+	return membership.GetMembers()
+}
+
+// push passes changes of the catalogue on until ctx ends.
+func (w *watcher) push(ctx context.Context) {
+	changed := w.r.watchers.add()
+	defer w.r.watchers.remove(changed)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		if w.pushOnce(ctx) != nil {
+			return // the stream is broken; its reader ends it
+		}
+	}
+}
+
+func (w *watcher) pushOnce(ctx context.Context) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.confirmed {
+		return nil
+	}
+	// The document is left to renewals: this difference builds on no revision of it.
+	answer, err := w.delta(ctx, w.r.configuration.revision())
+	if err != nil || answer.Catalogue == nil {
+		return err
+	}
+	return w.stream.Send(answer)
+}
+
 // readConfiguration calls done once the configuration group has confirmed that the applied state is current.
 func (r *replica) readConfiguration(done reader) {
 	g, ok := r.loop.groups[configurationGroup]
--- /dev/null
+++ b/controlstate/catalogue.go
@@ -0,0 +1,214 @@
+package controlstate
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/statepb"
+)
+
+// Limits of the catalogue.
+const (
+	// KeptGone is the number of servers that are remembered after they have left or were lost.
+	KeptGone = 4096
+	// KeptPoison is the number of requests whose crashes are remembered; the oldest go first.
+	KeptPoison = 1024
+)
+
+// catalogue is the part of the configuration that needs no signed document: a route table, the backend servers that
+// report to the control replicas, and the crash counts of requests. Every change carries the log index at which it was
+// made, so that a gateway at an older index receives only what is newer.
+type catalogue struct {
+	// changed is the log index of the last change.
+	changed       uint64
+	routes        *controlpb.RouteTable
+	routesChanged uint64
+	servers       map[string]*controlpb.BackendServer
+	// occupants holds the identifier of the server at each address.
+	occupants map[string]string
+	// gone is in the order of indexes; goneFloor is the index below which it is incomplete.
+	gone      []*statepb.GoneServer
+	goneFloor uint64
+	// poison is in the order of the last report.
+	poison []*statepb.PoisonCount
+}
+
+func newCatalogue() *catalogue {
+	return &catalogue{servers: map[string]*controlpb.BackendServer{}, occupants: map[string]string{}}
+}
+
+// putRoutes takes a route table with a higher version than the present one and reports whether it did.
+func (c *catalogue) putRoutes(index uint64, t *controlpb.RouteTable) bool {
+	if c.routes != nil && t.GetVersion() <= c.routes.GetVersion() {
+		return false
+	}
+	c.routes, c.routesChanged, c.changed = t, index, index
+	return true
+}
+
+// report applies the reports of backend servers in their order.
+func (c *catalogue) report(index uint64, reports []*statepb.ServerReport) {
+	for _, r := range reports {
+		switch report := r.GetReport().(type) {
+		case *statepb.ServerReport_Present:
+			c.present(index, report.Present)
+		case *statepb.ServerReport_Ended:
+			c.ended(index, report.Ended)
+		}
+	}
+}
+
+// present records a server unless the report is older than what is known.
+func (c *catalogue) present(index uint64, s *controlpb.BackendServer) {
+	if c.isOutdated(s) {
+		return
+	}
+	if other := c.servers[c.occupants[s.GetAddress()]]; other != nil && other.GetId() != s.GetId() {
+		c.remove(index, other, other.GetIncarnation())
+	}
+	if old := c.servers[s.GetId()]; old != nil {
+		delete(c.occupants, old.GetAddress())
+	}
+	s.Changed = index
+	c.servers[s.GetId()] = s
+	c.occupants[s.GetAddress()] = s.GetId()
+	c.changed = index
+}
+
+// isOutdated tells whether a report was overtaken: by a later report, by the end of its incarnation, or by a server that
+// started later at the same address.
+func (c *catalogue) isOutdated(s *controlpb.BackendServer) bool {
+	if old := c.servers[s.GetId()]; old != nil {
+		if by := cmp.Compare(s.GetIncarnation(), old.GetIncarnation()); by != 0 {
+			return by < 0
+		}
+		return s.GetSequence() < old.GetSequence()
+	}
+	if s.GetIncarnation() <= c.endedIncarnation(s.GetId()) {
+		return true
+	}
+	other := c.servers[c.occupants[s.GetAddress()]]
+	return other != nil && other.GetIncarnation() > s.GetIncarnation()
+}
+
+// endedIncarnation is the highest incarnation of an identifier that has ended for good; 0 for none.
+func (c *catalogue) endedIncarnation(id string) uint64 {
+	var highest uint64
+	for _, g := range c.gone {
+		if g.GetId() == id {
+			highest = max(highest, g.GetIncarnation())
+		}
+	}
+	return highest
+}
+
+// ended removes a server. A server that was only silent may come back with the same incarnation; one that left may not.
+func (c *catalogue) ended(index uint64, e *statepb.ServerEnd) {
+	s := c.servers[e.GetId()]
+	switch {
+	case s == nil && !e.GetLost():
+		c.addGone(index, e.GetId(), e.GetIncarnation())
+	case s == nil || s.GetIncarnation() > e.GetIncarnation():
+	case e.GetLost() && s.GetChanged() == e.GetChanged():
+		c.remove(index, s, 0)
+	case !e.GetLost():
+		c.remove(index, s, e.GetIncarnation())
+	}
+}
+
+func (c *catalogue) remove(index uint64, s *controlpb.BackendServer, incarnation uint64) {
+	delete(c.servers, s.GetId())
+	if c.occupants[s.GetAddress()] == s.GetId() {
+		delete(c.occupants, s.GetAddress())
+	}
+	c.addGone(index, s.GetId(), incarnation)
+}
+
+func (c *catalogue) addGone(index uint64, id string, incarnation uint64) {
+	c.gone = append(c.gone, &statepb.GoneServer{Id: id, Incarnation: incarnation, Changed: index})
+	c.changed = index
+	if extra := len(c.gone) - KeptGone; extra > 0 {
+		c.goneFloor = c.gone[extra-1].GetChanged()
+		c.gone = slices.Delete(c.gone, 0, extra)
+	}
+}
+
+// reportPoison adds crash counts.
+func (c *catalogue) reportPoison(index uint64, reports []*controlpb.PoisonReport) {
+	for _, r := range reports {
+		crashes := r.GetCrashes()
+		at := slices.IndexFunc(c.poison, func(p *statepb.PoisonCount) bool {
+			return string(p.GetReport().GetFingerprint()) == string(r.GetFingerprint())
+		})
+		if at >= 0 {
+			crashes += c.poison[at].GetReport().GetCrashes()
+			c.poison = slices.Delete(c.poison, at, at+1)
+		}
+		sum := &controlpb.PoisonReport{Fingerprint: r.GetFingerprint(), Crashes: crashes}
+		c.poison = append(c.poison, &statepb.PoisonCount{Report: sum, Changed: index})
+		c.changed = index
+	}
+	if extra := len(c.poison) - KeptPoison; extra > 0 {
+		c.poison = slices.Delete(c.poison, 0, extra)
+	}
+}
+
+// since returns what a gateway at an index lacks, or nil when it lacks nothing. Index 0 and indexes below what is kept
+// give the whole catalogue.
+func (c *catalogue) since(index uint64) *controlpb.CatalogueDelta {
+	if index == c.changed {
+		return nil
+	}
+	d := &controlpb.CatalogueDelta{Index: c.changed, Base: index}
+	if index < c.goneFloor || index > c.changed {
+		d.Base = 0
+	}
+	if c.routes != nil && c.routesChanged > d.Base {
+		d.Routes = withoutSource(c.routes)
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
+		if s := c.servers[id]; s.GetChanged() > d.Base {
+			d.Servers = append(d.Servers, s)
+		}
+	}
+	for _, g := range c.gone {
+		if d.Base > 0 && g.GetChanged() > d.Base && c.servers[g.GetId()] == nil {
+			d.Removed = append(d.Removed, g.GetId())
+		}
+	}
+	for _, p := range c.poison {
+		if p.GetChanged() > d.Base {
+			d.Poison = append(d.Poison, p.GetReport())
+		}
+	}
+	return d
+}
+
+// withoutSource copies a table without the operator's text, which gateways do not need.
+func withoutSource(t *controlpb.RouteTable) *controlpb.RouteTable {
+	return &controlpb.RouteTable{Version: t.GetVersion(), Routes: t.GetRoutes(), Services: t.GetServices(), Limits: t.GetLimits()}
+}
+
+func (c *catalogue) message() *statepb.Catalogue {
+	m := &statepb.Catalogue{
+		Routes: c.routes, RoutesChanged: c.routesChanged, Changed: c.changed,
+		Gone: c.gone, GoneFloor: c.goneFloor, Poison: c.poison,
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
+		m.Servers = append(m.Servers, c.servers[id])
+	}
+	return m
+}
+
+func restoreCatalogue(m *statepb.Catalogue) *catalogue {
+	c := newCatalogue()
+	c.routes, c.routesChanged, c.changed = m.GetRoutes(), m.GetRoutesChanged(), m.GetChanged()
+	c.gone, c.goneFloor, c.poison = m.GetGone(), m.GetGoneFloor(), m.GetPoison()
+	for _, s := range m.GetServers() {
+		c.servers[s.GetId()] = s
+		c.occupants[s.GetAddress()] = s.GetId()
+	}
+	return c
+}
--- /dev/null
+++ b/controlstate/catalogue_commands.go
@@ -0,0 +1,94 @@
+package controlstate
+
+import (
+	"maps"
+	"slices"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/statepb"
+)
+
+// PutRoutesEntry is the log entry of a route table. The table must be valid; see package routes.
+func PutRoutesEntry(t *controlpb.RouteTable) []byte {
+	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_PutRoutes{PutRoutes: t}})
+}
+
+// SetDomainOutEntry is the log entry that takes a failure domain out of service, or back in.
+func SetDomainOutEntry(domain string, out bool) []byte {
+	set := &statepb.SetDomainOut{FailureDomain: domain, Out: out}
+	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_SetDomainOut{SetDomainOut: set}})
+}
+
+// ServerReportsEntry is the log entry of reports of backend servers.
+func ServerReportsEntry(reports []*statepb.ServerReport) []byte {
+	list := &statepb.ServerReports{Reports: reports}
+	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_ServerReports{ServerReports: list}})
+}
+
+// PoisonReportsEntry is the log entry of crash counts of requests.
+func PoisonReportsEntry(reports []*controlpb.PoisonReport) []byte {
+	list := &statepb.PoisonReports{Reports: reports}
+	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_PoisonReports{PoisonReports: list}})
+}
+
+// applyCatalogue applies a command of the catalogue and reports whether the entry held one.
+func (c *Configuration) applyCatalogue(index uint64, e *statepb.ConfigurationEntry) bool {
+	switch command := e.GetCommand().(type) {
+	case *statepb.ConfigurationEntry_PutRoutes:
+		c.catalogue.putRoutes(index, command.PutRoutes)
+	case *statepb.ConfigurationEntry_SetDomainOut:
+		c.setDomainOut(index, command.SetDomainOut)
+	case *statepb.ConfigurationEntry_ServerReports:
+		c.catalogue.report(index, command.ServerReports.GetReports())
+	case *statepb.ConfigurationEntry_PoisonReports:
+		c.catalogue.reportPoison(index, command.PoisonReports.GetReports())
+	default:
+		return false
+	}
+	return true
+}
+
+func (c *Configuration) setDomainOut(index uint64, set *statepb.SetDomainOut) {
+	at, found := slices.BinarySearch(c.domainsOut, set.GetFailureDomain())
+	if found == set.GetOut() {
+		return
+	}
+	c.domainsOut = slices.Clone(c.domainsOut)
+	if set.GetOut() {
+		c.domainsOut = slices.Insert(c.domainsOut, at, set.GetFailureDomain())
+	} else {
+		c.domainsOut = slices.Delete(c.domainsOut, at, at+1)
+	}
+	c.catalogue.changed = index
+	if c.config != nil {
+		c.config = c.config.WithDomainsOut(c.domainsOut)
+	}
+}
+
+// Routes returns the route table in force; nil before the first one.
+func (c *Configuration) Routes() *controlpb.RouteTable { return c.catalogue.routes }
+
+// BackendServer returns the record of a server that reports to the control replicas; nil if there is none.
+func (c *Configuration) BackendServer(id string) *controlpb.BackendServer {
+	return c.catalogue.servers[id]
+}
+
+// BackendServers returns the records of all such servers, sorted by identifier.
+func (c *Configuration) BackendServers() []*controlpb.BackendServer {
+	list := make([]*controlpb.BackendServer, 0, len(c.catalogue.servers))
+	for _, id := range slices.Sorted(maps.Keys(c.catalogue.servers)) {
+		list = append(list, c.catalogue.servers[id])
+	}
+	return list
+}
+
+// IsOutdated tells whether a report of a server has been overtaken and would change nothing.
+func (c *Configuration) IsOutdated(s *controlpb.BackendServer) bool { return c.catalogue.isOutdated(s) }
+
+// CatalogueIndex returns the log index of the last change of the catalogue.
+func (c *Configuration) CatalogueIndex() uint64 { return c.catalogue.changed }
+
+// CatalogueSince returns what a gateway at a catalogue index lacks, or nil when it lacks nothing.
+func (c *Configuration) CatalogueSince(index uint64) *controlpb.CatalogueDelta {
+	return c.catalogue.since(index)
+}
--- a/controlstate/configuration.go
+++ b/controlstate/configuration.go
@@ -45,6 +45,7 @@
 	// claimRegions holds the claim region of each service that ever had one, also after the service is removed: a
 	// resend could otherwise be claimed in two places.
 	claimRegions map[string]string
+	catalogue    *catalogue
 	// config is nil before the first document.
 	config *document.Config
 }
@@ -63,7 +64,7 @@
 
 // NewConfiguration returns the empty state.
 func NewConfiguration() *Configuration {
-	return &Configuration{sections: newSectionStore(), changes: newChangeLog(), claimRegions: map[string]string{}}
+	return &Configuration{sections: newSectionStore(), changes: newChangeLog(), claimRegions: map[string]string{}, catalogue: newCatalogue()}
 }
 
 // Apply applies the entry at a log index. Indexes rise; an entry at or below the last one has no effect. Empty entries,
@@ -87,6 +88,9 @@
 	case *statepb.ConfigurationEntry_CreateClaimGroup:
 		return c.createClaimGroup(command.CreateClaimGroup)
 	}
+	if c.applyCatalogue(index, &e) {
+		return Result{}
+	}
 	return Result{Err: &EntryError{Index: index}}
 }
 
--- a/controlstate/configuration_snapshot.go
+++ b/controlstate/configuration_snapshot.go
@@ -18,7 +18,7 @@
 	s := &statepb.ConfigurationSnapshot{
 		Format: snapshotFormat, Applied: c.applied, Revision: c.revision,
 		OldestRevision: c.sections.oldest, Pending: c.pending, Changes: c.changes.order, History: c.history,
-		DomainsOut: c.domainsOut, ClaimGroups: c.groups,
+		DomainsOut: c.domainsOut, ClaimGroups: c.groups, Catalogue: c.catalogue.message(),
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.sections.current)) {
 		s.Versions = append(s.Versions, c.sections.current[name])
@@ -52,6 +52,7 @@
 	for _, r := range s.GetClaimRegions() {
 		c.claimRegions[r.GetService()] = r.GetRegion()
 	}
+	c.catalogue = restoreCatalogue(s.GetCatalogue())
 	return c, c.recompile()
 }
 
--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -45,7 +45,9 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeStatus(w, http.StatusOK, "ok") })
 	mux.HandleFunc("GET "+readyPath, d.serveReady)
 	mux.Handle("GET /metrics", d.counters)
-	mux.HandleFunc("GET /servers", d.serveServers)
+	if d.state != nil {
+		mux.HandleFunc("GET /servers", d.serveServers)
+	}
 	return smallServer(mux, adminTimeout)
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,7 +65,7 @@
 	if !ok {
 		return &SendForbiddenError{Reason: sendStale}
 	}
-	if l.config.DomainOut(t.domain) {
+	if l.domainOut(t.domain) {
 		return &SendForbiddenError{Reason: sendDomainOut}
 	}
 	if p.clock.now()-selected >= maxSelectionAge {
@@ -93,17 +93,16 @@
 // send runs the attempt up to the header of the answer.
 func (p *requestPath) send(c *call, a *attempt, retriesLeft int) {
 	started := time.Now()
-	response, err := p.transport.RoundTrip(newBackendRequest(c, a, retriesLeft))
-	if err == nil && !belongsToAttempt(response, c.requestID, a.gate.wrote.Load()) {
-		_ = response.Body.Close()
-		err = &ForeignAnswerError{Address: a.target.address}
+	response, err := p.transport.RoundTrip(p.newBackendRequest(c, a, retriesLeft))
+	if err == nil {
+		err = p.checkAnswer(c, a, response)
 	}
 	if err != nil {
 		a.fail(c, err)
 	} else {
 		a.answer = response
-		a.result = answerReport(response.Header)
-		a.result.kind = classifyAnswer(response)
+		a.result.Report = p.dialect.Report(response.Header)
+		a.result.kind = p.classifyAnswer(response)
 	}
 	a.result.latency = time.Since(started)
 	if a.result.kind == resultBroken && time.Until(c.deadline) < deadlineSlack {
@@ -142,15 +141,39 @@
 	return "backend server " + e.Address + " sent an answer that does not belong to the request"
 }
 
+// UnsignedAnswerError reports a successful answer without the signature that every answer of a backend server bears.
+type UnsignedAnswerError struct {
+	Address string
+}
+
+func (e *UnsignedAnswerError) Error() string {
+	return "backend server " + e.Address + " sent a success without its signature"
+}
+
+// checkAnswer closes and refuses an answer that is not that of the attempt, or that no backend server vouches for.
+func (p *requestPath) checkAnswer(c *call, a *attempt, r *http.Response) error {
+	var err error
+	switch {
+	case !p.belongsToAttempt(r, c.requestID, a.gate.wrote.Load()):
+		err = &ForeignAnswerError{Address: a.target.address}
+	case p.dialect.Signature != "" && r.StatusCode < http.StatusMultipleChoices && r.Header.Get(p.dialect.Signature) == "":
+		err = &UnsignedAnswerError{Address: a.target.address}
+	default:
+		return nil
+	}
+	_ = r.Body.Close() // the answer is of no use, whatever follows
+	return err
+}
+
 // belongsToAttempt guards against answers of an earlier request that arrive late on a kept-alive connection.
-func belongsToAttempt(r *http.Response, requestID string, wrote bool) bool {
-	echoed := r.Header.Get(headerRequestID)
+func (p *requestPath) belongsToAttempt(r *http.Response, requestID string, wrote bool) bool {
+	echoed := r.Header.Get(p.dialect.RequestID)
 	return wrote && r.StatusCode != http.StatusSwitchingProtocols && (echoed == "" || echoed == requestID)
 }
 
-func classifyAnswer(r *http.Response) resultKind {
+func (p *requestPath) classifyAnswer(r *http.Response) resultKind {
 	switch {
-	case r.Header.Get(headerNotRun) == "true":
+	case p.dialect.NotRun(r):
 		return resultShed
 	case r.StatusCode >= http.StatusInternalServerError:
 		return resultFailed
@@ -176,13 +199,19 @@
 
 // newBackendRequest builds the request of one attempt. The body never has GetBody, and a request that is not idempotent
 // always has a body value, so that net/http cannot send it a second time by itself.
-func newBackendRequest(c *call, a *attempt, retriesLeft int) *http.Request {
-	h := backendHeader(c.r.Header)
+func (p *requestPath) newBackendRequest(c *call, a *attempt, retriesLeft int) *http.Request {
+	d := p.dialect
+	h := d.backendHeader(c.r.Header)
 	remaining := max(time.Until(c.deadline).Milliseconds(), 1)
-	h.Set(headerDeadline, strconv.FormatInt(remaining, 10))
-	h.Set(headerDepth, strconv.Itoa(c.depth))
-	h.Set(headerRetriesLeft, strconv.Itoa(retriesLeft))
-	h.Set(headerRequestID, c.requestID)
+	set(h, d.Deadline, strconv.FormatInt(remaining, 10))
+	set(h, d.Depth, strconv.Itoa(c.depth))
+	set(h, d.RetriesLeft, strconv.Itoa(retriesLeft))
+	if c.requestID != "" {
+		set(h, d.RequestID, c.requestID)
+	}
+	if a.target.id != "" {
+		set(h, d.ExpectServer, a.target.id)
+	}
 	request := &http.Request{
 		Method:        c.r.Method,
 		URL:           &url.URL{Scheme: "http", Host: a.target.address, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.r.URL.RawQuery, ForceQuery: c.r.URL.ForceQuery},
--- /dev/null
+++ b/gateway/backends.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/balance"
+	"heatherwall.example/settings"
+	"heatherwall.example/telemetry"
+)
+
+const (
+	// backendsTick is the time between two ticks of the engine; requests here take hundreds of milliseconds.
+	backendsTick = 100 * time.Millisecond
+	// coldMargin is added to the end of a cold start, for the way of the report from the server.
+	coldMargin = 250 * time.Millisecond
+	// noExpiry is the lifetime of evidence where the catalogue tells which servers leave.
+	noExpiry = 1 << 62
+)
+
+// backends keeps the engine in step with the catalogue. Its goroutine owns the engine; others send it commands.
+type backends struct {
+	name     string
+	region   string
+	clock    clock
+	engine   *balance.Engine
+	cold     settings.ColdLimit
+	log      *telemetry.Logger
+	counters *telemetry.Counters
+
+	commands chan func(now time.Duration)
+	stopped  chan struct{}
+	outgoing sync.WaitGroup
+
+	// The fields below belong to the owner goroutine.
+	records  map[string]*backendRecord
+	view     catalogueView
+	gateways []*controlpb.GatewayStatus
+}
+
+// backendRecord is a server of the catalogue as the engine knows it.
+type backendRecord struct {
+	server *controlpb.BackendServer
+	// coldUntil is the end of its cold start on the monotonic clock; 0 for a warm server.
+	coldUntil time.Duration
+}
+
+// run is the owner goroutine; it ends with ctx.
+func (b *backends) run(ctx context.Context) {
+	defer close(b.stopped)
+	ticker := time.NewTicker(backendsTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-b.commands:
+			f(b.clock.now())
+		case <-ticker.C:
+			b.tick(b.clock.now())
+		}
+	}
+}
+
+// do runs f in the owner goroutine and waits for it.
+func (b *backends) do(f func(now time.Duration)) {
+	done := make(chan struct{})
+	select {
+	case b.commands <- func(now time.Duration) { defer close(done); f(now) }:
+		<-done
+	case <-b.stopped:
+	}
+}
+
+// configure takes over a state of the lease.
+func (b *backends) configure(l *lease) {
+	b.do(func(now time.Duration) {
+		regroup := gatewayNames(b.gateways, b.region) != gatewayNames(l.gateways, b.region)
+		reroute := b.view.routes != l.catalogue.routes
+		b.view, b.gateways = l.catalogue, l.gateways
+		b.engine.Apply(balance.Configured{DomainsOut: l.catalogue.domainsOut})
+		b.removeGone()
+		for id, s := range b.view.servers {
+			b.update(now, id, s, regroup || reroute)
+		}
+	})
+}
+
+func gatewayNames(list []*controlpb.GatewayStatus, region string) string {
+	names := ""
+	for _, g := range list {
+		if g.GetRegion() == region {
+			names += g.GetName() + " "
+		}
+	}
+	return names
+}
+
+// removeGone removes servers that the catalogue has no more, before others take their addresses.
+func (b *backends) removeGone() {
+	for id, r := range b.records {
+		s := b.view.servers[id]
+		if s != nil && s.GetAddress() == r.server.GetAddress() && s.GetIncarnation() == r.server.GetIncarnation() {
+			continue
+		}
+		delete(b.records, id)
+		b.engine.Apply(balance.ServerRemoved{Address: r.server.GetAddress()})
+		b.log.Log(eventBackendGone, telemetry.F("server", id), telemetry.F("service", r.server.GetService()), telemetry.F("index", b.view.index))
+	}
+}
+
+// update passes a record on to the engine if it is new, or if the limits of a cold start may have changed.
+func (b *backends) update(now time.Duration, id string, s *controlpb.BackendServer, relimit bool) {
+	r := b.records[id]
+	if r != nil && r.server.GetChanged() == s.GetChanged() && !(relimit && r.coldUntil > 0) {
+		return
+	}
+	if r == nil {
+		r = &backendRecord{}
+		b.records[id] = r
+	}
+	if r.server.GetChanged() != s.GetChanged() {
+		r.coldUntil = 0
+		if s.GetColdMs() > 0 {
+			r.coldUntil = now + time.Duration(s.GetColdMs())*time.Millisecond + coldMargin
+		}
+		b.log.Log(eventBackendChanged, telemetry.F("server", id), telemetry.F("service", s.GetService()), telemetry.F("address", s.GetAddress()),
+			telemetry.F("state", s.GetState().String()), telemetry.F("cold_ms", int(s.GetColdMs())), telemetry.F("index", b.view.index))
+	}
+	r.server = s
+	b.apply(now, r)
+}
+
+func (b *backends) apply(now time.Duration, r *backendRecord) {
+	s := r.server
+	server := balance.Server{
+		Address: s.GetAddress(), ID: s.GetId(), Service: s.GetService(), Region: s.GetRegion(), FailureDomain: s.GetFailureDomain(),
+		Incarnation: s.GetIncarnation(), Sequence: s.GetChanged(), Slots: int(s.GetSlots()), Evidence: now,
+	}
+	switch {
+	case s.GetState() == controlpb.BackendState_BACKEND_DRAINING:
+		server.State = balance.StateDraining
+	case r.coldUntil > now:
+		server.State = balance.StateCold
+		server.SendUntil = r.coldUntil
+		server.ColdInterval, server.Owned = b.coldShare(s)
+	}
+	b.engine.Apply(balance.ServerChanged{Server: server})
+}
+
+// coldShare returns how often this gateway may send to a cold server, and whether it may at all.
+func (b *backends) coldShare(s *controlpb.BackendServer) (time.Duration, bool) {
+	rate := 0.0
+	if b.view.routes != nil {
+		if service := b.view.routes.Services[s.GetService()]; service != nil {
+			rate = service.ColdRate
+		}
+	}
+	if rate == 0 {
+		return 0, true
+	}
+	var sharing []string
+	for _, g := range b.gateways {
+		if g.GetRegion() == s.GetRegion() {
+			sharing = append(sharing, g.GetName())
+		}
+	}
+	return balance.ColdShare(s.GetId(), b.name, sharing, rate*b.cold.Overage+b.cold.Slack)
+}
+
+func (b *backends) tick(now time.Duration) {
+	for _, r := range b.records {
+		if r.coldUntil > 0 && r.coldUntil <= now {
+			r.coldUntil = 0
+			b.apply(now, r)
+		}
+	}
+	b.engine.Tick(now)
+	for _, n := range b.engine.Notices() {
+		b.notice(n)
+	}
+}
+
+func (b *backends) notice(n balance.Notice) {
+	switch n.Kind {
+	case balance.NoticeEjected:
+		b.counters.Counter("ejections", "service", n.Service).Inc(1)
+		b.log.Log(eventServerEjected, telemetry.F("service", n.Service), telemetry.F("address", n.Address))
+	case balance.NoticeReturned:
+		b.log.Log(eventServerReturned, telemetry.F("service", n.Service), telemetry.F("address", n.Address))
+	}
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -14,6 +14,7 @@
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/document"
+	"heatherwall.example/routes"
 )
 
 // Limits of a call tree and of one request.
@@ -35,8 +36,10 @@
 	ctx     context.Context
 	arrived time.Duration
 
-	lease     *lease
-	caller    *document.Caller
+	lease  *lease
+	caller *document.Caller
+	// route is set where the catalogue is served.
+	route     *routes.Route
 	rule      *document.Rule
 	placement document.Placement
 
@@ -53,8 +56,8 @@
 // step is one stage of the request path; a refusal ends it.
 type step func(p *requestPath, c *call) *Refusal
 
-// steps run in the order of section 5.7 of docs/design.md, up to the claim.
-var steps = []step{
+// documentSteps run in the order of section 5.7 of docs/design.md, up to the claim.
+var documentSteps = []step{
 	(*requestPath).admit,
 	(*requestPath).authenticate,
 	(*requestPath).matchRule,
@@ -72,7 +75,7 @@
 		return refuse(Draining, "this gateway is stopping").after(time.Second)
 	}
 	l, ok := p.configuration.Valid()
-	if l.config == nil {
+	if !l.configured() {
 		return refuse(NotReady, "no configuration has been confirmed yet").after(time.Second)
 	}
 	if p.joining.Load() {
@@ -206,7 +209,7 @@
 func (p *requestPath) checkPoison(c *call) *Refusal {
 	c.fingerprint = requestFingerprint(c.caller.Tenant.Member.Name, c.r.Method, c.r.URL.EscapedPath(), c.r.URL.RawQuery, c.body)
 	if wait := p.poison.Remaining(p.clock.now(), c.fingerprint); wait > 0 {
-		return refuse(Poison, "backend servers crashed twice while they ran this request").after(wait)
+		return refuse(Poison, "backend servers crashed while they ran this request").after(wait)
 	}
 	return nil
 }
--- /dev/null
+++ b/gateway/cataloguelease.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/routes"
+	"heatherwall.example/telemetry"
+)
+
+// Fields of a lease that hold the catalogue; they are unused where the setup has a document only.
+type catalogueView struct {
+	// index of the catalogue; 0 before the first one.
+	index uint64
+	// routes is nil before the first route table.
+	routes *routes.Table
+	// servers holds the backend servers by identifier; a change makes a new map.
+	servers map[string]*controlpb.BackendServer
+	// domainsOut is sorted.
+	domainsOut []string
+}
+
+// mergeCatalogue applies a delta and the failure domains out. It reports whether anything changed, and fails when the
+// delta does not build on what the gateway holds; the stream is opened anew then.
+func (c *leaseClient) mergeCatalogue(view catalogueView, a *controlpb.RenewAnswer) (next catalogueView, changed bool, err error) {
+	next = view
+	if d := a.GetCatalogue(); d != nil {
+		if next, err = c.applyDelta(view, d); err != nil {
+			return view, false, err
+		}
+		changed = true
+	}
+	if out := a.GetDomainsOut(); !slices.Equal(out, view.domainsOut) {
+		next.domainsOut, changed = out, true
+		c.log.Log(eventDomainsOut, telemetry.F("failure_domains", out), telemetry.F("index", next.index))
+	}
+	return next, changed, nil
+}
+
+func (c *leaseClient) applyDelta(view catalogueView, d *controlpb.CatalogueDelta) (catalogueView, error) {
+	full := d.GetBase() == 0
+	if d.GetIndex() < view.index || (!full && d.GetBase() != view.index) {
+		return view, &DeltaError{Base: d.GetBase(), Index: d.GetIndex(), Held: view.index}
+	}
+	next := view
+	next.index = d.GetIndex()
+	next.servers = map[string]*controlpb.BackendServer{}
+	if !full {
+		maps.Copy(next.servers, view.servers)
+	}
+	for _, s := range d.GetServers() {
+		next.servers[s.GetId()] = s
+	}
+	for _, id := range d.GetRemoved() {
+		delete(next.servers, id)
+	}
+	if t := d.GetRoutes(); t != nil && (view.routes == nil || t.GetVersion() >= view.routes.Version) {
+		compiled, err := routes.Compile(t)
+		if err != nil {
+			return view, err
+		}
+		next.routes = compiled
+		c.log.Log(eventRoutesInUse, telemetry.F("version", t.GetVersion()), telemetry.F("index", next.index))
+	}
+	if c.onPoison != nil && len(d.GetPoison()) > 0 {
+		c.onPoison(d.GetPoison())
+	}
+	return next, nil
+}
+
+// acceptPush takes a change that a replica passes on between renewals. It extends no lease.
+func (c *leaseClient) acceptPush(a *controlpb.RenewAnswer) error {
+	old := c.Current()
+	view, changed, err := c.mergeCatalogue(old.catalogue, a)
+	if err != nil || !changed {
+		return err
+	}
+	next := *old
+	next.catalogue = view
+	c.publish(&next)
+	return nil
+}
+
+// publish makes a state the current one and tells who uses it.
+func (c *leaseClient) publish(next *lease) {
+	c.current.Store(next)
+	c.counters.Gauge("catalogue_index").Update(int64(next.catalogue.index))
+	c.onChange(next)
+}
+
+// domainOut tells whether operators took a failure domain out.
+func (l *lease) domainOut(domain string) bool {
+	if l.config != nil {
+		return l.config.DomainOut(domain)
+	}
+	return slices.Contains(l.catalogue.domainsOut, domain)
+}
+
+// configured tells whether there is anything to serve.
+func (l *lease) configured() bool { return l.config != nil || l.catalogue.routes != nil }
--- a/gateway/claims_test.go
+++ b/gateway/claims_test.go
@@ -36,7 +36,7 @@
 	leader := startControl(t, c, "control-1", nil)
 	follower := &followerStub{controlStub: &controlStub{}, leader: leader.address}
 	followerAddress := serveControl(t, c, "control-2", follower, follower)
-	id, err := loadIdentity(c.issue("gw-1"))
+	id, err := loadIdentity("gw-1", settings.Listener{TLS: c.issue("gw-1")})
 	must(t, err)
 	newClient := func(replicas ...settings.Peer) *claimClient {
 		open := newConnections(dialPeers(id))
--- a/gateway/daemon_test.go
+++ b/gateway/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"heatherwall.example/settings"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -82,7 +83,7 @@
 	if answer, body := g.call(t, "GET", "/other", ""); reasonOf(body) != NoRule || !answer.Close {
 		t.Errorf("request in the grace period: %s, close %v", body, answer.Close)
 	}
-	time.Sleep(2 * drainGrace)
+	time.Sleep(2 * settings.DefaultDrainNotice * time.Millisecond)
 	close(release)
 	if r := <-done; r.answer.StatusCode != http.StatusOK || r.body != "whole answer" {
 		t.Errorf("answer: %d %q", r.answer.StatusCode, r.body)
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -13,7 +13,7 @@
 func (d *daemon) drain() {
 	d.log.Log(eventDraining)
 	d.path.stopping.Store(true)
-	time.Sleep(drainGrace)
+	time.Sleep(time.Duration(d.settings.DrainNoticeMs) * time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.DrainSeconds)*time.Second)
 	defer cancel()
 	d.path.draining.Store(true)
@@ -37,7 +37,9 @@
 	for _, s := range d.servers {
 		_ = s.Close()
 	}
-	d.peers.Stop()
+	if d.peers != nil {
+		d.peers.Stop()
+	}
 	d.toControl.close()
 	d.toGateways.close()
 	d.prober.client.CloseIdleConnections()
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -158,7 +158,7 @@
 // serveControl serves a replica until the test ends and returns its address.
 func serveControl(t *testing.T, c *certificates, name string, configurations controlpb.ConfigurationsServer, claims controlpb.ClaimsServer) string {
 	t.Helper()
-	id, err := loadIdentity(c.issue(name))
+	id, err := loadIdentity(name, settings.Listener{TLS: c.issue(name)})
 	must(t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
@@ -187,7 +187,7 @@
 	s := &settings.Gateway{
 		Instance: settings.Instance{Name: name, Region: "north", FailureDomain: "north-a", LogLevel: "info"},
 		Callers:  any, Announce: any, Admin: any, Peer: settings.Listener{Address: "127.0.0.1:0", TLS: c.issue(name)},
-		MaxRequests: 100, DrainSeconds: 20,
+		MaxRequests: 100, DrainNoticeMs: settings.DefaultDrainNotice, DrainSeconds: 20,
 	}
 	for i, r := range replicas {
 		s.Control = append(s.Control, settings.Peer{Name: fmt.Sprintf("control-%d", i+1), Address: r.address, Region: "north", FailureDomain: "north-a"})
@@ -196,7 +196,7 @@
 	g := &testGateway{stop: cancel, ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
 	ready := make(chan Addresses, 1)
 	go func() {
-		g.ended <- Run(ctx, s, telemetry.NewLogger(io.Discard, telemetry.Info), func(a Addresses) { ready <- a })
+		g.ended <- Run(ctx, s, telemetry.NewLogger(io.Discard, telemetry.Info), func(a Addresses) { ready <- a }, Options{})
 	}()
 	select {
 	case g.Addresses = <-ready:
--- a/gateway/header.go
+++ b/gateway/header.go
@@ -3,9 +3,7 @@
 import (
 	"net/http"
 	"net/textproto"
-	"strconv"
 	"strings"
-	"time"
 )
 
 // Headers between callers, gateways and backend servers.
@@ -40,22 +38,13 @@
 	}
 }
 
-// removeOwnHeaders deletes headers of this system, so that neither side can pass them through a gateway.
-func removeOwnHeaders(h http.Header) {
-	for name := range h {
-		if strings.HasPrefix(name, headerPrefix) {
-			delete(h, name)
-		}
-	}
-}
-
 // backendHeader returns the header of the request to the backend server. The caller's bearer token is meant for the
 // gateway and stays there.
-func backendHeader(in http.Header) http.Header {
+func (d *Dialect) backendHeader(in http.Header) http.Header {
 	h := in.Clone()
 	trailers := acceptsTrailers(in)
 	removeHopHeaders(h)
-	removeOwnHeaders(h)
+	d.removeOwn(h)
 	h.Del("Authorization")
 	h.Del("Expect") // the body is complete before it is sent
 	if trailers {
@@ -80,28 +69,11 @@
 }
 
 // copyAnswerHeader fills the caller's answer header from that of the backend server.
-func copyAnswerHeader(to, from http.Header) {
+func (d *Dialect) copyAnswerHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = append([]string(nil), values...)
 	}
 	removeHopHeaders(to)
-	removeOwnHeaders(to)
+	d.removeOwn(to)
 	to.Add("Via", viaValue)
 }
-
-// answerReport reads what a backend server tells about itself.
-func answerReport(h http.Header) result {
-	r := result{state: h.Get(headerState)}
-	inflight, slots, ok := strings.Cut(h.Get(headerLoad), "/")
-	if ok {
-		r.inflight, _ = strconv.Atoi(inflight)
-		r.slots, _ = strconv.Atoi(slots)
-	}
-	if seconds, err := strconv.Atoi(h.Get("Retry-After")); err == nil && seconds > 0 {
-		r.retryAfter = min(time.Duration(seconds)*time.Second, maxRetryAfter)
-	}
-	return r
-}
-
-// maxRetryAfter bounds the pause that a server may ask for.
-const maxRetryAfter = time.Minute
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -46,8 +47,23 @@
 	gateways     []*controlpb.GatewayStatus
 	gatewayHash  uint64
 	clusterID    uint64
+	catalogue    catalogueView
 }
 
+// DeltaError reports a difference that does not fit to the catalogue that the gateway holds.
+type DeltaError struct {
+	Base, Index, Held uint64
+}
+
+func (e *DeltaError) Error() string {
+	return fmt.Sprintf("catalogue from index %d to %d does not fit to index %d", e.Base, e.Index, e.Held)
+}
+
+// NearerReplicaError ends a session because a nearer control replica can be asked.
+type NearerReplicaError struct{}
+
+func (e *NearerReplicaError) Error() string { return "a nearer control replica is known" }
+
 // ReplicaSilentError reports a control replica that did not answer in time.
 type ReplicaSilentError struct {
 	Replica string
@@ -60,11 +76,17 @@
 // leaseClient keeps the configuration lease alive. Run is called once; Current and Valid may be called from any
 // goroutine.
 type leaseClient struct {
-	replicas []settings.Peer
+	replicas *replicaList
 	dial     dialFunc
-	compile  compileFunc
-	status   func() *controlpb.GatewayStatus
-	onChange func(*lease) // called after a change of the configuration, the failure domains out or the gateway list
+	// serveStale is how long the gateway serves after the lease has run out; 0 in setups with a document.
+	serveStale time.Duration
+	// takePoison returns the crash counts to report with a renewal, and onPoison takes those of all gateways; nil where
+	// gateways tell each other.
+	takePoison func() []*controlpb.PoisonReport
+	onPoison   func([]*controlpb.PoisonReport)
+	compile    compileFunc
+	status     func() *controlpb.GatewayStatus
+	onChange   func(*lease) // called after a change of the configuration, the failure domains out or the gateway list
 	// onListed is called once, when the gateway list holds every gateway that started before this one.
 	onListed func(ctx context.Context)
 	clock    clock
@@ -89,18 +111,22 @@
 // Valid returns the configuration if the right to serve has not run out.
 func (c *leaseClient) Valid() (*lease, bool) {
 	l := c.Current()
-	return l, l.config != nil && c.clock.now() < l.expires
+	return l, l.configured() && c.clock.now() < l.expires+c.serveStale
 }
 
 // Run renews the lease until ctx ends, at the nearest replica that answers.
 func (c *leaseClient) Run(ctx context.Context) {
 	go c.watchExpiry(ctx)
-	for i := 0; ctx.Err() == nil; i++ {
-		peer := c.replicas[i%len(c.replicas)]
+	for ctx.Err() == nil {
+		peer := c.replicas.next(time.Now())
 		err := c.session(ctx, peer)
 		if ctx.Err() != nil {
 			return
 		}
+		var nearer *NearerReplicaError
+		if !errors.As(err, &nearer) {
+			c.replicas.fail(peer, time.Now())
+		}
 		c.counters.Counter("lease_replica_changes", "replica", peer.Name).Inc(1)
 		c.log.Log(eventReplicaChanged, telemetry.F("replica", peer.Name), telemetry.F("error", err))
 		sleep(ctx, replicaBackoff)
@@ -203,13 +229,20 @@
 		case <-silence.C:
 			return &ReplicaSilentError{Replica: s.peer.Name}
 		case <-renew.C:
+			if s.client.replicas.hasNearer(s.peer, time.Now()) {
+				return &NearerReplicaError{}
+			}
 			renew.Reset(renewInterval)
 			if err := s.renew(stream); err != nil {
 				return err
 			}
 		case a := <-s.answers:
 			first := s.client.confirmed == 0
-			if s.answer(ctx, a) {
+			confirmed, err := s.answer(ctx, a)
+			if err != nil {
+				return err
+			}
+			if confirmed {
 				silence.Reset(replicaSilence)
 			}
 			if first && s.client.confirmed != 0 {
@@ -224,7 +257,12 @@
 	c.nonce++
 	now := c.clock.now()
 	s.sent[c.nonce] = now
-	request := &controlpb.RenewRequest{Nonce: c.nonce, Gateway: c.status(), GatewaysDigest: c.Current().gatewayHash}
+	request := &controlpb.RenewRequest{
+		Nonce: c.nonce, Gateway: c.status(), GatewaysDigest: c.Current().gatewayHash, CatalogueIndex: c.Current().catalogue.index,
+	}
+	if c.takePoison != nil {
+		request.Poison = c.takePoison()
+	}
 	request.Gateway.Revision = c.Current().revision
 	if err := stream.Send(request); err != nil {
 		return fmt.Errorf("renewal to %s: %w", s.peer.Name, err)
@@ -232,19 +270,25 @@
 	return nil
 }
 
-// answer takes one renewal answer and reports whether it confirmed the configuration. The lease counts from the moment
-// the renewal with the same nonce was sent, so an answer without such a renewal confirms nothing.
-func (s *leaseSession) answer(ctx context.Context, a *controlpb.RenewAnswer) bool {
+// answer takes one answer and reports whether it confirmed the configuration. The lease counts from the moment the
+// renewal with the same nonce was sent, so an answer without such a renewal confirms nothing. After an error the stream
+// is of no more use.
+func (s *leaseSession) answer(ctx context.Context, a *controlpb.RenewAnswer) (confirmed bool, err error) {
+	s.client.replicas.setMembers(a.GetReplicas())
+	if a.GetNonce() == 0 {
+		return false, s.client.acceptPush(a)
+	}
 	sentAt, ok := s.sent[a.GetNonce()]
 	if !ok {
-		return false
+		return false, nil
 	}
 	maps.DeleteFunc(s.sent, func(_ uint64, at time.Duration) bool { return at <= sentAt })
-	if !s.client.accept(a, sentAt+leaseDuration) {
-		return false
+	accepted, err := s.client.accept(a, sentAt+leaseDuration)
+	if err != nil || !accepted {
+		return false, err
 	}
 	s.client.noteList(ctx, sentAt)
-	return true
+	return true, nil
 }
 
 // noteList calls onListed after the answer to a renewal that was sent listDelay after the first confirmation.
@@ -259,27 +303,39 @@
 	}
 }
 
-// accept publishes a confirmed configuration. It never goes back to an older revision or to another setup.
-func (c *leaseClient) accept(a *controlpb.RenewAnswer, expires time.Duration) bool {
+// accept publishes a confirmed configuration. It never goes back to an older revision or to another setup. The error is
+// a *DeltaError or *routes.InvalidError.
+func (c *leaseClient) accept(a *controlpb.RenewAnswer, expires time.Duration) (bool, error) {
 	old := c.Current()
 	if old.clusterID != 0 && a.GetClusterId() != old.clusterID {
 		c.log.Log(eventClusterRefused, telemetry.F("cluster_id", a.GetClusterId()))
-		return false
+		return false, nil
 	}
 	if a.GetRevision() < old.revision {
 		c.log.Log(eventRevisionRefused, telemetry.F("revision", a.GetRevision()), telemetry.F("seen", old.revision))
-		return false
-	}
-	if a.GetRevision() == 0 {
-		return true // the setup has no document yet: nothing to serve, and the replica is not to blame
+		return false, nil
 	}
 	next := *old
 	next.clusterID = a.GetClusterId()
 	next.expires = max(old.expires, expires)
 	next.claimLeaders = a.GetClaimLeaders()
+	view, catalogueChanged, err := c.mergeCatalogue(old.catalogue, a)
+	if err != nil {
+		return false, err
+	}
+	next.catalogue = view
+	if a.GetRevision() == 0 {
+		// The setup has no document: the catalogue, if there is one, is all that is served.
+		next.gateways, next.gatewayHash = mergeGateways(old, a)
+		c.current.Store(&next)
+		if catalogueChanged || next.gatewayHash != old.gatewayHash {
+			c.publish(&next)
+		}
+		return true, nil
+	}
 	if err := c.mergeSections(&next, a); err != nil {
 		c.log.Log(eventRevisionRefused, telemetry.F("revision", a.GetRevision()), telemetry.F("error", err))
-		return false
+		return false, nil
 	}
 	changed := mergeLists(&next, a)
 	c.current.Store(&next)
@@ -290,7 +346,7 @@
 	if changed || next.revision != old.revision || old.config == nil {
 		c.onChange(&next)
 	}
-	return true
+	return true, nil
 }
 
 // mergeSections applies the difference and compiles the result if anything changed.
@@ -326,13 +382,21 @@
 	config := next.config.WithDomainsOut(a.GetDomainsOut())
 	changed := !slices.Equal(config.DomainsOut, next.config.DomainsOut)
 	next.config = config
-	if a.GetGatewaysDigest() != next.gatewayHash || len(a.GetGateways()) > 0 {
-		next.gateways, next.gatewayHash = a.GetGateways(), a.GetGatewaysDigest()
+	if list, hash := mergeGateways(next, a); hash != next.gatewayHash || len(a.GetGateways()) > 0 {
+		next.gateways, next.gatewayHash = list, hash
 		changed = true
 	}
 	return changed
 }
 
+// mergeGateways returns the gateway list after an answer, with its digest.
+func mergeGateways(old *lease, a *controlpb.RenewAnswer) ([]*controlpb.GatewayStatus, uint64) {
+	if a.GetGatewaysDigest() == old.gatewayHash && len(a.GetGateways()) == 0 {
+		return old.gateways, old.gatewayHash
+	}
+	return a.GetGateways(), a.GetGatewaysDigest()
+}
+
 func domainsOf(c *document.Config) []string {
 	if c == nil {
 		return nil
--- a/gateway/lease_test.go
+++ b/gateway/lease_test.go
@@ -19,7 +19,7 @@
 func newTestLease(t *testing.T) *leaseClient {
 	t.Helper()
 	return &leaseClient{
-		replicas: []settings.Peer{{Name: "control-1"}}, compile: compileSections, clock: newClock(),
+		replicas: &replicaList{listed: []settings.Peer{{Name: "control-1"}}}, compile: compileSections, clock: newClock(),
 		status: func() *controlpb.GatewayStatus { return &controlpb.GatewayStatus{} }, onChange: func(*lease) {}, onListed: func(context.Context) {},
 		log: telemetry.NewLogger(io.Discard, telemetry.Info), counters: telemetry.NewCounters(),
 	}
@@ -97,29 +97,34 @@
 func TestAcceptNeverGoesBack(t *testing.T) {
 	c := newTestLease(t)
 	all := testSections(t)
+	accept := func(a *controlpb.RenewAnswer, expires time.Duration) bool {
+		accepted, err := c.accept(a, expires)
+		must(t, err)
+		return accepted
+	}
 	answer := func(revision uint64) *controlpb.RenewAnswer {
 		return &controlpb.RenewAnswer{Revision: revision, ClusterId: 7, Full: true, Sections: all}
 	}
-	if c.accept(&controlpb.RenewAnswer{ClusterId: 7}, time.Hour); c.Current().config != nil {
+	if accept(&controlpb.RenewAnswer{ClusterId: 7}, time.Hour); c.Current().config != nil {
 		t.Fatal("an empty setup gave a configuration")
 	}
-	if !c.accept(answer(5), time.Hour) {
+	if !accept(answer(5), time.Hour) {
 		t.Fatal("the first revision was refused")
 	}
 	foreign := answer(9)
 	foreign.ClusterId = 8
 	broken := &controlpb.RenewAnswer{Revision: 9, ClusterId: 7, Sections: []*controlpb.Section{{Name: "services/labels", Text: "x"}}}
 	for name, a := range map[string]*controlpb.RenewAnswer{"older": answer(4), "foreign": foreign, "broken": broken} {
-		if c.accept(a, 2*time.Hour) || c.Current().revision != 5 || c.Current().expires != time.Hour {
+		if accept(a, 2*time.Hour) || c.Current().revision != 5 || c.Current().expires != time.Hour {
 			t.Errorf("%s answer was accepted: revision %d, expires %s", name, c.Current().revision, c.Current().expires)
 		}
 	}
 	out := &controlpb.RenewAnswer{Revision: 6, ClusterId: 7, DomainsOut: []string{"north-a"}}
-	if !c.accept(out, time.Hour) || !c.Current().config.DomainOut("north-a") {
+	if !accept(out, time.Hour) || !c.Current().config.DomainOut("north-a") {
 		t.Error("a failure domain that is out was not taken over")
 	}
 	gone := &controlpb.RenewAnswer{Revision: 7, ClusterId: 7, Removed: []string{"services/labels"}}
-	if !c.accept(gone, time.Hour) || len(c.Current().config.Services) != 0 || c.Current().config.DomainOut("north-a") {
+	if !accept(gone, time.Hour) || len(c.Current().config.Services) != 0 || c.Current().config.DomainOut("north-a") {
 		t.Error("a removed section or a failure domain that came back was not taken over")
 	}
 }
--- a/gateway/load_test.go
+++ b/gateway/load_test.go
@@ -13,6 +13,7 @@
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/document"
+	"heatherwall.example/settings"
 )
 
 // Guards against a load that counts requests instead of their time in flight, that keeps seconds of an earlier round of
@@ -66,7 +67,7 @@
 
 func askLoad(t *testing.T, c *certificates, g *testGateway, as string) (*controlpb.GatewayLoad, error) {
 	t.Helper()
-	id, err := loadIdentity(c.issue(as))
+	id, err := loadIdentity(as, settings.Listener{TLS: c.issue(as)})
 	must(t, err)
 	conn, err := dialPeers(id)("gw-1", g.Peer)
 	must(t, err)
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -113,6 +113,7 @@
 	f.claims = &stubClaims{controlStub: controlStub{claims: map[string]*controlpb.CompleteRequest{}, holder: map[string]*controlpb.ClaimRequest{}}}
 	transport := newTransport()
 	f.requestPath = &requestPath{
+		dialect: nativeDialect, steps: documentSteps,
 		region: "north", maxRequests: 100, clock: newClock(), configuration: f.configuration, selector: f.servers, claims: f.claims,
 		holders: newHolderNames("gw-1", 1), poison: newPoisonMarks("gw-1"), spreadMarks: func() {}, transport: transport,
 		log: telemetry.NewLogger(io.Discard, telemetry.Info), counters: telemetry.NewCounters(),
--- a/gateway/peertls.go
+++ b/gateway/peertls.go
@@ -10,22 +10,31 @@
 	"heatherwall.example/settings"
 )
 
-// identity is the certificate of this instance and the authority that signs those of its peers.
+// identity is the certificate of this instance and the authority that signs those of its peers. Without certificates,
+// name introduces it.
 type identity struct {
+	name        string
+	plaintext   bool
 	certificate tls.Certificate
 	roots       *x509.CertPool
 }
 
 // loadIdentity reads the files of a peer listener. A file that cannot be used gives *settings.FileError.
-func loadIdentity(t *settings.TLS) (*identity, error) {
-	c, err := t.Load()
+func loadIdentity(name string, l settings.Listener) (*identity, error) {
+	if l.TLS == nil {
+		return &identity{name: name, plaintext: true}, nil
+	}
+	c, err := l.TLS.Load()
 	if err != nil {
 		return nil, err
 	}
-	return &identity{certificate: c.Certificates[0], roots: c.RootCAs}, nil
+	return &identity{name: name, certificate: c.Certificates[0], roots: c.RootCAs}, nil
 }
 
 func (i *identity) serverConfig() *tls.Config {
+	if i.plaintext {
+		return nil
+	}
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{i.certificate},
@@ -37,11 +46,14 @@
 // dialFunc opens a connection to the peer listener of an instance; it does not wait for the connection.
 type dialFunc func(name, address string) (*grpc.ClientConn, error)
 
-// dialPeers returns a dialFunc with mutual TLS.
+// dialPeers returns a dialFunc with mutual TLS, or in plain text without certificates.
 func dialPeers(i *identity) dialFunc {
 	return func(name, address string) (*grpc.ClientConn, error) {
-		c := api.PeerTLS([]tls.Certificate{i.certificate}, i.roots, name)
-		return api.DialDaemon(address, c, grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessageBytes)))
+		var c *tls.Config
+		if !i.plaintext {
+			c = api.PeerTLS([]tls.Certificate{i.certificate}, i.roots, name)
+		}
+		return api.DialDaemon(address, c, api.Introduction(i.name, ""), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessageBytes)))
 	}
 }
 
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -36,6 +36,8 @@
 // poisonMarks holds the crash marks known to one gateway. It is safe for use by several goroutines.
 type poisonMarks struct {
 	self string
+	// threshold is the number of crashes from which on a request is refused.
+	threshold int
 
 	mu    sync.Mutex
 	marks map[fingerprint]*crashMark
@@ -43,7 +45,7 @@
 }
 
 func newPoisonMarks(self string) *poisonMarks {
-	return &poisonMarks{self: self, marks: map[fingerprint]*crashMark{}}
+	return &poisonMarks{self: self, threshold: poisonThreshold, marks: map[fingerprint]*crashMark{}}
 }
 
 // Remaining returns how long the request is still refused; 0 when it is not.
@@ -51,7 +53,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	mark := m.live(now, f)
-	if mark == nil || mark.total() < poisonThreshold {
+	if mark == nil || mark.total() < m.threshold {
 		return 0
 	}
 	return mark.expires - now
@@ -65,7 +67,7 @@
 	mark.counts[m.self]++
 	mark.expires = now + markLifetime
 	m.addNews(mark.message(now, f, m.self))
-	return mark.total() >= poisonThreshold
+	return mark.total() >= m.threshold
 }
 
 // Clear forgets the marks of a request that succeeded.
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -27,6 +27,8 @@
 	// hedge is set for a second attempt in parallel, retry for one after a failure.
 	hedge bool
 	retry bool
+	// repeat is set for an attempt after one that reached no server.
+	repeat bool
 }
 
 // selector selects a backend server.
@@ -47,8 +49,10 @@
 type target struct {
 	service string
 	address string
-	region  string
-	domain  string
+	// id is the server's own identifier; empty where servers have none.
+	id     string
+	region string
+	domain string
 }
 
 // resultKind is what became of an attempt.
@@ -78,11 +82,6 @@
 type result struct {
 	kind    resultKind
 	latency time.Duration
-	// state is the value of Heatherwall-State; empty when the answer has none.
-	state string
-	// inflight and slots come from Heatherwall-Load; slots is 0 when the answer has none.
-	inflight int
-	slots    int
-	// retryAfter comes from the server's Retry-After; 0 when there is none.
-	retryAfter time.Duration
+	// Report is what the server told in its answer.
+	Report
 }
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -63,12 +63,12 @@
 	}
 	defer answer.Body.Close()
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxProbeBodyBytes))
-	report := answerReport(answer.Header)
-	state, ok := reportedState(report.state)
+	report := nativeDialect.Report(answer.Header)
+	state, ok := reportedState(report.State)
 	if !ok {
 		return probeReport{}, &ProbeError{Address: address, Status: answer.StatusCode}
 	}
-	return probeReport{state: state, inflight: report.inflight, slots: report.slots}, nil
+	return probeReport{state: state, inflight: report.InFlight, slots: report.Slots}, nil
 }
 
 // probe asks a server for evidence if the budget of measuring permits it; at most one probe for a server is under way.
--- a/gateway/reason.go
+++ b/gateway/reason.go
@@ -92,7 +92,7 @@
 	Detail string
 	// Regions are the home regions that may serve the request; set for HomeRegion only.
 	Regions []string
-	// RetryAfter is rounded up to seconds; 0 leaves the header out.
+	// RetryAfter is rounded up to seconds unless the dialect permits fractions; 0 leaves the header out.
 	RetryAfter time.Duration
 	// closeConnection is set when the body must stay unread.
 	closeConnection bool
@@ -132,7 +132,7 @@
 const problemType = "urn:heatherwall:refusal:"
 
 // write sends the refusal as the answer.
-func (r *Refusal) write(w http.ResponseWriter) {
+func (r *Refusal) write(w http.ResponseWriter, d *Dialect) {
 	status := reasons[r.Reason].status
 	body, err := json.Marshal(problem{
 		Type:    problemType + string(r.Reason),
@@ -154,7 +154,7 @@
 		h.Set("WWW-Authenticate", "Bearer")
 	}
 	if r.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int((r.RetryAfter+time.Second-1)/time.Second)))
+		h.Set("Retry-After", d.retryAfter(r.RetryAfter))
 	}
 	if r.closeConnection {
 		h.Set("Connection", "close")
--- /dev/null
+++ b/gateway/replicas.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"heatherwall.example/api/raftpb"
+	"heatherwall.example/settings"
+)
+
+// shunFailed is how long a replica that failed is not preferred to one that answers.
+const shunFailed = 10 * time.Second
+
+// replicaList orders the control replicas that the gateway may renew at. It is safe for use by several goroutines.
+type replicaList struct {
+	// listed is the fixed list of the settings, the nearest first; empty with discovery.
+	listed         []settings.Peer
+	region, domain string
+
+	mu      sync.Mutex
+	seeds   []string
+	members []*raftpb.Member
+	failed  map[string]time.Time // by address
+}
+
+// replicaAt names a replica that is known by its address only.
+func replicaAt(address string) settings.Peer { return settings.Peer{Name: address, Address: address} }
+
+// all returns the replicas in the order of preference: the listed ones or, with discovery, the members of the control
+// group, the nearest first, and the seeds.
+func (l *replicaList) all() []settings.Peer {
+	if len(l.listed) > 0 {
+		return l.listed
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []settings.Peer
+	for _, m := range l.members {
+		list = append(list, settings.Peer{Name: m.GetName(), Address: m.GetAddress(), Region: m.GetRegion(), FailureDomain: m.GetFailureDomain()})
+	}
+	slices.SortStableFunc(list, func(a, b settings.Peer) int { return cmp.Compare(l.distance(a), l.distance(b)) })
+	for _, seed := range l.seeds {
+		if !slices.ContainsFunc(list, func(p settings.Peer) bool { return p.Address == seed }) {
+			list = append(list, replicaAt(seed))
+		}
+	}
+	return list
+}
+
+// distance is 0 for a replica in the own failure domain, 1 in the own region, and 2 elsewhere.
+func (l *replicaList) distance(p settings.Peer) int {
+	switch {
+	case p.FailureDomain == l.domain && p.FailureDomain != "":
+		return 0
+	case p.Region == l.region && p.Region != "":
+		return 1
+	}
+	return 2
+}
+
+// next returns the replica to try: the nearest one that has not failed lately, or the one that failed first.
+func (l *replicaList) next(now time.Time) settings.Peer {
+	list := l.all()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	best := list[0]
+	for _, p := range list {
+		at, failed := l.failed[p.Address]
+		if !failed || now.Sub(at) > shunFailed {
+			return p
+		}
+		if at.Before(l.failed[best.Address]) {
+			best = p
+		}
+	}
+	return best
+}
+
+// hasNearer tells whether a nearer replica than this one is worth a change.
+func (l *replicaList) hasNearer(current settings.Peer, now time.Time) bool {
+	if len(l.listed) > 0 {
+		return false
+	}
+	return l.distance(l.next(now)) < l.distance(l.place(current))
+}
+
+// place adds what the membership tells of a replica that is known by its address.
+func (l *replicaList) place(p settings.Peer) settings.Peer {
+	for _, known := range l.all() {
+		if known.Address == p.Address {
+			return known
+		}
+	}
+	return p
+}
+
+func (l *replicaList) fail(p settings.Peer, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed == nil {
+		l.failed = map[string]time.Time{}
+	}
+	l.failed[p.Address] = now
+}
+
+// setMembers takes over the membership of the control group; an empty one is ignored.
+func (l *replicaList) setMembers(members []*raftpb.Member) {
+	if len(members) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.members = slices.SortedFunc(slices.Values(members), func(a, b *raftpb.Member) int { return strings.Compare(a.GetName(), b.GetName()) })
+}
+
+func (l *replicaList) setSeeds(addresses []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seeds = addresses
+}
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -27,6 +27,8 @@
 // requestPath serves requests of callers, see section 5.7 of docs/design.md.
 type requestPath struct {
 	region        string
+	dialect       *Dialect
+	steps         []step
 	maxRequests   int64
 	clock         clock
 	configuration configuration
@@ -71,7 +73,7 @@
 }
 
 func (p *requestPath) serve(c *call) {
-	for _, s := range steps {
+	for _, s := range p.steps {
 		if refusal := s(p, c); refusal != nil {
 			p.answerRefusal(c, refusal)
 			return
@@ -87,7 +89,7 @@
 
 // runAndAnswer has the request run and completes its claim, whatever happens on the way.
 func (p *requestPath) runAndAnswer(c *call) {
-	c.requestID = requestID(c.r)
+	c.requestID = p.requestID(c.r)
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
@@ -141,14 +143,18 @@
 		panic(http.ErrAbortHandler)
 	}
 	p.counters.Counter("refusals", "reason", string(refusal.Reason)).Inc(1)
-	refusal.write(c.w)
+	refusal.write(c.w, p.dialect)
 }
 
 // requestID joins the caller's identifier of the call tree, or a new one, with a random part of its own. The random part
-// makes an echoed identifier prove that an answer belongs to its request.
-func requestID(r *http.Request) string {
+// makes an echoed identifier prove that an answer belongs to its request. Where callers give each request an identifier
+// of its own, that one is passed on as it is.
+func (p *requestPath) requestID(r *http.Request) string {
+	if p.dialect.PassRequestID {
+		return r.Header.Get(p.dialect.RequestID)
+	}
 	own := uuid.NewString()
-	tree, _, _ := strings.Cut(r.Header.Get(headerRequestID), "/")
+	tree, _, _ := strings.Cut(r.Header.Get(p.dialect.RequestID), "/")
 	if tree == "" || len(tree) > maxNameBytes {
 		return own
 	}
--- /dev/null
+++ b/gateway/routing.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"heatherwall.example/document"
+)
+
+// routeSteps replace steps where the catalogue is served: callers need no token, and host and path select the route.
+var routeSteps = []step{
+	(*requestPath).admit,
+	(*requestPath).matchRoute,
+	(*requestPath).limitRouted,
+	(*requestPath).readBody,
+	(*requestPath).checkPoison,
+}
+
+// anyCaller stands for all callers of routes.
+var anyCaller = &document.Caller{Tenant: &document.Tenant{Member: &document.Member{}, Home: document.AnyRegion()}}
+
+// matchRoute selects the route and, by the weights, the service. A route with home regions binds where the request runs;
+// the caller chose this gateway, so the request may pass through it.
+func (p *requestPath) matchRoute(c *call) *Refusal {
+	route, ok := c.lease.catalogue.routes.Match(c.r.Host, c.r.URL.Path)
+	if !ok {
+		return refuse(NoRule, "no route covers this host and path")
+	}
+	c.caller = anyCaller
+	c.route = route
+	c.rule = route.Rule(rand.Float64())
+	c.placement = document.Placement{Home: document.AnyRegion(), RunIn: c.rule.RunIn, KeepIn: document.Regions{}}
+	return nil
+}
+
+// limitRouted reads the deadline. The time counts from the arrival of the header.
+func (p *requestPath) limitRouted(c *call) *Refusal {
+	remaining, ok := headerNumber(c.r.Header, p.dialect.Deadline, int(c.rule.Deadline.Milliseconds()))
+	if !ok {
+		return refuse(BadRequest, p.dialect.Deadline+": expected a number of milliseconds")
+	}
+	limit := min(c.rule.Deadline, time.Duration(remaining)*time.Millisecond)
+	if limit < minDeadline {
+		return refuse(DeadlineTooShort, "the remaining time is too short for any backend server")
+	}
+	c.retriesLeft, c.deadline = c.route.MaxAttempts-1, time.Now().Add(limit)
+	return nil
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -21,10 +22,6 @@
 	"heatherwall.example/telemetry"
 )
 
-// drainGrace is the time between the failure of /readyz and the closing of the listeners, in which the platform's
-// balancer stops sending.
-const drainGrace = time.Second
-
 // Addresses are the addresses that the listeners are bound to.
 type Addresses struct {
 	Callers  string
@@ -47,13 +44,22 @@
 
 // Run serves until ctx ends, then drains and returns. ready is called once when all listeners are open; it may be nil.
 // Failures before that are *ListenError or *settings.FileError; a drain that ran out of time is no failure.
-func Run(ctx context.Context, s *settings.Gateway, log *telemetry.Logger, ready func(Addresses)) error {
-	return RunBench(ctx, s, log, ready, BenchOptions{})
+func Run(ctx context.Context, s *settings.Gateway, log *telemetry.Logger, ready func(Addresses), o Options) error {
+	return RunBench(ctx, s, log, ready, o, BenchOptions{})
+}
+
+// Options of Run; the zero value is that of the product's own interface.
+type Options struct {
+	// Dialect names the headers of callers and backend servers; nil for the product's own.
+	Dialect *Dialect
+	// Reload delivers the settings after each change of the settings file; only the seeds of discovery take effect
+	// without a restart. It may be nil.
+	Reload <-chan *settings.Gateway
 }
 
 // RunBench is Run with a baseline in place of a part of the gateway.
-func RunBench(ctx context.Context, s *settings.Gateway, log *telemetry.Logger, ready func(Addresses), o BenchOptions) error {
-	d, err := newDaemon(s, log)
+func RunBench(ctx context.Context, s *settings.Gateway, log *telemetry.Logger, ready func(Addresses), options Options, o BenchOptions) error {
+	d, err := newDaemon(s, log, options)
 	if err != nil {
 		return err
 	}
@@ -79,9 +85,12 @@
 
 	lease  *leaseClient
 	claims *claimClient
-	state  *state
-	path   *requestPath
-	prober *httpProber
+	// state is nil where the catalogue is served, backends where the document is.
+	state    *state
+	backends *backends
+	reload   <-chan *settings.Gateway
+	path     *requestPath
+	prober   *httpProber
 
 	listeners map[string]net.Listener
 	servers   map[string]*http.Server
@@ -89,38 +98,96 @@
 	work      sync.WaitGroup
 }
 
-func newDaemon(s *settings.Gateway, log *telemetry.Logger) (*daemon, error) {
-	id, err := loadIdentity(s.Peer.TLS)
+func newDaemon(s *settings.Gateway, log *telemetry.Logger, o Options) (*daemon, error) {
+	id, err := loadIdentity(s.Name, s.Peer)
 	if err != nil {
 		return nil, err
 	}
 	incarnation := uint64(time.Now().UnixMilli())
 	dial := dialPeers(id)
 	d := &daemon{
-		settings: s, log: log, counters: telemetry.NewCounters(), clock: newClock(), identity: id,
+		settings: s, log: log, counters: telemetry.NewCounters(), clock: newClock(), identity: id, reload: o.Reload,
 		toControl: newConnections(dial), toGateways: newConnections(dial), prober: newHTTPProber(),
 	}
-	poison := newPoisonMarks(s.Name)
-	d.state = &state{
-		name: s.Name, region: s.Region, clock: d.clock, registry: membership.New(s.Name, incarnation),
-		engine:  balance.New(balance.Config{Region: s.Region, FailureDomain: s.FailureDomain}),
-		limiter: budget.New(budget.Rates{}), poison: poison, peers: &grpcExchanger{d.toGateways}, prober: d.prober, log: log, counters: d.counters,
-		commands: make(chan func(time.Duration)), stopped: make(chan struct{}), probing: map[string]bool{},
-	}
 	d.lease = &leaseClient{
-		replicas: s.Control, dial: dial, compile: compileSections, clock: d.clock, log: log, counters: d.counters,
+		replicas: newReplicaList(s), dial: dial, compile: compileSections, clock: d.clock, log: log, counters: d.counters,
 		status: func() *controlpb.GatewayStatus { return d.status(incarnation) }, onChange: d.configure, onListed: d.join,
 	}
-	d.claims = newClaimClient(s.Control, func() map[string]string { return d.lease.Current().claimLeaders }, d.toControl)
 	d.path = &requestPath{
-		region: s.Region, maxRequests: int64(s.MaxRequests), clock: d.clock, configuration: d.lease, selector: &engineSelector{state: d.state},
-		claims: d.claims, holders: newHolderNames(s.Name, incarnation), poison: poison, spreadMarks: d.state.spreadMarks,
+		region: s.Region, dialect: cmp.Or(o.Dialect, nativeDialect), maxRequests: int64(s.MaxRequests), clock: d.clock, configuration: d.lease,
+		holders: newHolderNames(s.Name, incarnation), poison: newPoisonMarks(s.Name),
 		transport: newTransport(), log: log, counters: d.counters,
 	}
-	d.path.joining.Store(true)
+	if s.Catalogue != nil {
+		d.serveCatalogue()
+	} else {
+		d.serveDocument(incarnation)
+	}
 	return d, nil
 }
 
+func newReplicaList(s *settings.Gateway) *replicaList {
+	l := &replicaList{listed: s.Control, region: s.Region, domain: s.FailureDomain}
+	if s.Discovery != nil {
+		l.seeds = s.Discovery.Addresses()
+	}
+	return l
+}
+
+// serveDocument sets up what a setup with a document needs: gossip with the other gateways, and claims.
+func (d *daemon) serveDocument(incarnation uint64) {
+	s := d.settings
+	d.state = &state{
+		name: s.Name, region: s.Region, clock: d.clock, registry: membership.New(s.Name, incarnation),
+		engine:  balance.New(balance.Config{Region: s.Region, FailureDomain: s.FailureDomain}),
+		limiter: budget.New(budget.Rates{}), poison: d.path.poison, peers: &grpcExchanger{d.toGateways}, prober: d.prober, log: d.log, counters: d.counters,
+		commands: make(chan func(time.Duration)), stopped: make(chan struct{}), probing: map[string]bool{},
+	}
+	d.claims = newClaimClient(s.Control, func() map[string]string { return d.lease.Current().claimLeaders }, d.toControl)
+	d.path.steps = documentSteps
+	d.path.claims = d.claims
+	d.path.spreadMarks = d.state.spreadMarks
+	d.path.selector = &engineSelector{engine: d.state.engine, clock: d.clock, evidence: d.state.evidence.add}
+	d.path.joining.Store(true)
+}
+
+// serveCatalogue sets up what a setup with a catalogue needs. The control replicas tell of backend servers and of crash
+// marks, so the gateway talks to no other gateway.
+func (d *daemon) serveCatalogue() {
+	s := d.settings
+	engine := balance.New(balance.Config{
+		Region: s.Region, FailureDomain: s.FailureDomain, EvidenceLifetime: noExpiry,
+		RegionCost: s.Catalogue.DomainCost(), SpillCost: s.Catalogue.SpillCost(),
+		RetryShare: s.Catalogue.Retry.Ratio * retryUse, RetryBurst: retryBurst(s.Catalogue.Retry),
+		// Servers tell when they are cold, and those of noisy neighbours look alike.
+		Switches: balance.Switches{NoFallbackDetection: true},
+	})
+	d.backends = &backends{
+		name: s.Name, region: s.Region, clock: d.clock, engine: engine, cold: s.Catalogue.Cold, log: d.log, counters: d.counters,
+		commands: make(chan func(time.Duration)), stopped: make(chan struct{}), records: map[string]*backendRecord{},
+	}
+	d.lease.serveStale = s.Catalogue.ServeStale()
+	d.lease.takePoison = d.path.poison.takeReports
+	d.lease.onPoison = func(reports []*controlpb.PoisonReport) { d.path.poison.setTotals(d.clock.now(), reports) }
+	d.path.poison.threshold = reportedPoisonThreshold
+	d.path.steps = routeSteps
+	d.path.spreadMarks = func() {}
+	d.path.selector = &engineSelector{engine: engine, clock: d.clock}
+}
+
+const (
+	// retryUse is the part of the retry budget that gateways use, because the windows in which requests and retries are
+	// counted differ.
+	retryUse = 0.8
+	// retryGateways is the number of gateways among which the slack of the retry budget is divided.
+	retryGateways = 30
+)
+
+// retryBurst is the number of retries that this gateway may save.
+func retryBurst(b settings.RetryBudget) int64 {
+	return max(int64(b.Slack*retryUse/retryGateways), 1)
+}
+
 // join introduces this gateway to the others, then lets it serve requests. A request that crashed backend servers
 // elsewhere must be known here before the first one is taken.
 func (d *daemon) join(ctx context.Context) {
@@ -133,6 +200,10 @@
 
 // configure passes a confirmed configuration on to the state goroutine.
 func (d *daemon) configure(l *lease) {
+	if d.backends != nil {
+		d.backends.configure(l)
+		return
+	}
 	d.state.configure(l)
 	d.toGateways.keepOnly(d.state.peerAddresses())
 }
@@ -150,6 +221,9 @@
 
 // peerAddress is where other gateways reach the peer listener.
 func (d *daemon) peerAddress() string {
+	if d.settings.Peer.Address == "" {
+		return ""
+	}
 	if d.settings.Peer.Advertise != "" {
 		return d.settings.Peer.Advertise
 	}
@@ -159,12 +233,13 @@
 // listen opens every listener before any of them serves.
 func (d *daemon) listen() error {
 	d.listeners = map[string]net.Listener{}
-	d.servers = map[string]*http.Server{
-		"callers":  d.callerServer(),
-		"announce": d.announceServer(),
-		"admin":    d.adminServer(),
+	d.servers = map[string]*http.Server{"callers": d.callerServer(), "admin": d.adminServer()}
+	open := map[string]settings.Listener{"callers": d.settings.Callers, "admin": d.settings.Admin}
+	if d.state != nil {
+		d.servers["announce"] = d.announceServer()
+		open["announce"], open["peer"] = d.settings.Announce, d.settings.Peer
 	}
-	for name, l := range map[string]settings.Listener{"callers": d.settings.Callers, "announce": d.settings.Announce, "peer": d.settings.Peer, "admin": d.settings.Admin} {
+	for name, l := range open {
 		listener, err := net.Listen("tcp", l.Address)
 		if err != nil {
 			return &ListenError{Listener: name, Address: l.Address, Err: err}
@@ -177,9 +252,11 @@
 			return err
 		}
 	}
-	d.peers = api.NewServer(d.identity.serverConfig(), maxPeerMessageBytes)
-	gossippb.RegisterGossipServer(d.peers, &gossipService{state: d.state})
-	controlpb.RegisterGatewayLoadsServer(d.peers, &loadService{d: d})
+	if d.state != nil {
+		d.peers = api.NewServer(d.identity.serverConfig(), maxPeerMessageBytes)
+		gossippb.RegisterGossipServer(d.peers, &gossipService{state: d.state})
+		controlpb.RegisterGatewayLoadsServer(d.peers, &loadService{d: d})
+	}
 	return nil
 }
 
@@ -203,23 +280,29 @@
 }
 
 func (d *daemon) addresses() Addresses {
-	return Addresses{
-		Callers:  d.listeners["callers"].Addr().String(),
-		Announce: d.listeners["announce"].Addr().String(),
-		Peer:     d.listeners["peer"].Addr().String(),
-		Admin:    d.listeners["admin"].Addr().String(),
+	of := func(name string) string {
+		if l := d.listeners[name]; l != nil {
+			return l.Addr().String()
+		}
+		return ""
 	}
+	return Addresses{Callers: of("callers"), Announce: of("announce"), Peer: of("peer"), Admin: of("admin")}
 }
 
 func (d *daemon) run(ctx context.Context, ready func(Addresses)) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	d.work.Go(func() { d.state.run(background) })
+	if d.backends != nil {
+		d.work.Go(func() { d.backends.run(background) })
+		d.work.Go(func() { d.takeReloads(background) })
+	} else {
+		d.work.Go(func() { d.state.run(background) })
+		d.work.Go(func() { _ = d.peers.Serve(d.listeners["peer"]) })
+	}
 	d.work.Go(func() { d.lease.Run(background) })
 	for name, server := range d.servers {
 		d.work.Go(func() { serveHTTP(server, d.listeners[name]) })
 	}
-	d.work.Go(func() { _ = d.peers.Serve(d.listeners["peer"]) })
 	a := d.addresses()
 	d.log.Log(eventStarted, telemetry.F("callers", a.Callers), telemetry.F("announce", a.Announce), telemetry.F("peer", a.Peer), telemetry.F("admin", a.Admin))
 	if ready != nil {
@@ -232,6 +315,21 @@
 	return nil
 }
 
+// takeReloads takes over new seeds from the settings file until ctx ends.
+func (d *daemon) takeReloads(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-d.reload:
+			if s.Discovery != nil {
+				d.lease.replicas.setSeeds(s.Discovery.Addresses())
+				d.log.Log(eventReloaded, telemetry.F("seeds", s.Discovery.Addresses()))
+			}
+		}
+	}
+}
+
 // serveHTTP returns when the server is closed.
 func serveHTTP(s *http.Server, l net.Listener) {
 	if s.TLSConfig != nil {
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -196,7 +196,7 @@
 	case r.refusal != nil:
 		return r.refusal
 	case a.result.kind == resultShed:
-		return refuse(Overloaded, "backend servers shed the request").after(max(a.result.retryAfter, time.Second))
+		return refuse(Overloaded, "backend servers shed the request").after(max(a.result.RetryAfter, time.Second))
 	}
 	return refuse(NoServer, "no backend server could be reached").after(time.Second)
 }
--- a/gateway/selector.go
+++ b/gateway/selector.go
@@ -11,24 +11,27 @@
 
 // engineSelector adapts the engine to the request path.
 type engineSelector struct {
-	state  *state
-	queues queues
+	engine *balance.Engine
+	clock  clock
+	// evidence takes the address of a server that answered a request sent at a time; nil where nobody needs it.
+	evidence func(address string, sent time.Duration)
+	queues   queues
 }
 
 // Pick implements selector. When every server is at its limit, the request waits for a short time in a queue that is
 // ordered by deadline.
 func (e *engineSelector) Pick(ctx context.Context, q *query) (selection, *Refusal) {
 	s, refusal := e.pick(q)
-	if refusal.Reason != balance.ReasonOverloaded || q.hedge || q.retry {
+	if refusal.Reason != balance.ReasonOverloaded || q.hedge || q.retry || q.repeat {
 		return s, pickRefusal(refusal)
 	}
 	queue := e.queues.get(q.service)
-	waiter, refusal := queue.Enter(e.state.clock.now(), q.deadline)
+	waiter, refusal := queue.Enter(e.clock.now(), q.deadline)
 	if refusal.Refused() {
 		return nil, pickRefusal(refusal)
 	}
 	defer queue.Leave(waiter)
-	limit := time.NewTimer(min(queueMaxWait, q.deadline-e.state.clock.now()))
+	limit := time.NewTimer(min(queueMaxWait, q.deadline-e.clock.now()))
 	defer limit.Stop()
 	select {
 	case <-waiter.Woken:
@@ -41,18 +44,18 @@
 
 // HedgeAfter implements selector.
 func (e *engineSelector) HedgeAfter(service string) (time.Duration, bool) {
-	return e.state.engine.Current().HedgeAfter(service)
+	return e.engine.Current().HedgeAfter(service)
 }
 
 func (e *engineSelector) pick(q *query) (selection, balance.Refusal) {
-	now := e.state.clock.now()
+	now := e.clock.now()
 	query := balance.Query{
 		Now: now, Service: q.service, Member: q.member, Regions: q.regions, AnyRegion: q.allRegions,
 		Idempotent: q.idempotent, Remaining: max(q.deadline-now, 1), Random: rand.Uint64(), Kind: attemptKind(q),
 	}
 	last := q.tried[max(0, len(q.tried)-balance.MaxExcluded):]
 	copy(query.Excluded[:], last)
-	a, refusal := e.state.engine.Current().Pick(query)
+	a, refusal := e.engine.Current().Pick(query)
 	if refusal.Refused() {
 		return nil, refusal
 	}
@@ -65,6 +68,8 @@
 		return balance.AttemptHedge
 	case q.retry:
 		return balance.AttemptRetry
+	case q.repeat:
+		return balance.AttemptRepeat
 	}
 	return balance.AttemptFirst
 }
@@ -98,18 +103,18 @@
 
 // Server implements selection.
 func (s *engineSelection) Server() target {
-	return target{service: s.service, address: s.attempt.Address, region: s.attempt.Region, domain: s.attempt.FailureDomain}
+	return target{service: s.service, address: s.attempt.Address, id: s.attempt.ID, region: s.attempt.Region, domain: s.attempt.FailureDomain}
 }
 
 // Done implements selection.
 func (s *engineSelection) Done(r result) {
-	o := balance.Outcome{Kind: outcomeKind(r.kind), Latency: r.latency, Pause: r.retryAfter, InFlight: r.inflight, Slots: r.slots}
-	o.State, o.Reported = reportedState(r.state)
+	o := balance.Outcome{Kind: outcomeKind(r.kind), Latency: r.latency, Pause: r.RetryAfter, InFlight: r.InFlight, Slots: r.Slots}
+	o.State, o.Reported = reportedState(r.State)
 	s.attempt.Done(o)
-	if o.Reported && o.State != balance.StateDraining {
-		s.selector.state.evidence.add(s.attempt.Address, s.started)
+	if o.Reported && o.State != balance.StateDraining && s.selector.evidence != nil {
+		s.selector.evidence(s.attempt.Address, s.started)
 	}
-	s.selector.queues.get(s.service).Release(s.selector.state.clock.now())
+	s.selector.queues.get(s.service).Release(s.selector.clock.now())
 }
 
 func reportedState(text string) (balance.State, bool) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -33,7 +33,7 @@
 // stream copies the answer to the caller. A body that ends early leaves complete false; the caller's connection must be
 // aborted then, because the caller could take the part for the whole.
 func (p *requestPath) stream(c *call, a *attempt) streamed {
-	announced := announceTrailers(c.w.Header(), a.answer)
+	announced := p.announceTrailers(c.w.Header(), a.answer)
 	c.w.WriteHeader(a.answer.StatusCode)
 	s := copyBody(c.w, a.answer)
 	if s.complete {
@@ -43,8 +43,8 @@
 }
 
 // announceTrailers prepares the header of the answer, with the names of the trailers that the server announced.
-func announceTrailers(to http.Header, answer *http.Response) []string {
-	copyAnswerHeader(to, answer.Header)
+func (p *requestPath) announceTrailers(to http.Header, answer *http.Response) []string {
+	p.dialect.copyAnswerHeader(to, answer.Header)
 	var names []string
 	for name := range answer.Trailer {
 		names = append(names, name)
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -52,6 +52,31 @@
 	return n.log.err
 }
 
+// Forward appends data to the log if the node leads, and otherwise passes it on to the leader, once and without a report:
+// the caller finds out from Ready.Committed, or repeats an idempotent proposal after a while. The error is
+// *NotLeaderError if no leader is known, or one of Propose.
+func (n *Node) Forward(data []byte) error {
+	if n.role == Leader || n.log.err != nil {
+		return n.Propose(data)
+	}
+	if n.leader == 0 {
+		return &NotLeaderError{}
+	}
+	if size := uint64(len(data)); size > n.config.MaxEntryBytes {
+		return &EntryTooLargeError{Size: size, Max: n.config.MaxEntryBytes}
+	}
+	n.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_PROPOSE, To: n.leader, Proposal: data})
+	return nil
+}
+
+// handlePropose takes a proposal of a follower. One that cannot be taken is dropped: the follower gives it up after a
+// while.
+func (n *Node) handlePropose(m *raftpb.Message) {
+	if n.role == Leader {
+		_ = n.Propose(m.Proposal)
+	}
+}
+
 func (n *Node) checkProposal(size uint64) error {
 	switch {
 	case n.log.err != nil:
--- a/raft/node.go
+++ b/raft/node.go
@@ -176,6 +176,8 @@
 		n.results = append(n.results, Read{ID: m.ReadId, Index: m.LogIndex})
 	case raftpb.MessageType_MESSAGE_TIMEOUT_NOW:
 		n.handleTimeoutNow()
+	case raftpb.MessageType_MESSAGE_PROPOSE:
+		n.handlePropose(m)
 	}
 }
 
--- /dev/null
+++ b/routes/validate.go
@@ -0,0 +1,67 @@
+package routes
+
+import (
+	"fmt"
+	"strings"
+
+	"heatherwall.example/api/controlpb"
+)
+
+// InvalidError reports a mistake in a route table.
+type InvalidError struct {
+	// Route is the name of the route; empty for a mistake outside the routes.
+	Route    string
+	Field    string
+	Expected string
+}
+
+func (e *InvalidError) Error() string {
+	if e.Route == "" {
+		return fmt.Sprintf("%s: expected %s", e.Field, e.Expected)
+	}
+	return fmt.Sprintf("route %q: %s: expected %s", e.Route, e.Field, e.Expected)
+}
+
+// Validate checks a route table. The error is an *InvalidError with the first mistake.
+func Validate(t *controlpb.RouteTable) error {
+	known := map[string]bool{}
+	for _, s := range t.GetServices() {
+		if s.GetName() == "" {
+			return &InvalidError{Field: "services", Expected: "a name for each service"}
+		}
+		known[s.GetName()] = true
+	}
+	for _, r := range t.GetRoutes() {
+		if err := validateRoute(r, known); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func validateRoute(r *controlpb.Route, known map[string]bool) error {
+	switch {
+	case r.GetHost() == "":
+		return &InvalidError{Route: r.GetName(), Field: "host", Expected: "a host name"}
+	case !strings.HasPrefix(r.GetPathPrefix(), "/"):
+		return &InvalidError{Route: r.GetName(), Field: "path_prefix", Expected: "a slash at the beginning"}
+	}
+	return validateShares(r, known)
+}
+
+func validateShares(r *controlpb.Route, known map[string]bool) error {
+	sum := 0.0
+	for _, s := range r.GetShares() {
+		if !known[s.GetService()] {
+			return &InvalidError{Route: r.GetName(), Field: "service", Expected: fmt.Sprintf("a service of the table, got %q", s.GetService())}
+		}
+		if s.GetWeight() < 0 {
+			return &InvalidError{Route: r.GetName(), Field: "weight", Expected: "0 or more"}
+		}
+		sum += s.GetWeight()
+	}
+	if !(sum > 0) {
+		return &InvalidError{Route: r.GetName(), Field: "weight", Expected: "a sum above 0"}
+	}
+	return nil
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,6 +53,9 @@
 	// Advertise is the address under which others reach the listener; the default is Address. Only peer listeners use it.
 	Advertise string `yaml:"advertise"`
 	TLS       *TLS   `yaml:"tls"`
+	// Plaintext permits a peer listener without TLS, on networks that only instances of the setup can reach. The default
+	// is false.
+	Plaintext bool `yaml:"plaintext"`
 }
 
 // Advertised is the address under which others reach the listener.
@@ -89,8 +92,12 @@
 	Admin Listener `yaml:"admin"`
 	// DataFolder holds all files of the replica.
 	DataFolder string `yaml:"data_folder"`
-	// Peers lists every configured replica, this one included.
+	// Peers lists every configured replica, this one included. It is left out where Discovery is set.
 	Peers []Peer `yaml:"peers"`
+	// Discovery finds the replicas of a setup without a list; nil where Peers is set.
+	Discovery *Discovery `yaml:"discovery"`
+	// Catalogue serves the catalogue of routes and backend servers; nil for setups that have a document only.
+	Catalogue *ControlCatalogue `yaml:"catalogue"`
 }
 
 // Gateway holds the settings of a gateway.
@@ -101,10 +108,18 @@
 	// Peer is the gRPC listener for other gateways and the client identity towards control replicas.
 	Peer  Listener `yaml:"peer"`
 	Admin Listener `yaml:"admin"`
-	// Control lists the control replicas, the nearest first.
+	// Control lists the control replicas, the nearest first. It is left out where Discovery is set.
 	Control []Peer `yaml:"control"`
+	// Discovery finds the control replicas without a list; nil where Control is set.
+	Discovery *Discovery `yaml:"discovery"`
+	// Catalogue makes the gateway serve the catalogue of the control replicas instead of the document; nil for the
+	// document.
+	Catalogue *GatewayCatalogue `yaml:"catalogue"`
 	// MaxRequests limits the requests in flight at this gateway; the default is 4096.
 	MaxRequests int `yaml:"max_requests"`
+	// DrainNoticeMs is the time in milliseconds between the failure of /readyz and the closing of the listeners, in which
+	// the platform's balancer stops sending; the default is 1000.
+	DrainNoticeMs int `yaml:"drain_notice_ms"`
 	// DrainSeconds limits how long a stop waits for requests in flight; the default is 30.
 	DrainSeconds int `yaml:"drain_seconds"`
 }
@@ -113,6 +128,7 @@
 const (
 	DefaultMaxRequests  = 4096
 	DefaultDrainSeconds = 30
+	DefaultDrainNotice  = 1000
 	DefaultLogLevel     = "info"
 )
 
@@ -127,10 +143,11 @@
 	c.listener("peer", s.Peer, true)
 	c.listener("admin", s.Admin, false)
 	c.required("data_folder", s.DataFolder)
-	c.peers("peers", s.Peers)
-	if !slices.ContainsFunc(s.Peers, func(p Peer) bool { return p.Name == s.Name }) {
+	c.replicas("peers", s.Peers, s.Discovery)
+	if s.Discovery == nil && !slices.ContainsFunc(s.Peers, func(p Peer) bool { return p.Name == s.Name }) {
 		c.add("peers", fmt.Sprintf("expected an entry for this instance, %q", s.Name))
 	}
+	c.controlCatalogue(s.Catalogue)
 	if err := c.err(); err != nil {
 		return nil, err
 	}
@@ -146,11 +163,15 @@
 	}
 	c.instance(&s.Instance)
 	c.listener("callers", s.Callers, false)
-	c.listener("announce", s.Announce, false)
-	c.listener("peer", s.Peer, true)
 	c.listener("admin", s.Admin, false)
-	c.peers("control", s.Control)
+	if s.Catalogue == nil {
+		c.listener("announce", s.Announce, false)
+		c.listener("peer", s.Peer, true)
+	}
+	c.replicas("control", s.Control, s.Discovery)
+	c.gatewayCatalogue(s.Catalogue)
 	s.MaxRequests = c.positive("max_requests", s.MaxRequests, DefaultMaxRequests)
+	s.DrainNoticeMs = c.positive("drain_notice_ms", s.DrainNoticeMs, DefaultDrainNotice)
 	s.DrainSeconds = c.positive("drain_seconds", s.DrainSeconds, DefaultDrainSeconds)
 	if err := c.err(); err != nil {
 		return nil, err
@@ -217,7 +238,7 @@
 		c.address(path+".advertise", l.Advertise)
 	}
 	if l.TLS == nil {
-		if tlsRequired {
+		if tlsRequired && !l.Plaintext {
 			c.add(path+".tls", "expected certificate, key and authority")
 		}
 		return
@@ -229,6 +250,18 @@
 	}
 }
 
+// replicas checks that the control replicas are either listed or found by discovery.
+func (c *checker) replicas(path string, list []Peer, d *Discovery) {
+	if d == nil {
+		c.peers(path, list)
+		return
+	}
+	if len(list) > 0 {
+		c.add(path, "expected either this list or discovery")
+	}
+	c.discovery(d)
+}
+
 func (c *checker) peers(path string, peers []Peer) {
 	if len(peers) == 0 {
 		c.add(path, "expected at least one control replica")
--- a/testbed/cmd/benchgateway/main.go
+++ b/testbed/cmd/benchgateway/main.go
@@ -45,7 +45,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	baseline := gateway.BenchOptions{TwoChoices: true}
-	if err := gateway.RunBench(ctx, s, telemetry.NewLogger(os.Stderr, level), nil, baseline); err != nil {
+	if err := gateway.RunBench(ctx, s, telemetry.NewLogger(os.Stderr, level), nil, gateway.Options{}, baseline); err != nil {
 		return fail(err, exitFailed)
 	}
 	return exitDone
