--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything a newcomer needs: `make test` runs all tests, models and the linter; `make run` starts a local setup;
 # `make demo` runs a bounded one. Each installs what it needs.
-MODULES := api raft document controlstate membership balance settings telemetry control gateway cmd/heatherwall testbed model
+MODULES := api raft document controlstate membership balance settings telemetry routes control gateway platform cmd/heatherwall testbed model
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
--- a/control/catalogue.go
+++ b/control/catalogue.go
@@ -85,20 +85,15 @@
 // Report takes a report of a backend server. It returns once a quorum knows what the report changes; a report that
 // changes nothing, or was overtaken, is only noted here. The error is an *UnavailableError.
 func (c *Catalogue) Report(ctx context.Context, s *controlpb.BackendServer) error {
-	_, err := call(ctx, c.r.loop, func(finish func(struct{}, error)) {
-		c.r.takeReport(s, func(err error) { finish(struct{}{}, err) })
-	})
-	return unavailable(err)
+	return c.untilLed(ctx, func(done func(error)) { c.r.takeReport(s, done) })
 }
 
 // Leave ends a backend server for good. Incarnation 0 stands for the one that is known. The error is an
 // *UnavailableError.
 func (c *Catalogue) Leave(ctx context.Context, id string, incarnation uint64) error {
-	_, err := call(ctx, c.r.loop, func(finish func(struct{}, error)) {
-		c.r.takeLeave(id, incarnation, func(err error) { finish(struct{}{}, err) })
-	})
+	err := c.untilLed(ctx, func(done func(error)) { c.r.takeLeave(id, incarnation, done) })
 	c.r.log.Log(eventServerLeft, telemetry.F("server", id), telemetry.F("incarnation", incarnation), telemetry.F("error", errorText(err)))
-	return unavailable(err)
+	return err
 }
 
 // Region returns the region of a failure domain.
@@ -113,11 +108,18 @@
 // Log is the log of the replica.
 func (c *Catalogue) Log() *telemetry.Logger { return c.r.log }
 
-// decide has an idempotent entry committed. It waits for a leader as long as ctx permits.
+// decide has an idempotent entry committed.
 func (c *Catalogue) decide(ctx context.Context, entry []byte) error {
+	return c.untilLed(ctx, func(done func(error)) {
+		c.r.loop.groups[configurationGroup].forward(entry, func(_ any, err error) { done(err) })
+	})
+}
+
+// untilLed runs an idempotent task in the loop, and again while no leader is known, as long as ctx permits.
+func (c *Catalogue) untilLed(ctx context.Context, task func(done func(error))) error {
 	for {
 		_, err := call(ctx, c.r.loop, func(finish func(struct{}, error)) {
-			c.r.loop.groups[configurationGroup].forward(entry, func(_ any, err error) { finish(struct{}{}, err) })
+			task(func(err error) { finish(struct{}{}, err) })
 		})
 		if !isNotLeader(err) {
 			return unavailable(err)
--- a/control/serverreports.go
+++ b/control/serverreports.go
@@ -53,7 +53,7 @@
 	now := time.Now()
 	known := state.BackendServer(s.GetId())
 	before := r.servers.heard[s.GetId()]
-	r.servers.heard[s.GetId()] = heardServer{at: now, coldUntil: now.Add(time.Duration(s.GetColdMs()) * time.Millisecond)}
+	r.servers.heard[s.GetId()] = heardServer{at: now, coldUntil: before.coldUntil}
 	s.Holder = r.loop.self.Id
 	if known != nil && isSameReport(known, s) && !before.startsCold(now, known, s) {
 		done(nil)
@@ -61,7 +61,14 @@
 	}
 	r.log.Log(eventServerReported, telemetry.F("server", s.GetId()), telemetry.F("service", s.GetService()), telemetry.F("address", s.GetAddress()),
 		telemetry.F("state", s.GetState().String()), telemetry.F("cold_ms", int(s.GetColdMs())), telemetry.F("incarnation", s.GetIncarnation()))
-	r.servers.add(&statepb.ServerReport{Report: &statepb.ServerReport_Present{Present: s}}, done)
+	coldUntil := now.Add(time.Duration(s.GetColdMs()) * time.Millisecond)
+	r.servers.add(&statepb.ServerReport{Report: &statepb.ServerReport_Present{Present: s}}, func(err error) {
+		if err == nil {
+			// Only now do the gateways know of this cold start; until then the report must not pass for a repeated one.
+			r.servers.heard[s.GetId()] = heardServer{at: now, coldUntil: coldUntil}
+		}
+		done(err)
+	})
 }
 
 // isSameReport compares what gateways and other replicas must know, but for the rest of a cold start.
--- a/gateway/backends.go
+++ b/gateway/backends.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"heatherwall.example/api/controlpb"
@@ -32,7 +31,6 @@
 
 	commands chan func(now time.Duration)
 	stopped  chan struct{}
-	outgoing sync.WaitGroup
 
 	// The fields below belong to the owner goroutine.
 	records  map[string]*backendRecord
--- a/routes/table.go
+++ b/routes/table.go
@@ -13,7 +13,6 @@
 
 // Defaults of a route that leaves a field out.
 const (
-	defaultTimeout  = 30 * time.Second
 	defaultAttempts = 2
 	// defaultBodyBytes is the largest request body where the table names none.
 	defaultBodyBytes = 64 << 20
@@ -127,7 +126,7 @@
 	return &document.Rule{
 		Service: &document.Service{Name: service, Connections: c.Services[service].MaxConnections},
 		Name:    r.GetName(), Path: r.GetPathPrefix(), Idempotent: r.GetIdempotent(), Key: key, RunIn: run,
-		Deadline: cmp.Or(time.Duration(r.GetTimeoutMs())*time.Millisecond, defaultTimeout),
+		Deadline: time.Duration(r.GetTimeoutMs()) * time.Millisecond,
 		MaxBody:  cmp.Or(c.Limits.BodyBytes, defaultBodyBytes),
 	}
 }
--- a/routes/validate.go
+++ b/routes/validate.go
@@ -45,6 +45,8 @@
 		return &InvalidError{Route: r.GetName(), Field: "host", Expected: "a host name"}
 	case !strings.HasPrefix(r.GetPathPrefix(), "/"):
 		return &InvalidError{Route: r.GetName(), Field: "path_prefix", Expected: "a slash at the beginning"}
+	case r.GetTimeoutMs() == 0:
+		return &InvalidError{Route: r.GetName(), Field: "timeout_ms", Expected: "a time above 0"}
 	}
 	return validateShares(r, known)
 }
