--- a/control/directory.go
+++ b/control/directory.go
@@ -37,8 +37,19 @@
 	changed map[string]uint64
 	// whole is the version of the last change that a difference cannot express; reports on an older base are full.
 	whole uint64
+	// firstSeen holds when each own gateway renewed first, and freshAt when a gateway of any replica was new.
+	firstSeen map[string]time.Time
+	freshAt   time.Time
 }
 
+const (
+	// freshFor is how long the replicas report at every tick after a gateway has appeared, so that gateways which start
+	// at the same time hear of each other before they serve.
+	freshFor = 500 * time.Millisecond
+	// reportTravel is longer than a report travels: one that arrives later than this after a moment was made after it.
+	reportTravel = 150 * time.Millisecond
+)
+
 // replicaView is what one replica knows of its gateways.
 type replicaView struct {
 	revision uint64
@@ -69,7 +80,7 @@
 	own := &replicaView{version: 1, gateways: map[string]seenGateway{}}
 	return &directory{
 		self: self, started: started, own: own,
-		views: map[uint64]*replicaView{self: own}, changed: map[string]uint64{}, whole: 1,
+		views: map[uint64]*replicaView{self: own}, changed: map[string]uint64{}, whole: 1, firstSeen: map[string]time.Time{},
 	}
 }
 
@@ -79,6 +90,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	before, ok := d.own.gateways[s.Name]
+	if !ok || before.status.GetIncarnation() != s.GetIncarnation() {
+		d.firstSeen[s.Name], d.freshAt = now, now
+	}
 	d.own.gateways[s.Name] = seenGateway{status: s, at: now}
 	if ok && proto.Equal(before.status, s) {
 		return false
@@ -97,6 +111,7 @@
 		if now.Sub(g.at) > listedFor {
 			delete(d.own.gateways, name)
 			delete(d.changed, name)
+			delete(d.firstSeen, name)
 			full = true
 		}
 	}
@@ -147,10 +162,53 @@
 	if view == nil {
 		return
 	}
+	if view.hasNew(d.views[from.id]) {
+		d.freshAt = now
+	}
 	d.views[from.id] = view
 	from.held = view.version
 }
 
+// hasNew tells whether the view lists a gateway that an earlier one did not.
+func (v *replicaView) hasNew(earlier *replicaView) bool {
+	for name := range v.gateways {
+		if earlier == nil {
+			return true
+		}
+		if _, ok := earlier.gateways[name]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// isFresh tells whether a gateway has appeared lately, so that reports are due at every tick.
+func (d *directory) isFresh(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Sub(d.freshAt) < freshFor
+}
+
+// isComplete tells whether the list of gateways holds every gateway that renewed anywhere before one of this replica
+// renewed first: each other replica has reported since. A replica without a report for the length of a lease has no
+// gateways that may serve.
+func (d *directory) isComplete(gateway string, replicas []uint64, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	since := d.firstSeen[gateway].Add(reportTravel)
+	for _, id := range replicas {
+		if id == d.self {
+			continue
+		}
+		v := d.views[id]
+		silent := v != nil && now.Sub(v.at) > api.ConfigurationLease+api.LeaseMargin
+		if !silent && (v == nil || v.at.Before(since)) {
+			return false
+		}
+	}
+	return true
+}
+
 // with returns the view after a report, or nil if the report does not fit.
 func (v *replicaView) with(from *reportStream, r *controlpb.ReplicaReport, now time.Time) *replicaView {
 	next := &replicaView{revision: r.Revision, version: r.Version, stream: from, claimLeaders: r.ClaimLeaders, gateways: map[string]seenGateway{}, at: now}
--- a/control/replica.go
+++ b/control/replica.go
@@ -269,7 +269,7 @@
 
 // everyTick does the work of the loop that depends on time: reports, promotion of learners, claim groups and floors.
 func (r *replica) everyTick(now time.Time) {
-	if r.reportDue.Swap(false) || now.Sub(r.reportedAt) >= reportInterval {
+	if r.reportDue.Swap(false) || r.directory.isFresh(now) || now.Sub(r.reportedAt) >= reportInterval {
 		r.reportedAt = now
 		r.sendReport(now)
 	}
--- a/control/watch.go
+++ b/control/watch.go
@@ -92,9 +92,9 @@
 	if w.r.directory.renewed(request.Gateway, now) {
 		w.r.requestReport()
 	}
-	_, err := call(ctx, w.r.loop, func(finish func(struct{}, error)) {
+	replicas, err := call(ctx, w.r.loop, func(finish func([]uint64, error)) {
 		w.r.reportPoison(request.GetPoison())
-		w.r.readConfiguration(func(err error) { finish(struct{}{}, err) })
+		w.r.readConfiguration(func(err error) { finish(w.r.loop.groups[configurationGroup].memberIDs(), err) })
 	})
 	if err != nil {
 		return err
@@ -109,6 +109,7 @@
 	answer.Nonce = request.Nonce
 	answer.ClaimLeaders = w.r.directory.claimLeaders()
 	answer.GatewaysDigest, answer.Gateways = w.r.directory.gatewaysUnless(request.GatewaysDigest, now)
+	answer.GatewaysComplete = w.r.directory.isComplete(w.name, replicas, now)
 	return w.stream.Send(answer)
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -98,7 +98,7 @@
 		}
 		s.mu.Lock()
 		answer := &controlpb.RenewAnswer{Nonce: request.Nonce, Revision: s.answer.Revision, Full: true, Sections: s.answer.Sections,
-			DomainsOut: s.answer.DomainsOut, Gateways: s.answer.Gateways, GatewaysDigest: s.answer.GatewaysDigest, ClaimLeaders: s.answer.ClaimLeaders, ClusterId: 7}
+			DomainsOut: s.answer.DomainsOut, Gateways: s.answer.Gateways, GatewaysDigest: s.answer.GatewaysDigest, GatewaysComplete: true, ClaimLeaders: s.answer.ClaimLeaders, ClusterId: 7}
 		s.mu.Unlock()
 		if err := stream.Send(answer); err != nil {
 			return err
--- a/gateway/introduce.go
+++ b/gateway/introduce.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -65,14 +67,14 @@
 	return peers
 }
 
-// introduce makes this gateway known to every peer of its region and takes over their crash marks. Of two gateways that
-// start together at least the later one has the other on its list, so afterwards each of them knows the other. The
-// handshakes with other regions would take the budget of many seconds, which the exchanges need to learn of the servers
-// there. It returns the number of peers and how many of them answered.
+// introduce makes this gateway known to every peer of its region and to one of each other region, and takes over their
+// crash marks. Of two gateways that start together at least the later one has the other on its list, so afterwards each
+// of them knows the other. The handshakes with all peers of other regions would take the budget of many seconds, which
+// the exchanges need to learn of the servers there. It returns the number of peers and how many of them answered.
 func (s *state) introduce(ctx context.Context, address string) (peers, answered int) {
 	var list []membership.Peer
 	s.do(func(time.Duration) {
-		list = slices.DeleteFunc(slices.Clone(s.registry.Peers()), func(p membership.Peer) bool { return p.Region != s.region })
+		list = introductions(s.name, s.region, s.registry.Peers())
 	})
 	request := &gossippb.IntroduceRequest{From: s.name, Region: s.region, Address: address}
 	ctx, cancel := context.WithTimeout(ctx, introductionTimeout)
@@ -90,6 +92,30 @@
 	return len(list), int(answers.Load())
 }
 
+// introductions returns the peers of the own region and, of each other region, the one with the highest hash of both
+// names, so that the gateways of a region choose different ones.
+func introductions(self, region string, peers []membership.Peer) []membership.Peer {
+	var list []membership.Peer
+	chosen := map[string]membership.Peer{}
+	for _, p := range peers {
+		if p.Region == region {
+			list = append(list, p)
+			continue
+		}
+		if best, ok := chosen[p.Region]; !ok || pairHash(self, p.ID) > pairHash(self, best.ID) {
+			chosen[p.Region] = p
+		}
+	}
+	for _, r := range slices.Sorted(maps.Keys(chosen)) {
+		list = append(list, chosen[r])
+	}
+	return list
+}
+
+func pairHash(a, b string) uint64 {
+	return xxhash.Sum64String(a + "\x00" + b)
+}
+
 // introduceUntilAnswered tries until the peer has answered, has been silent for silentTimeout, or ctx has ended.
 func (s *state) introduceUntilAnswered(ctx context.Context, p membership.Peer, request *gossippb.IntroduceRequest) bool {
 	var silentSince time.Duration
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -27,6 +27,8 @@
 	// listDelay follows the first confirmation. In this time the control replicas tell each other of new gateways, so the
 	// list in the next answer holds all that started before.
 	listDelay = 300 * time.Millisecond
+	// listTimeout bounds the wait for a control replica that does not report.
+	listTimeout = 3 * time.Second
 )
 
 // sectionSet holds the texts of the document's sections by name.
@@ -287,17 +289,18 @@
 	if err != nil || !accepted {
 		return false, err
 	}
-	s.client.noteList(ctx, sentAt)
+	s.client.noteList(ctx, sentAt, a.GetGatewaysComplete())
 	return true, nil
 }
 
-// noteList calls onListed after the answer to a renewal that was sent listDelay after the first confirmation.
-func (c *leaseClient) noteList(ctx context.Context, sentAt time.Duration) {
+// noteList calls onListed after the answer to a renewal that was sent listDelay after the first confirmation, once the
+// list holds every gateway that started before.
+func (c *leaseClient) noteList(ctx context.Context, sentAt time.Duration, complete bool) {
 	switch {
 	case c.listed || c.Current().config == nil:
 	case c.confirmed == 0:
 		c.confirmed = c.clock.now()
-	case sentAt >= c.confirmed+listDelay:
+	case sentAt >= c.confirmed+listDelay && (complete || c.clock.now() >= c.confirmed+listTimeout):
 		c.listed = true
 		c.onListed(ctx)
 	}
@@ -324,8 +327,11 @@
 		return false, err
 	}
 	next.catalogue = view
+	if a.GetRevision() == 0 && !next.configured() {
+		return true, nil // the setup has nothing to serve yet, and the replica is not to blame
+	}
 	if a.GetRevision() == 0 {
-		// The setup has no document: the catalogue, if there is one, is all that is served.
+		// The setup has no document: the catalogue is all that is served.
 		next.gateways, next.gatewayHash = mergeGateways(old, a)
 		c.current.Store(&next)
 		if catalogueChanged || next.gatewayHash != old.gatewayHash {
