--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -103,7 +103,7 @@
 		return
 	}
 	total := a.snapshot.total(a.view, c, now, c.load.inFlight.Load())
-	seen := work
+	seen := work / max(a.slowness, 1)
 	if !a.cold { // at a cold server, the limit leaves no queue
 		seen /= max(1, (total+1)/float64(c.slots))
 	}
--- a/balance/load.go
+++ b/balance/load.go
@@ -12,6 +12,10 @@
 	// startSum is the sum of the start times in µs of the requests in flight; with inFlight it yields their mean age.
 	startSum atomic.Int64
 
+	// readAt is when the last probe that was answered was sent; slowness and slowAt are what an answer told.
+	readAt   atomicTime
+	slowness atomicFloat
+	slowAt   atomicTime
 	// coldTurn is when the next request may be sent to the server while it is cold.
 	coldTurn         atomicTime
 	evidence         atomicTime
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -93,8 +93,21 @@
 	return int64(c.server.Connections)
 }
 
-// choose compares the tiers: the own region first, and other regions only when the gain exceeds their cost.
+// choose prefers servers that have answered a probe, if the query asks for that.
+//
+// Within them, it compares the tiers: the own region first, and other regions only when the gain exceeds their cost.
 func (s *Snapshot) choose(v *serviceView, q *Query) choice {
+	if !q.Probed {
+		return s.chooseAny(v, q)
+	}
+	if best := s.chooseAny(v, q); best.candidate != nil {
+		return best
+	}
+	q.Probed = false // no server has answered; those that are only known by their history remain
+	return s.chooseAny(v, q)
+}
+
+func (s *Snapshot) chooseAny(v *serviceView, q *Query) choice {
 	var best choice
 	s.sample(v, v.tiers[tierDomain], q, 0, &best)
 	s.sample(v, v.tiers[tierRegion], q, float64(s.config.RegionCost), &best)
@@ -134,6 +147,9 @@
 		if i == n {
 			i = 0
 		}
+		if q.Probed && !c.load.isRead(q.Now) {
+			continue
+		}
 		switch s.judge(v, c, q) {
 		case verdictNo:
 			continue
@@ -179,7 +195,7 @@
 		Address: c.server.Address, ID: c.server.ID, FailureDomain: c.server.FailureDomain, Region: c.server.Region,
 		State: c.server.State, Owned: c.server.Owned,
 		snapshot: s, view: v, candidate: c, member: m,
-		start: q.Now, ticket: c.load.tickets.issue(), cold: cold,
+		start: q.Now, slowness: c.load.currentSlowness(q.Now), ticket: c.load.tickets.issue(), cold: cold,
 	}
 }
 
--- a/balance/query.go
+++ b/balance/query.go
@@ -37,6 +37,8 @@
 	// Random is a uniformly distributed 64-bit value.
 	Random uint64
 	Kind   AttemptKind
+	// Probed prefers servers that answered a probe a moment ago.
+	Probed bool
 }
 
 // Reason tells why Pick refused.
@@ -148,6 +150,8 @@
 	candidate *candidate
 	member    *memberLoad
 	start     time.Duration
+	// slowness is that of the server when it was picked.
+	slowness float64
 	// ticket is cleared in the server's table by the first Done.
 	ticket uint64
 	// cold tells that the attempt counts for the limit of a cold start.
--- /dev/null
+++ b/balance/reading.go
@@ -0,0 +1,96 @@
+package balance
+
+import "time"
+
+// A reading is what a server tells about itself in the answer to a probe. It answers noisy neighbours, which shift within
+// milliseconds: a gateway that sends a few requests per second to each server learns nothing of them from its answers.
+const (
+	// readingLife is the age up to which a reading counts in full for a selection.
+	readingLife = 60 * time.Millisecond
+	// slownessLife is the age at which half of a server's slowness counts; noise lasts a few hundred milliseconds.
+	slownessLife = 150 * time.Millisecond
+	// ownDomainProbes and maxProbes bound the servers that are asked for one request.
+	ownDomainProbes = 2
+	maxProbes       = 3
+)
+
+// ProbeTarget is a server to ask before a selection.
+type ProbeTarget struct {
+	Address string
+	ID      string
+
+	load *serverLoad
+}
+
+// Reading is the answer to a probe.
+type Reading struct {
+	// At is the monotonic time at which the probe was sent.
+	At time.Duration
+	// InFlight is the number of requests that run or wait at the server.
+	InFlight int
+	// Slowness is the work time of the moment in usual work times; 0 when unknown.
+	Slowness float64
+}
+
+// Observe takes the answer to a probe. It may be called by any goroutine.
+func (t ProbeTarget) Observe(r Reading) {
+	t.load.report.add(r.At, int64(r.InFlight), t.load.inFlight.Load())
+	t.load.readAt.raise(r.At)
+	if r.Slowness > 0 {
+		t.load.slowness.store(r.Slowness)
+		t.load.slowAt.raise(r.At)
+	}
+}
+
+// ProbeTargets returns the servers to ask before a selection: a few of the own failure domain, others of the region, and
+// of other regions only where the region has none. Servers that were asked a moment ago are left out.
+func (s *Snapshot) ProbeTargets(q *Query) []ProbeTarget {
+	v := s.services[q.Service]
+	if v == nil {
+		return nil
+	}
+	var list []ProbeTarget
+	seen := s.addTargets(v, tierDomain, q, ownDomainProbes, &list)
+	seen += s.addTargets(v, tierRegion, q, maxProbes-seen, &list)
+	if seen == 0 {
+		s.addTargets(v, tierOther, q, maxProbes, &list)
+	}
+	return list
+}
+
+// addTargets adds up to n servers of a tier, from a random one on, and returns how many it found, those included that
+// need no probe.
+func (s *Snapshot) addTargets(v *serviceView, tier int, q *Query, n int, list *[]ProbeTarget) int {
+	candidates := v.tiers[tier]
+	found := 0
+	for i := range candidates {
+		if found >= n {
+			break
+		}
+		c := &candidates[(mix(q.Random, uint64(tier))+uint64(i))%uint64(len(candidates))]
+		if !s.permitted(c, q) || q.Now < c.load.unreachableUntil.load() {
+			continue
+		}
+		found++
+		if !c.load.isRead(q.Now) {
+			*list = append(*list, ProbeTarget{Address: c.server.Address, ID: c.server.ID, load: c.load})
+		}
+	}
+	return found
+}
+
+// isRead tells whether the server answered a probe a moment ago.
+func (l *serverLoad) isRead(now time.Duration) bool {
+	at := l.readAt.load()
+	return at > 0 && now-at < readingLife
+}
+
+// currentSlowness is the factor by which work takes longer than usual, as far as the last reading still tells.
+func (l *serverLoad) currentSlowness(now time.Duration) float64 {
+	at := l.slowAt.load()
+	if at == 0 {
+		return 1
+	}
+	weight := float64(slownessLife) / float64(slownessLife+max(now-at, 0))
+	return 1 + (l.slowness.load()-1)*weight
+}
--- /dev/null
+++ b/balance/reading_test.go
@@ -0,0 +1,68 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against selections that know nothing of noisy neighbours: with a reading of the moment, no request goes to a
+// slow server while a quiet one of the failure domain has room.
+func TestSelectionFollowsReadings(t *testing.T) {
+	e := New(Config{Region: "r", FailureDomain: "d", EvidenceLifetime: time.Hour})
+	for i := range 4 {
+		e.Apply(ServerChanged{Server: Server{Address: fmt.Sprintf("10.0.0.%d:80", i), ID: fmt.Sprint(i), Service: "s", Region: "r", FailureDomain: "d", Slots: 2}})
+	}
+	now := time.Second
+	for round := range 200 {
+		now += 100 * time.Millisecond
+		q := Query{Now: now, Service: "s", AnyRegion: true, Random: uint64(round) * 0x9e3779b97f4a7c15, Probed: true}
+		targets := e.Current().ProbeTargets(&q)
+		if len(targets) != ownDomainProbes {
+			t.Fatalf("%d servers to ask; want %d", len(targets), ownDomainProbes)
+		}
+		targets[0].Observe(Reading{At: now, Slowness: 4})
+		targets[1].Observe(Reading{At: now, Slowness: 1})
+		a, refusal := e.Current().Pick(q)
+		if refusal.Refused() || a.Address != targets[1].Address {
+			t.Fatalf("picked %q, refusal %v; want the quiet server %s", a.Address, refusal, targets[1].Address)
+		}
+		a.Done(Outcome{Kind: OutcomeOK, Latency: 160 * time.Millisecond})
+	}
+}
+
+// Guards against a service that cannot be used because none of its servers answers probes.
+func TestSelectionWithoutReadings(t *testing.T) {
+	e := New(Config{Region: "r", FailureDomain: "d", EvidenceLifetime: time.Hour})
+	e.Apply(ServerChanged{Server: Server{Address: "10.0.0.1:80", Service: "s", Region: "r", FailureDomain: "d", Slots: 2}})
+	if _, refusal := e.Current().Pick(Query{Now: time.Second, Service: "s", AnyRegion: true, Probed: true}); refusal.Refused() {
+		t.Errorf("refused: %v", refusal)
+	}
+}
+
+// Guards against cold servers that get more than they bear: the shares of all gateways in any second stay within it.
+func TestColdSharesStayWithinWhatAServerBears(t *testing.T) {
+	for _, gateways := range []int{1, 2, 5, 15, 40, 120} {
+		var names []string
+		for i := range gateways {
+			names = append(names, fmt.Sprintf("gw-%d", i))
+		}
+		for _, bearable := range []float64{1, 2.5, 9.2, 17, 60} {
+			sum, sharing := 0, 0
+			for _, name := range names {
+				interval, permitted := ColdShare("server-1", name, names, bearable)
+				if !permitted {
+					continue
+				}
+				sharing++
+				sum += int(time.Second/interval) + 1 // most requests in any second at this interval
+			}
+			if float64(sum) > bearable {
+				t.Errorf("%d gateways may send %d requests in a second; the server bears %g", gateways, sum, bearable)
+			}
+			if bearable >= 2 && sharing == 0 {
+				t.Errorf("no gateway of %d may send to a server that bears %g", gateways, bearable)
+			}
+		}
+	}
+}
--- a/balance/score.go
+++ b/balance/score.go
@@ -11,7 +11,7 @@
 func (s *Snapshot) expected(v *serviceView, c *candidate, now time.Duration) float64 {
 	own := c.load.inFlight.Load()
 	factor := stretch(s.total(v, c, now, own), c.slots)
-	wait := s.work(v, c, now) * factor
+	wait := s.work(v, c, now) * c.load.currentSlowness(now) * factor
 	if s.config.Switches.NoInFlightAge {
 		return wait
 	}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -41,6 +41,10 @@
 	InFlight int
 	// Slots is the number of requests that the server runs at once; 0 when the answer does not tell.
 	Slots int
+	// Server is the identifier of the server; empty when the answer does not tell.
+	Server string
+	// Cold is the rest of the cold start; 0 for a warm server or when the answer does not tell.
+	Cold time.Duration
 	// Slowness is the work time of the moment in usual work times; 0 when the answer does not tell.
 	Slowness float64
 	// RetryAfter is 0 when there is none.
--- /dev/null
+++ b/gateway/loadprobe.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"heatherwall.example/balance"
+	"heatherwall.example/telemetry"
+)
+
+const (
+	// probeSettle is how long a selection waits for further answers once one has come; servers of the region answer
+	// within a few milliseconds.
+	probeSettle = 6 * time.Millisecond
+	// probePatience is how long a selection waits for the first answer, which may come from another region.
+	probePatience = 40 * time.Millisecond
+	// loadProbeTimeout ends a probe whose answer is of no more use to anyone.
+	loadProbeTimeout = 300 * time.Millisecond
+	// mutePause is how long a service whose answers tell no load is not asked.
+	mutePause = 10 * time.Second
+	// probeIdle closes probe connections before servers do.
+	probeIdle = 8 * time.Second
+)
+
+// loadProber asks a few servers for their load right before a selection. Only services whose servers tell their load are
+// asked: the others answer a health check like any request, after waiting for a slot.
+type loadProber struct {
+	client     *http.Client
+	dialect    *Dialect
+	clock      clock
+	healthPath func(service string) string
+	counters   *telemetry.Counters
+
+	mu    sync.Mutex
+	muted map[string]time.Duration // by service: not to be asked before
+}
+
+func newLoadProber(d *daemon) *loadProber {
+	transport := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 2, IdleConnTimeout: probeIdle, DisableCompression: true}
+	return &loadProber{
+		client:  &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
+		dialect: d.path.dialect, clock: d.clock, counters: d.counters, muted: map[string]time.Duration{},
+		healthPath: func(service string) string {
+			if t := d.lease.Current().catalogue.routes; t != nil && t.Services[service] != nil {
+				return t.Services[service].HealthPath
+			}
+			return ""
+		},
+	}
+}
+
+// ask probes the servers that a selection may choose, and waits a moment for their answers.
+func (p *loadProber) ask(ctx context.Context, s *balance.Snapshot, q *balance.Query) {
+	path := p.healthPath(q.Service)
+	if path == "" || p.isMuted(q.Service) {
+		return
+	}
+	q.Probed = true
+	targets := s.ProbeTargets(q)
+	if len(targets) == 0 {
+		return
+	}
+	answers := make(chan bool, len(targets))
+	for _, t := range targets {
+		go func() { answers <- p.probe(q.Service, path, t) }()
+	}
+	limit := time.NewTimer(probePatience)
+	defer limit.Stop()
+	for range targets {
+		select {
+		case answered := <-answers:
+			if answered {
+				limit.Reset(probeSettle)
+			}
+		case <-limit.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *loadProber) isMuted(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clock.now() < p.muted[service]
+}
+
+func (p *loadProber) mute(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.muted[service] = p.clock.now() + mutePause
+}
+
+// probe asks one server and reports whether it told its load.
+func (p *loadProber) probe(service, path string, t balance.ProbeTarget) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), loadProbeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+path, nil)
+	if err != nil {
+		return false // the address was checked when the server reported
+	}
+	request.Header["User-Agent"] = nil
+	sent := p.clock.now()
+	p.counters.Total("probes").Inc(1)
+	answer, err := p.client.Do(request)
+	if err != nil {
+		p.counters.Total("probes_unanswered").Inc(1)
+		return false
+	}
+	defer answer.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxProbeBodyBytes)) // so that the connection can be used again
+	report := p.dialect.Report(answer.Header)
+	if report.Slots == 0 {
+		p.mute(service)
+		return false
+	}
+	if answer.StatusCode != http.StatusOK || (report.Server != "" && report.Server != t.ID) {
+		return false
+	}
+	t.Observe(balance.Reading{At: sent, InFlight: report.InFlight, Slowness: report.Slowness})
+	return true
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -172,7 +172,7 @@
 	d.path.poison.threshold = reportedPoisonThreshold
 	d.path.steps = routeSteps
 	d.path.spreadMarks = func() {}
-	d.path.selector = &engineSelector{engine: engine, clock: d.clock}
+	d.path.selector = &engineSelector{engine: engine, clock: d.clock, prober: newLoadProber(d)}
 }
 
 const (
--- a/gateway/selector.go
+++ b/gateway/selector.go
@@ -15,13 +15,15 @@
 	clock  clock
 	// evidence takes the address of a server that answered a request sent at a time; nil where nobody needs it.
 	evidence func(address string, sent time.Duration)
-	queues   queues
+	// prober asks servers for their load before a selection; nil for none.
+	prober *loadProber
+	queues queues
 }
 
 // Pick implements selector. When every server is at its limit, the request waits for a short time in a queue that is
 // ordered by deadline.
 func (e *engineSelector) Pick(ctx context.Context, q *query) (selection, *Refusal) {
-	s, refusal := e.pick(q)
+	s, refusal := e.pick(ctx, q)
 	if refusal.Reason != balance.ReasonOverloaded || q.hedge || q.retry || q.repeat {
 		return s, pickRefusal(refusal)
 	}
@@ -38,7 +40,7 @@
 	case <-limit.C:
 	case <-ctx.Done():
 	}
-	s, refusal = e.pick(q)
+	s, refusal = e.pick(ctx, q)
 	return s, pickRefusal(refusal)
 }
 
@@ -47,19 +49,28 @@
 	return e.engine.Current().HedgeAfter(service)
 }
 
-func (e *engineSelector) pick(q *query) (selection, balance.Refusal) {
+func (e *engineSelector) pick(ctx context.Context, q *query) (selection, balance.Refusal) {
 	now := e.clock.now()
+	query := e.query(q, now)
+	if e.prober != nil {
+		e.prober.ask(ctx, e.engine.Current(), &query)
+		query.Now = e.clock.now()
+	}
+	a, refusal := e.engine.Current().Pick(query)
+	if refusal.Refused() {
+		return nil, refusal
+	}
+	return &engineSelection{selector: e, attempt: a, service: q.service, started: query.Now}, refusal
+}
+
+func (e *engineSelector) query(q *query, now time.Duration) balance.Query {
 	query := balance.Query{
 		Now: now, Service: q.service, Member: q.member, Regions: q.regions, AnyRegion: q.allRegions,
 		Idempotent: q.idempotent, Remaining: max(q.deadline-now, 1), Random: rand.Uint64(), Kind: attemptKind(q),
 	}
 	last := q.tried[max(0, len(q.tried)-balance.MaxExcluded):]
 	copy(query.Excluded[:], last)
-	a, refusal := e.engine.Current().Pick(query)
-	if refusal.Refused() {
-		return nil, refusal
-	}
-	return &engineSelection{selector: e, attempt: a, service: q.service, started: now}, refusal
+	return query
 }
 
 func attemptKind(q *query) balance.AttemptKind {
