--- a/balance/reading_test.go
+++ b/balance/reading_test.go
@@ -16,6 +16,7 @@
 	now := time.Second
 	for round := range 200 {
 		now += 100 * time.Millisecond
+		e.Tick(now)
 		q := Query{Now: now, Service: "s", AnyRegion: true, Random: uint64(round) * 0x9e3779b97f4a7c15, Probed: true}
 		targets := e.Current().ProbeTargets(&q)
 		if len(targets) != ownDomainProbes {
