--- a/balance/config.go
+++ b/balance/config.go
@@ -53,6 +53,8 @@
 	HedgeShare float64
 	// RetryBurst is the number of retries that can be saved for each service; default 20.
 	RetryBurst int64
+	// FullFactor is how much longer work takes at a server that is nearly full; default 1.
+	FullFactor float64
 }
 
 // Defaults of Config.
@@ -64,6 +66,7 @@
 	DefaultRetryShare       = 0.1
 	DefaultHedgeShare       = 0.1
 	DefaultRetryBurst       = 20
+	DefaultFullFactor       = 1
 )
 
 func (c Config) withDefaults() Config {
@@ -73,6 +76,7 @@
 	c.ReturnTime = defaultDuration(c.ReturnTime, DefaultReturnTime)
 	c.RetryShare = defaultShare(c.RetryShare, DefaultRetryShare)
 	c.HedgeShare = defaultShare(c.HedgeShare, DefaultHedgeShare)
+	c.FullFactor = defaultShare(c.FullFactor, DefaultFullFactor)
 	if c.RetryBurst == 0 {
 		c.RetryBurst = DefaultRetryBurst
 	}
--- a/balance/engine.go
+++ b/balance/engine.go
@@ -222,7 +222,7 @@
 	}
 	t := e.tier(r.server)
 	v.tiers[t] = append(v.tiers[t], candidate{
-		server: r.server, load: r.load, slots: slots(r.server), cost: e.cost(r.server),
+		server: r.server, load: r.load, slots: slots(r.server), tier: t, cost: e.cost(r.server),
 	})
 }
 
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -147,7 +147,7 @@
 		if i == n {
 			i = 0
 		}
-		if q.Probed && !c.load.isRead(q.Now) {
+		if q.Probed && c.tier != tierOther && !c.load.isRead(q.Now) {
 			continue
 		}
 		switch s.judge(v, c, q) {
--- a/balance/score.go
+++ b/balance/score.go
@@ -5,12 +5,19 @@
 // idleWeight prefers the server with fewer requests even while slots are free.
 const idleWeight = 0.15
 
+// nearlyFull is the part of the slots above which Config.FullFactor applies.
+const nearlyFull = 0.8
+
 // expected is the expected time to an answer in ns without the network: the work time, stretched by the queue for
 // slots. The mean age of what is outstanding takes the place of the work time only where it exceeds that; a shorter age
 // is explained by the queue, and counting it as well makes full servers seem slow and sends requests to other regions.
 func (s *Snapshot) expected(v *serviceView, c *candidate, now time.Duration) float64 {
 	own := c.load.inFlight.Load()
-	factor := stretch(s.total(v, c, now, own), c.slots)
+	total := s.total(v, c, now, own)
+	factor := stretch(total, c.slots)
+	if total+1 > nearlyFull*float64(c.slots) {
+		factor *= s.config.FullFactor
+	}
 	wait := s.work(v, c, now) * c.load.currentSlowness(now) * factor
 	if s.config.Switches.NoInFlightAge {
 		return wait
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -26,6 +26,7 @@
 	server Server
 	load   *serverLoad
 	slots  int64
+	tier   int
 	// cost is the round trip to the server's tier.
 	cost time.Duration
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -159,6 +159,7 @@
 		Region: s.Region, FailureDomain: s.FailureDomain, EvidenceLifetime: noExpiry,
 		RegionCost: s.Catalogue.DomainCost(), SpillCost: s.Catalogue.SpillCost(),
 		RetryShare: s.Catalogue.Retry.Ratio * retryUse, RetryBurst: retryBurst(s.Catalogue.Retry),
+		FullFactor: fullFactor,
 		// Servers tell when they are cold, and those of noisy neighbours look alike.
 		Switches: balance.Switches{NoFallbackDetection: true},
 	})
@@ -176,6 +177,9 @@
 }
 
 const (
+	// fullFactor is how much longer work takes at a server whose slots are nearly all taken; docs/platform.md names the
+	// measurement.
+	fullFactor = 1.7
 	// retryUse is the part of the retry budget that gateways use, because the windows in which requests and retries are
 	// counted differ.
 	retryUse = 0.8
