--- a/control/discovery.go
+++ b/control/discovery.go
@@ -18,6 +18,13 @@
 	return dialer{tls: r.tls, name: r.settings.Name, address: r.settings.Peer.Advertised()}
 }
 
+func (r *replica) heartbeatTicks() int {
+	if r.settings.Catalogue != nil {
+		return catalogueHeartbeatTicks
+	}
+	return heartbeatTicks
+}
+
 // isFounder tells whether this replica creates the group of a setup that starts for the first time: all replicas then
 // have the same seeds, and exactly one of them has the lowest address.
 func (r *replica) isFounder() bool {
--- a/control/identity.go
+++ b/control/identity.go
@@ -272,10 +272,12 @@
 	}
 	node, err := raft.New(raft.Config{
 		ID: r.loop.self.Id, Group: id,
-		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		ElectionTicks: electionTicks, HeartbeatTicks: r.heartbeatTicks(),
 		Storage: log, Rand: randomBelow,
 		// A round for each renewal would cost the leader more bytes than everything else it sends.
 		BatchReads: true,
+		// Changes of the catalogue are pushed, so that renewals may wait a little longer for their confirmation.
+		ReadsWithHeartbeats: r.settings.Catalogue != nil,
 	})
 	if err != nil {
 		return nil, err
--- a/control/loop.go
+++ b/control/loop.go
@@ -15,6 +15,9 @@
 const (
 	tickInterval   = 100 * time.Millisecond
 	heartbeatTicks = 2
+	// catalogueHeartbeatTicks takes its place where changes are pushed and renewals may wait for a heartbeat; fewer
+	// heartbeats save bytes between regions.
+	catalogueHeartbeatTicks = 3
 	electionTicks  = 8
 
 	// readTimeout bounds a read index round; a lost round is given up so that gateways try another replica.
--- a/control/replica.go
+++ b/control/replica.go
@@ -26,6 +26,9 @@
 const (
 	// reportInterval is the time between two reports to the other replicas.
 	reportInterval = time.Second
+	// catalogueReportInterval takes its place where gateways do not need each other's ages for a lease: the reports of all
+	// pairs of replicas cost more bytes between regions than the log.
+	catalogueReportInterval = 5 * time.Second
 	// maxMessageBytes bounds what a gRPC peer may send; snapshots of a group are the largest messages.
 	maxMessageBytes = 128 << 20
 	// handoverTimeout bounds how long a stopping replica waits for another one to take over its leaderships.
@@ -269,7 +272,7 @@
 
 // everyTick does the work of the loop that depends on time: reports, promotion of learners, claim groups and floors.
 func (r *replica) everyTick(now time.Time) {
-	if r.reportDue.Swap(false) || r.directory.isFresh(now) || now.Sub(r.reportedAt) >= reportInterval {
+	if r.reportDue.Swap(false) || r.directory.isFresh(now) || now.Sub(r.reportedAt) >= r.reportEvery() {
 		r.reportedAt = now
 		r.sendReport(now)
 	}
@@ -282,6 +285,13 @@
 	r.limitMemory(now)
 }
 
+func (r *replica) reportEvery() time.Duration {
+	if r.settings.Catalogue != nil {
+		return catalogueReportInterval
+	}
+	return reportInterval
+}
+
 func (r *replica) requestReport() {
 	r.reportDue.Store(true)
 }
--- a/raft/config.go
+++ b/raft/config.go
@@ -28,6 +28,8 @@
 	MaxMessageBytes uint64
 	// BatchReads starts a read round at the next tick instead of at once, so that there is at most one per tick.
 	BatchReads bool
+	// ReadsWithHeartbeats lets read rounds wait for the next heartbeat that is due anyway; it needs BatchReads.
+	ReadsWithHeartbeats bool
 }
 
 func (c *Config) check() error {
--- a/raft/node.go
+++ b/raft/node.go
@@ -130,7 +130,8 @@
 	}
 	n.retrySnapshots()
 	n.heartbeatElapsed++
-	if n.heartbeatElapsed >= n.config.HeartbeatTicks || n.reads.hasWaiting() {
+	readsDue := n.reads.hasWaiting() && !n.config.ReadsWithHeartbeats
+	if n.heartbeatElapsed >= n.config.HeartbeatTicks || readsDue {
 		n.heartbeat()
 	}
 }
