--- a/balance/pick.go
+++ b/balance/pick.go
@@ -195,10 +195,19 @@
 		Address: c.server.Address, ID: c.server.ID, FailureDomain: c.server.FailureDomain, Region: c.server.Region,
 		State: c.server.State, Owned: c.server.Owned,
 		snapshot: s, view: v, candidate: c, member: m,
-		start: q.Now, slowness: c.load.currentSlowness(q.Now), ticket: c.load.tickets.issue(), cold: cold,
+		Evidence: s.evidence(v, c, q.Now),
+		start:    q.Now, slowness: c.load.currentSlowness(q.Now), ticket: c.load.tickets.issue(), cold: cold,
 	}
 }
 
+func (s *Snapshot) evidence(v *serviceView, c *candidate, now time.Duration) Evidence {
+	e := Evidence{Load: s.total(v, c, now, c.load.inFlight.Load()), Slowness: c.load.currentSlowness(now), ReadingAge: -1}
+	if at := c.load.readAt.load(); at > 0 {
+		e.ReadingAge = now - at
+	}
+	return e
+}
+
 // charge spends from the budget of retries or hedges, or fills both.
 func (s *Snapshot) charge(v *serviceView, q *Query) bool {
 	switch q.Kind {
--- a/balance/query.go
+++ b/balance/query.go
@@ -131,6 +131,16 @@
 	Slots    int
 }
 
+// Evidence tells an operator why a server was chosen.
+type Evidence struct {
+	// Load is the estimated number of requests at the server.
+	Load float64
+	// Slowness is the work time of the moment in usual work times.
+	Slowness float64
+	// ReadingAge is the age of the last answer to a probe; negative for none.
+	ReadingAge time.Duration
+}
+
 // Attempt is the permission to send one request to one server. Done must be called exactly once; a second call has no
 // effect.
 type Attempt struct {
@@ -144,6 +154,8 @@
 	State State
 	// Owned tells that this gateway owns the server.
 	Owned bool
+	// Evidence is what the choice rests on.
+	Evidence Evidence
 
 	snapshot  *Snapshot
 	view      *serviceView
--- a/balance/reading.go
+++ b/balance/reading.go
@@ -9,9 +9,13 @@
 	readingLife = 60 * time.Millisecond
 	// slownessLife is the age at which half of a server's slowness counts; noise lasts a few hundred milliseconds.
 	slownessLife = 150 * time.Millisecond
-	// ownDomainProbes and maxProbes bound the servers that are asked for one request.
+	// ownDomainProbes and maxProbes bound the servers that are asked first for one request, and moreProbes those that are
+	// asked when none of them is idle.
 	ownDomainProbes = 2
 	maxProbes       = 3
+	moreProbes      = 8
+	// quietSlowness is the slowness up to which a server counts as undisturbed.
+	quietSlowness = 1.5
 )
 
 // ProbeTarget is a server to ask before a selection.
@@ -43,15 +47,20 @@
 }
 
 // ProbeTargets returns the servers to ask before a selection: a few of the own failure domain, others of the region, and
-// of other regions only where the region has none. Servers that were asked a moment ago are left out.
-func (s *Snapshot) ProbeTargets(q *Query) []ProbeTarget {
+// of other regions only where the region has none. Servers that were asked a moment ago are left out. more asks for most
+// servers of the region; it answers times at which those asked first are busy or disturbed.
+func (s *Snapshot) ProbeTargets(q *Query, more bool) []ProbeTarget {
 	v := s.services[q.Service]
 	if v == nil {
 		return nil
 	}
+	ownDomain, most := ownDomainProbes, maxProbes
+	if more {
+		ownDomain, most = moreProbes, moreProbes
+	}
 	var list []ProbeTarget
-	seen := s.addTargets(v, tierDomain, q, ownDomainProbes, &list)
-	seen += s.addTargets(v, tierRegion, q, maxProbes-seen, &list)
+	seen := s.addTargets(v, tierDomain, q, ownDomain, &list)
+	seen += s.addTargets(v, tierRegion, q, most-seen, &list)
 	if seen == 0 {
 		s.addTargets(v, tierOther, q, maxProbes, &list)
 	}
@@ -79,6 +88,27 @@
 	return found
 }
 
+// HasIdle tells whether a server of the region that answered a moment ago has room and is undisturbed.
+func (s *Snapshot) HasIdle(q *Query) bool {
+	v := s.services[q.Service]
+	if v == nil {
+		return false
+	}
+	for _, tier := range []int{tierDomain, tierRegion} {
+		for i := range v.tiers[tier] {
+			c := &v.tiers[tier][i]
+			if !c.load.isRead(q.Now) || s.judge(v, c, q) != verdictYes {
+				continue
+			}
+			total := s.total(v, c, q.Now, c.load.inFlight.Load())
+			if total+1 <= nearlyFull*float64(c.slots) && c.load.currentSlowness(q.Now) < quietSlowness {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // isRead tells whether the server answered a probe a moment ago.
 func (l *serverLoad) isRead(now time.Duration) bool {
 	at := l.readAt.load()
--- a/balance/reading_test.go
+++ b/balance/reading_test.go
@@ -18,7 +18,7 @@
 		now += 100 * time.Millisecond
 		e.Tick(now)
 		q := Query{Now: now, Service: "s", AnyRegion: true, Random: uint64(round) * 0x9e3779b97f4a7c15, Probed: true}
-		targets := e.Current().ProbeTargets(&q)
+		targets := e.Current().ProbeTargets(&q, false)
 		if len(targets) != ownDomainProbes {
 			t.Fatalf("%d servers to ask; want %d", len(targets), ownDomainProbes)
 		}
--- a/cmd/heatherwall/main.go
+++ b/cmd/heatherwall/main.go
@@ -159,7 +159,9 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	context.AfterFunc(ctx, cancel)
-	if err := daemon(ctx, telemetry.NewLogger(stdout, level)); err != nil {
+	logger := telemetry.NewAsyncLogger(stdout, level)
+	defer logger.Close()
+	if err := daemon(ctx, logger); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitRefused
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -111,6 +111,7 @@
 	if a.result.kind == resultBroken {
 		p.suspect(c)
 	}
+	p.logAttempt(c, a)
 }
 
 // fail records a round trip without an answer. After the stop no byte can be written any more, so "nothing was written"
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -30,5 +30,7 @@
 	eventClaimFailed     = telemetry.Define(2040, "claim_failed", telemetry.Warn, "No answer to a claim; the request was refused.")
 	eventCompleteFailed  = telemetry.Define(2041, "complete_failed", telemetry.Warn, "The outcome of a claimed request could not be recorded; the claim stays open.")
 	eventPoisonMarked    = telemetry.Define(2050, "poison_marked", telemetry.Warn, "A request was in flight on two connections that broke; it is refused for 60 s.")
+	eventAttemptEnded    = telemetry.Define(2070, "attempt_ended", telemetry.Info, "A request was sent to a backend server; the evidence of its selection and the outcome are in the fields.")
+	eventRequestRefused  = telemetry.Define(2071, "request_refused", telemetry.Info, "A request was refused; reason, configuration and age of the lease are in the fields.")
 	eventAnswerAborted   = telemetry.Define(2060, "answer_aborted", telemetry.Warn, "A backend server's answer ended early; the caller's connection was aborted.")
 )
--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -59,13 +59,21 @@
 		return
 	}
 	q.Probed = true
-	targets := s.ProbeTargets(q)
+	p.askAll(ctx, q.Service, path, s.ProbeTargets(q, false))
+	if q.Now = p.clock.now(); s.HasIdle(q) {
+		return
+	}
+	p.askAll(ctx, q.Service, path, s.ProbeTargets(q, true))
+}
+
+// askAll probes servers and waits a moment for their answers.
+func (p *loadProber) askAll(ctx context.Context, service, path string, targets []balance.ProbeTarget) {
 	if len(targets) == 0 {
 		return
 	}
 	answers := make(chan bool, len(targets))
 	for _, t := range targets {
-		go func() { answers <- p.probe(q.Service, path, t) }()
+		go func() { answers <- p.probe(service, path, t) }()
 	}
 	limit := time.NewTimer(probePatience)
 	defer limit.Stop()
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -74,6 +74,8 @@
 	expired atomic.Bool
 }
 
+func (f *fixedConfiguration) Current() *lease { return f.lease }
+
 func (f *fixedConfiguration) Valid() (*lease, bool) { return f.lease, !f.expired.Load() }
 
 // stubClaims is a claimer on the stub of a control replica.
@@ -113,6 +115,7 @@
 	f.claims = &stubClaims{controlStub: controlStub{claims: map[string]*controlpb.CompleteRequest{}, holder: map[string]*controlpb.ClaimRequest{}}}
 	transport := newTransport()
 	f.requestPath = &requestPath{
+		lines:   telemetry.NewLineLimit(requestLines, telemetry.NewCounters()),
 		dialect: nativeDialect, steps: documentSteps,
 		region: "north", maxRequests: 100, clock: newClock(), configuration: f.configuration, selector: f.servers, claims: f.claims,
 		holders: newHolderNames("gw-1", 1), poison: newPoisonMarks("gw-1"), spreadMarks: func() {}, transport: transport,
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"heatherwall.example/balance"
 )
 
 // The request path depends on the interfaces below only; tests put small implementations in their place.
@@ -11,6 +13,8 @@
 type configuration interface {
 	// Valid returns the newest configuration and whether the right to serve is alive.
 	Valid() (*lease, bool)
+	// Current returns the newest configuration, whether or not it may be served.
+	Current() *lease
 }
 
 // query describes the request that a backend server is selected for.
@@ -53,6 +57,10 @@
 	id     string
 	region string
 	domain string
+	// cold tells that the server was in cold start when it was selected.
+	cold bool
+	// evidence is what the selection rests on.
+	evidence balance.Evidence
 }
 
 // resultKind is what became of an attempt.
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -41,6 +41,8 @@
 	transport   http.RoundTripper
 	log         *telemetry.Logger
 	counters    *telemetry.Counters
+	// lines bounds the log lines of requests.
+	lines *telemetry.LineLimit
 
 	// joining refuses requests until this gateway has introduced itself to the others.
 	joining atomic.Bool
@@ -64,7 +66,7 @@
 	if p.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{w: w, r: r, ctx: r.Context(), arrived: p.clock.now()}
+	c := &call{w: w, r: r, ctx: r.Context(), arrived: p.clock.now(), requestID: p.requestID(r)}
 	if inFlight > p.maxRequests {
 		p.answerRefusal(c, refuse(Overloaded, "too many requests in flight at this gateway").after(time.Second))
 		return
@@ -89,7 +91,6 @@
 
 // runAndAnswer has the request run and completes its claim, whatever happens on the way.
 func (p *requestPath) runAndAnswer(c *call) {
-	c.requestID = p.requestID(c.r)
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
@@ -122,7 +123,7 @@
 	}
 	p.complete(c, outcomeUnknown, nil)
 	a.done()
-	p.abortAnswer(a)
+	p.abortAnswer(c, a)
 }
 
 // interruptedKind tells why an answer was not read to its end.
@@ -143,6 +144,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	p.counters.Counter("refusals", "reason", string(refusal.Reason)).Inc(1)
+	p.logRefusal(c, refusal)
 	refusal.write(c.w, p.dialect)
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -116,7 +116,7 @@
 	d.path = &requestPath{
 		region: s.Region, dialect: cmp.Or(o.Dialect, nativeDialect), maxRequests: int64(s.MaxRequests), clock: d.clock, configuration: d.lease,
 		holders: newHolderNames(s.Name, incarnation), poison: newPoisonMarks(s.Name),
-		transport: newTransport(), log: log, counters: d.counters,
+		transport: newTransport(), log: log, counters: d.counters, lines: telemetry.NewLineLimit(requestLines, d.counters),
 	}
 	if s.Catalogue != nil {
 		d.serveCatalogue()
--- a/gateway/selector.go
+++ b/gateway/selector.go
@@ -114,7 +114,7 @@
 
 // Server implements selection.
 func (s *engineSelection) Server() target {
-	return target{service: s.service, address: s.attempt.Address, id: s.attempt.ID, region: s.attempt.Region, domain: s.attempt.FailureDomain}
+	return target{service: s.service, address: s.attempt.Address, id: s.attempt.ID, region: s.attempt.Region, domain: s.attempt.FailureDomain, cold: s.attempt.State == balance.StateCold, evidence: s.attempt.Evidence}
 }
 
 // Done implements selection.
--- a/telemetry/counters.go
+++ b/telemetry/counters.go
@@ -38,6 +38,22 @@
 	return metrics.GetOrRegisterGauge(name, c.registry)
 }
 
+// histogramSamples and histogramDecay are the reservoir of a histogram: 128 samples that favour the last five minutes,
+// the usual choice for service times.
+const (
+	histogramSamples = 128
+	histogramDecay   = 0.015
+)
+
+// Histogram returns the histogram of a family with two labels. Values are in the unit that the family's name ends with.
+func (c *Counters) Histogram(family, label1, value1, label2, value2 string) metrics.Histogram {
+	name := family + labelSeparator + label1 + "=" + value1 + labelSeparator + label2 + "=" + value2
+	if h, ok := c.registry.Get(name).(metrics.Histogram); ok {
+		return h
+	}
+	return metrics.GetOrRegisterHistogram(name, c.registry, metrics.NewExpDecaySample(histogramSamples, histogramDecay))
+}
+
 // ServeHTTP writes every value in the Prometheus text exposition format, version 0.0.4, sorted by name.
 func (c *Counters) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
@@ -54,17 +70,39 @@
 			lines = append(lines, fmt.Sprintf("%s %d", exposedName(name, "_total"), m.Count()))
 		case metrics.Gauge:
 			lines = append(lines, fmt.Sprintf("%s %d", exposedName(name, ""), m.Value()))
+		case metrics.Histogram:
+			lines = append(lines, histogramLines(name, m.Snapshot())...)
 		}
 	})
 	slices.Sort(lines)
 	return lines
 }
 
+// quantiles are those that a histogram is exposed with.
+var quantiles = []float64{0.5, 0.9, 0.99}
+
+// histogramLines exposes a histogram as a summary.
+func histogramLines(name string, h metrics.Histogram) []string {
+	values := h.Percentiles(quantiles)
+	var lines []string
+	for i, q := range quantiles {
+		lines = append(lines, fmt.Sprintf("%s %g", exposedName(name+labelSeparator+fmt.Sprintf("quantile=%g", q), ""), values[i]))
+	}
+	lines = append(lines, fmt.Sprintf("%s %d", exposedName(name, "_count"), h.Count()))
+	return append(lines, fmt.Sprintf("%s %d", exposedName(name, "_sum"), h.Sum()))
+}
+
+// exposedName writes a registry name, a family with any number of labels, as that of the exposition format.
 func exposedName(name, suffix string) string {
-	family, label, found := strings.Cut(name, labelSeparator)
-	if !found {
-		return "heatherwall_" + family + suffix
+	parts := strings.Split(name, labelSeparator)
+	exposed := "heatherwall_" + parts[0] + suffix
+	if len(parts) == 1 {
+		return exposed
+	}
+	labels := make([]string, len(parts)-1)
+	for i, part := range parts[1:] {
+		key, value, _ := strings.Cut(part, "=")
+		labels[i] = fmt.Sprintf("%s=%q", key, value)
 	}
-	key, value, _ := strings.Cut(label, "=")
-	return fmt.Sprintf("heatherwall_%s%s{%s=%q}", family, suffix, key, value)
+	return exposed + "{" + strings.Join(labels, ",") + "}"
 }
--- a/telemetry/event.go
+++ b/telemetry/event.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -85,8 +86,14 @@
 // Logger writes events as lines of JSON. It is safe for use by several goroutines.
 type Logger struct {
 	out log.Logger
+	// async is nil for a logger that writes at once.
+	async *log.AsyncWriter
+	lost  atomic.Int64
 }
 
+// queuedLines is the number of lines that may wait for a slow reader of the log.
+const queuedLines = 2048
+
 // LevelError reports an unknown level name.
 type LevelError struct {
 	Name string
@@ -116,6 +123,36 @@
 	return &Logger{out: log.Logger{Level: level, TimeFormat: time.RFC3339Nano, Writer: &log.IOWriter{Writer: w}}}
 }
 
+// NewAsyncLogger returns a logger that never waits for w: lines beyond a bounded queue are lost and counted. Close writes
+// what is queued.
+func NewAsyncLogger(w io.Writer, level Level) *Logger {
+	l := &Logger{async: &log.AsyncWriter{Writer: &log.IOWriter{Writer: w}, ChannelSize: queuedLines, DiscardOnFull: true}}
+	l.out = log.Logger{Level: level, TimeFormat: time.RFC3339Nano, Writer: lossCounter{l}}
+	return l
+}
+
+// lossCounter counts the lines that the queue does not take.
+type lossCounter struct{ l *Logger }
+
+// WriteEntry implements log.Writer.
+func (w lossCounter) WriteEntry(e *log.Entry) (int, error) {
+	n, err := w.l.async.WriteEntry(e)
+	if err != nil {
+		w.l.lost.Add(1)
+	}
+	return n, err
+}
+
+// Lost returns the number of lines that were lost because the reader of the log was slow.
+func (l *Logger) Lost() int64 { return l.lost.Load() }
+
+// Close writes the queued lines. The logger must not be used afterwards.
+func (l *Logger) Close() {
+	if l.async != nil {
+		_ = l.async.Close() // a failed write of the log has nowhere to go
+	}
+}
+
 // Log writes one event with its fields.
 func (l *Logger) Log(e Event, fields ...Field) {
 	entry := l.out.WithLevel(e.Level)
@@ -137,6 +174,8 @@
 		entry.Int(f.key, v)
 	case uint64:
 		entry.Uint64(f.key, v)
+	case float64:
+		entry.Float64(f.key, v)
 	case bool:
 		entry.Bool(f.key, v)
 	case time.Duration:
