--- a/raft/node.go
+++ b/raft/node.go
@@ -60,6 +60,10 @@
 	reported *raftpb.Membership
 }
 
+// firstElectionTicks is the shortest election timeout after a start. It may be shorter than the usual one: where a leader
+// lives, its followers refuse the pre-vote, and where all replicas start together, nobody is served before an election.
+const firstElectionTicks = 2
+
 // New starts a replica from what its storage holds. An empty storage is that of a replica which joins: it waits for a
 // leader.
 func New(c Config) (*Node, error) {
@@ -81,6 +85,7 @@
 		return nil, err
 	}
 	n.resetElectionTimer()
+	n.electionTimeout = firstElectionTicks + c.Rand(c.ElectionTicks)
 	return n, log.err
 }
 
@@ -130,7 +135,8 @@
 	}
 	n.retrySnapshots()
 	n.heartbeatElapsed++
-	readsDue := n.reads.hasWaiting() && !n.config.ReadsWithHeartbeats
+	// The first round of a leader waits for nothing: after an election many readers have waited long.
+	readsDue := n.reads.hasWaiting() && (!n.config.ReadsWithHeartbeats || n.reads.round == 0)
 	if n.heartbeatElapsed >= n.config.HeartbeatTicks || readsDue {
 		n.heartbeat()
 	}
