--- a/control/group.go
+++ b/control/group.go
@@ -69,9 +69,10 @@
 
 	// Readers that arrived while a round was running wait for the next one: a round confirms only what was asked
 	// before it started.
-	waiting []reader
-	running *readRound
-	nextID  uint64
+	waiting      []reader
+	waitingSince time.Time
+	running      *readRound
+	nextID       uint64
 }
 
 func newGroup(id uint64, region string, self uint64, node *raft.Node, log groupLog, machine stateMachine) *group {
--- a/control/loop.go
+++ b/control/loop.go
@@ -18,7 +18,7 @@
 	// catalogueHeartbeatTicks takes its place where changes are pushed and renewals may wait for a heartbeat; fewer
 	// heartbeats save bytes between regions.
 	catalogueHeartbeatTicks = 3
-	electionTicks  = 8
+	electionTicks           = 8
 
 	// readTimeout bounds a read index round; a lost round is given up so that gateways try another replica.
 	readTimeout = 700 * time.Millisecond
--- a/control/readround.go
+++ b/control/readround.go
@@ -16,21 +16,29 @@
 
 // read calls done once a quorum has confirmed, after this call, that the applied state is current.
 func (g *group) read(done reader) {
+	if len(g.waiting) == 0 {
+		g.waitingSince = time.Now()
+	}
 	g.waiting = append(g.waiting, done)
 	g.startRead()
 }
 
+// startRead starts a round for the readers that wait. While no leader is known they go on waiting, for as long as a round
+// may take: after a restart of all replicas an election comes first, and asking another replica would not help.
 func (g *group) startRead() {
 	if g.running != nil || len(g.waiting) == 0 {
 		return
 	}
 	round := &readRound{id: g.nextID, started: time.Now(), readers: g.waiting}
-	g.nextID++
-	g.waiting = nil
 	if err := g.node.ReadIndex(round.id); err != nil {
-		g.end(round, &StaleError{Group: g.id})
+		if time.Since(g.waitingSince) > readTimeout {
+			g.waiting = nil
+			g.end(round, &StaleError{Group: g.id})
+		}
 		return
 	}
+	g.nextID++
+	g.waiting = nil
 	g.running = round
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -72,17 +72,17 @@
 // admit refuses while the gateway stops or has no right to serve.
 func (p *requestPath) admit(c *call) *Refusal {
 	if p.draining.Load() {
-		return refuse(Draining, "this gateway is stopping").after(time.Second)
+		return refuse(Draining, "this gateway is stopping").after(retrySoon)
 	}
 	l, ok := p.configuration.Valid()
 	if !l.configured() {
-		return refuse(NotReady, "no configuration has been confirmed yet").after(time.Second)
+		return refuse(NotReady, "no configuration has been confirmed yet").after(retryAfterStart)
 	}
 	if p.joining.Load() {
-		return refuse(NotReady, "the gateway has not introduced itself to the other gateways yet").after(time.Second)
+		return refuse(NotReady, "the gateway has not introduced itself to the other gateways yet").after(retryAfterStart)
 	}
 	if !ok {
-		return refuse(ConfigurationStale, "the configuration could not be confirmed").after(time.Second)
+		return refuse(ConfigurationStale, "the configuration could not be confirmed").after(retryLater)
 	}
 	c.lease = l
 	return nil
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -158,7 +158,7 @@
 	engine := balance.New(balance.Config{
 		Region: s.Region, FailureDomain: s.FailureDomain, EvidenceLifetime: noExpiry,
 		RegionCost: s.Catalogue.DomainCost(), SpillCost: s.Catalogue.SpillCost(),
-		RetryShare: s.Catalogue.Retry.Ratio * retryUse, RetryBurst: retryBurst(s.Catalogue.Retry),
+		RetryShare: s.Catalogue.Retry.Ratio * retryShareUse, RetryBurst: retryBurst(s.Catalogue.Retry),
 		FullFactor: fullFactor,
 		// Servers tell when they are cold, and those of noisy neighbours look alike.
 		Switches: balance.Switches{NoFallbackDetection: true},
@@ -180,11 +180,12 @@
 	// fullFactor is how much longer work takes at a server whose slots are nearly all taken; docs/platform.md names the
 	// measurement.
 	fullFactor = 1.7
-	// retryUse is the part of the retry budget that gateways use, because the windows in which requests and retries are
-	// counted differ.
-	retryUse = 0.8
+	// retryShareUse and retryUse are the parts of the share and of the slack of the retry budget that gateways use, because
+	// the windows in which requests and retries are counted differ.
+	retryShareUse = 0.9
+	retryUse      = 0.8
 	// retryGateways is the number of gateways among which the slack of the retry budget is divided.
-	retryGateways = 30
+	retryGateways = 24
 )
 
 // retryBurst is the number of retries that this gateway may save.
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -7,6 +7,17 @@
 	"time"
 )
 
+// Times that refused callers are told to wait. A dialect without fractions rounds them up to a second.
+const (
+	// retrySoon follows a refusal by chance: a server that sheds, or a budget that the next answer fills.
+	retrySoon = 30 * time.Millisecond
+	// retryLater follows a refusal that ends with an election or a report, which takes some hundred milliseconds.
+	retryLater = 300 * time.Millisecond
+	// retryAfterStart follows a refusal of a gateway that has no configuration yet: where all processes were restarted,
+	// an election and a first renewal take about a second.
+	retryAfterStart = time.Second
+)
+
 // runner has one call run by backend servers: attempts, retries and hedging.
 type runner struct {
 	p *requestPath
@@ -192,11 +203,11 @@
 	case r.maybeRan:
 		return refuse(BackendFailed, "the connection to the backend server broke before the answer")
 	case errors.As(a.err, &forbidden) && forbidden.Reason == sendStale:
-		return refuse(ConfigurationStale, "the configuration could not be confirmed").after(time.Second)
+		return refuse(ConfigurationStale, "the configuration could not be confirmed").after(retryLater)
 	case r.refusal != nil:
 		return r.refusal
 	case a.result.kind == resultShed:
-		return refuse(Overloaded, "backend servers shed the request").after(max(a.result.RetryAfter, time.Second))
+		return refuse(Overloaded, "backend servers shed the request").after(max(a.result.RetryAfter, retrySoon))
 	}
-	return refuse(NoServer, "no backend server could be reached").after(time.Second)
+	return refuse(NoServer, "no backend server could be reached").after(retryLater)
 }
--- a/gateway/selector.go
+++ b/gateway/selector.go
@@ -91,7 +91,7 @@
 	case balance.ReasonNone:
 		return nil
 	case balance.ReasonNoServer:
-		return refuse(NoServer, "no backend server of the service may receive the request").after(r.RetryAfter)
+		return refuse(NoServer, "no backend server of the service may receive the request").after(retryLater)
 	case balance.ReasonServiceLimit:
 		return refuse(LimitService, "the service is at its limit at this gateway").after(r.RetryAfter)
 	case balance.ReasonMemberLimit:
@@ -99,9 +99,9 @@
 	case balance.ReasonDeadline:
 		return refuse(DeadlineTooShort, "the remaining time is shorter than any answer takes")
 	case balance.ReasonBudget:
-		return refuse(Overloaded, "the budget of further attempts is spent").after(max(r.RetryAfter, time.Second))
+		return refuse(Overloaded, "the budget of further attempts is spent").after(retrySoon)
 	}
-	return refuse(Overloaded, "every permitted backend server is at its limit").after(max(r.RetryAfter, time.Second))
+	return refuse(Overloaded, "every permitted backend server is at its limit").after(retryLater)
 }
 
 // engineSelection is an attempt that the engine permitted.
