--- /dev/null
+++ b/controlstate/catalogue_test.go
@@ -0,0 +1,198 @@
+package controlstate
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/statepb"
+)
+
+func present(s *controlpb.BackendServer) *statepb.ServerReport {
+	return &statepb.ServerReport{Report: &statepb.ServerReport_Present{Present: s}}
+}
+
+func ended(e *statepb.ServerEnd) *statepb.ServerReport {
+	return &statepb.ServerReport{Report: &statepb.ServerReport_Ended{Ended: e}}
+}
+
+func server(id, address string, incarnation, sequence uint64) *controlpb.BackendServer {
+	return &controlpb.BackendServer{Id: id, Service: "s", Address: address, Incarnation: incarnation, Sequence: sequence}
+}
+
+// applyAll applies entries at the next indexes.
+func applyAll(t testing.TB, c *Configuration, entries ...[]byte) {
+	t.Helper()
+	for _, e := range entries {
+		if r := c.Apply(c.Applied()+1, e); r.Err != nil {
+			t.Fatal(r.Err)
+		}
+	}
+}
+
+// Guards against a route table that goes back, and against other content under the version that is held.
+func TestHighestRouteVersionWins(t *testing.T) {
+	c := NewConfiguration()
+	put := func(version uint64, source string) {
+		applyAll(t, c, PutRoutesEntry(&controlpb.RouteTable{Version: version, Source: []byte(source)}))
+	}
+	for _, step := range []struct {
+		version uint64
+		source  string
+		held    string
+	}{{3, "three", "three"}, {2, "two", "three"}, {3, "other", "three"}, {7, "seven", "seven"}, {3, "three", "seven"}} {
+		put(step.version, step.source)
+		if got := string(c.Routes().GetSource()); got != step.held {
+			t.Errorf("after version %d: %q is held; want %q", step.version, got, step.held)
+		}
+	}
+}
+
+// Guards against reports that were overtaken: late ones, those of a dead incarnation, and those of a server whose
+// address belongs to another one by now.
+func TestOutdatedReports(t *testing.T) {
+	c := NewConfiguration()
+	report := func(r ...*statepb.ServerReport) { applyAll(t, c, ServerReportsEntry(r)) }
+	report(present(server("a", "1", 10, 5)))
+	report(present(server("a", "1", 10, 4)), present(server("a", "9", 9, 50)))
+	if s := c.BackendServer("a"); s.GetSequence() != 5 || s.GetAddress() != "1" {
+		t.Errorf("an overtaken report was taken: %v", s)
+	}
+	report(present(server("b", "1", 20, 1)))
+	if c.BackendServer("a") != nil || c.BackendServer("b") == nil {
+		t.Error("a server that started later at the same address did not replace the earlier one")
+	}
+	report(present(server("a", "1", 10, 99)))
+	if c.BackendServer("a") != nil || c.BackendServer("b") == nil {
+		t.Error("a late report of a dead server took the address of its successor")
+	}
+	report(ended(&statepb.ServerEnd{Id: "b", Incarnation: 20}))
+	report(present(server("b", "1", 20, 100)))
+	if c.BackendServer("b") != nil {
+		t.Error("a server that left came back with the same incarnation")
+	}
+	report(present(server("b", "1", 21, 1)))
+	if c.BackendServer("b") == nil {
+		t.Error("a new start under an old identifier was refused")
+	}
+}
+
+// Guards against a server that is taken for lost although it has reported elsewhere meanwhile, and against one that was
+// only silent and may not come back.
+func TestLostServers(t *testing.T) {
+	c := NewConfiguration()
+	applyAll(t, c, ServerReportsEntry([]*statepb.ServerReport{present(server("a", "1", 10, 5))}))
+	seen := c.BackendServer("a").GetChanged()
+	applyAll(t, c, ServerReportsEntry([]*statepb.ServerReport{present(server("a", "1", 10, 6))}))
+	lost := func(changed uint64) []byte {
+		return ServerReportsEntry([]*statepb.ServerReport{ended(&statepb.ServerEnd{Id: "a", Incarnation: 10, Lost: true, Changed: changed})})
+	}
+	applyAll(t, c, lost(seen))
+	if c.BackendServer("a") == nil {
+		t.Fatal("a server that reported again was removed as lost")
+	}
+	applyAll(t, c, lost(c.BackendServer("a").GetChanged()))
+	if c.BackendServer("a") != nil {
+		t.Fatal("a lost server is still listed")
+	}
+	applyAll(t, c, ServerReportsEntry([]*statepb.ServerReport{present(server("a", "1", 10, 7))}))
+	if c.BackendServer("a") == nil {
+		t.Error("a server that was only silent may not come back")
+	}
+}
+
+func TestDomainsOut(t *testing.T) {
+	c := NewConfiguration()
+	applyAll(t, c, SetDomainOutEntry("b", true), SetDomainOutEntry("a", true), SetDomainOutEntry("b", true))
+	if got := fmt.Sprint(c.DomainsOut()); got != "[a b]" {
+		t.Errorf("domains out %s", got)
+	}
+	applyAll(t, c, SetDomainOutEntry("a", false), SetDomainOutEntry("a", false))
+	if got := fmt.Sprint(c.DomainsOut()); got != "[b]" {
+		t.Errorf("domains out %s", got)
+	}
+}
+
+// view is what a gateway makes of deltas.
+type view struct {
+	index   uint64
+	version uint64
+	servers map[string]*controlpb.BackendServer
+}
+
+func (v *view) take(t testing.TB, d *controlpb.CatalogueDelta) {
+	if d == nil {
+		return
+	}
+	if d.GetBase() != 0 && d.GetBase() != v.index {
+		t.Fatalf("delta from %d for a gateway at %d", d.GetBase(), v.index)
+	}
+	if d.GetBase() == 0 {
+		v.servers = map[string]*controlpb.BackendServer{}
+	}
+	for _, s := range d.GetServers() {
+		v.servers[s.GetId()] = s
+	}
+	for _, id := range d.GetRemoved() {
+		delete(v.servers, id)
+	}
+	if d.GetRoutes() != nil {
+		v.version = d.GetRoutes().GetVersion()
+	}
+	v.index = d.GetIndex()
+}
+
+// Guards against gateways that end with another state than the replicas, whatever they missed, and against snapshots that
+// lose a part of the catalogue.
+func TestDeltasAndSnapshotsKeepTheCatalogue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := NewConfiguration()
+		v := &view{servers: map[string]*controlpb.BackendServer{}}
+		for range rapid.IntRange(1, 60).Draw(rt, "entries") {
+			id := fmt.Sprint(rapid.IntRange(0, 4).Draw(rt, "id"))
+			incarnation := uint64(rapid.IntRange(1, 4).Draw(rt, "incarnation"))
+			var entry []byte
+			switch rapid.IntRange(0, 4).Draw(rt, "kind") {
+			case 0:
+				entry = PutRoutesEntry(&controlpb.RouteTable{Version: uint64(rapid.IntRange(1, 9).Draw(rt, "version"))})
+			case 1:
+				entry = ServerReportsEntry([]*statepb.ServerReport{ended(&statepb.ServerEnd{Id: id, Incarnation: incarnation})})
+			case 2:
+				entry = SetDomainOutEntry(id, rapid.Bool().Draw(rt, "out"))
+			default:
+				address := fmt.Sprint(rapid.IntRange(0, 3).Draw(rt, "address"))
+				sequence := uint64(rapid.IntRange(1, 9).Draw(rt, "sequence"))
+				entry = ServerReportsEntry([]*statepb.ServerReport{present(server(id, address, incarnation, sequence))})
+			}
+			applyAll(t, c, entry)
+			if rapid.IntRange(0, 3).Draw(rt, "follow") == 0 {
+				v.take(t, c.CatalogueSince(v.index))
+			}
+			if rapid.IntRange(0, 5).Draw(rt, "restart") == 0 {
+				restored, err := RestoreConfiguration(c.Snapshot())
+				if err != nil {
+					rt.Fatal(err)
+				}
+				c = restored
+			}
+		}
+		v.take(t, c.CatalogueSince(v.index))
+		list := c.BackendServers()
+		if v.version != c.Routes().GetVersion() || len(list) != len(v.servers) {
+			rt.Fatalf("gateway at version %d with %d servers; replica at %d with %d", v.version, len(v.servers), c.Routes().GetVersion(), len(list))
+		}
+		addresses := map[string]bool{}
+		for _, s := range list {
+			if !proto.Equal(s, v.servers[s.GetId()]) {
+				rt.Fatalf("gateway knows %v; replica %v", v.servers[s.GetId()], s)
+			}
+			if addresses[s.GetAddress()] {
+				rt.Fatalf("two servers at address %s", s.GetAddress())
+			}
+			addresses[s.GetAddress()] = true
+		}
+	})
+}
