--- a/control/counters.go
+++ b/control/counters.go
@@ -7,6 +7,8 @@
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/telemetry"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 // counter is what this package needs of a counter.
@@ -58,6 +60,7 @@
 	leadershipsGained   counter
 	leadershipsLost     counter
 	snapshots           counter
+	voters              metrics.Gauge
 	peerMessagesDropped map[drop]counter
 }
 
@@ -76,6 +79,7 @@
 		leadershipsGained:   page.Counter("leadership_changes", "change", "gained"),
 		leadershipsLost:     page.Counter("leadership_changes", "change", "lost"),
 		snapshots:           page.Total("snapshots"),
+		voters:              page.Gauge("voters"),
 		peerMessagesDropped: map[drop]counter{},
 	}
 	for _, reason := range []refusal{refusedCertificate, refusedStale, refusedOverloaded, refusedStopping, refusedOther} {
--- a/control/group.go
+++ b/control/group.go
@@ -243,3 +243,14 @@
 	var target *raft.NotLeaderError
 	return errors.As(err, &target)
 }
+
+// voters returns the number of voters, as far as this replica knows.
+func (g *group) voters() int {
+	n := 0
+	for _, m := range g.node.Status().Membership.GetMembers() {
+		if !m.Learner {
+			n++
+		}
+	}
+	return n
+}
--- a/control/replica.go
+++ b/control/replica.go
@@ -281,6 +281,7 @@
 	}
 	r.maintainClaimGroups()
 	r.expireServers(now)
+	r.counters.voters.Update(int64(r.loop.groups[configurationGroup].voters()))
 	r.raiseFloors(now)
 	r.limitMemory(now)
 }
