--- a/raft/election.go
+++ b/raft/election.go
@@ -4,7 +4,11 @@
 
 func (n *Node) resetElectionTimer() {
 	n.electionElapsed = 0
-	n.electionTimeout = n.config.ElectionTicks + n.config.Rand(n.config.ElectionTicks)
+	shortest := n.config.ElectionTicks
+	if !n.knewLeader {
+		shortest = firstElectionTicks
+	}
+	n.electionTimeout = shortest + n.config.Rand(n.config.ElectionTicks)
 }
 
 // hearsLeader tells whether a leader has been heard within the shortest election timeout. Votes are refused meanwhile.
--- a/raft/firstelection_test.go
+++ b/raft/firstelection_test.go
@@ -23,3 +23,22 @@
 		}
 	}
 }
+
+// Guards against a follower that keeps the short timeout of the start and campaigns between two heartbeats.
+func TestKnownLeaderEndsTheShortTimeout(t *testing.T) {
+	members := []*raftpb.Member{{Id: 1, Name: "a"}, {Id: 2, Name: "b"}, {Id: 3, Name: "c"}}
+	storage := NewMemoryStorage(BootstrapSnapshot(members, nil))
+	n, err := New(Config{ID: 1, Group: 1, ElectionTicks: 8, HeartbeatTicks: 2, Storage: storage, Rand: func(int) int { return 0 }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Step(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_HEARTBEAT, Group: 1, From: 2, To: 1, Term: 2}); err != nil {
+		t.Fatal(err)
+	}
+	for range 7 {
+		n.Tick()
+	}
+	if n.Status().Role != Follower {
+		t.Error("a follower campaigned before the shortest election timeout")
+	}
+}
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -10,6 +10,7 @@
 
 func (n *Node) becomeLeader() {
 	n.role = Leader
+	n.knewLeader = true
 	n.leader = n.config.ID
 	n.votes = nil
 	n.progress = map[uint64]*progress{}
--- a/raft/node.go
+++ b/raft/node.go
@@ -30,6 +30,8 @@
 	role   Role
 	leader uint64
 
+	// knewLeader is set once a leader was known since the start.
+	knewLeader bool
 	// ticks counts Tick calls since the start.
 	ticks uint64
 	// electionElapsed counts ticks since the leader was last heard, a vote was given or a campaign was started.
@@ -60,8 +62,9 @@
 	reported *raftpb.Membership
 }
 
-// firstElectionTicks is the shortest election timeout after a start. It may be shorter than the usual one: where a leader
-// lives, its followers refuse the pre-vote, and where all replicas start together, nobody is served before an election.
+// firstElectionTicks is the shortest election timeout from a start until a leader is known. It may be shorter than the
+// usual one: where a leader lives, its followers refuse the pre-vote, and where all replicas start together, nobody is
+// served before an election, whose first messages are lost while connections are opened.
 const firstElectionTicks = 2
 
 // New starts a replica from what its storage holds. An empty storage is that of a replica which joins: it waits for a
@@ -85,7 +88,6 @@
 		return nil, err
 	}
 	n.resetElectionTimer()
-	n.electionTimeout = firstElectionTicks + c.Rand(c.ElectionTicks)
 	return n, log.err
 }
 
@@ -234,6 +236,10 @@
 		n.becomeFollower(m.Term, m.From)
 	}
 	n.leader = m.From
+	if !n.knewLeader {
+		n.knewLeader = true
+		n.resetElectionTimer() // the short timeout of the start ends here
+	}
 	n.electionElapsed = 0
 }
 
