--- a/gateway/peertls.go
+++ b/gateway/peertls.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 
 	"heatherwall.example/api"
 	"heatherwall.example/settings"
@@ -53,7 +54,8 @@
 		if !i.plaintext {
 			c = api.PeerTLS([]tls.Certificate{i.certificate}, i.roots, name)
 		}
-		return api.DialDaemon(address, c, api.Introduction(i.name, ""), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessageBytes)))
+		return api.DialDaemon(address, c, api.Introduction(i.name, ""), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessageBytes)),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: api.ConnectTimeout}))
 	}
 }
 
--- a/raft/firstelection_test.go
+++ b/raft/firstelection_test.go
@@ -42,3 +42,36 @@
 		t.Error("a follower campaigned before the shortest election timeout")
 	}
 }
+
+// Guards against readers that wait for heartbeats right after an election, which adds a heartbeat interval to each wave of
+// readers, and against rounds at every tick in normal service.
+func TestReadRoundsOfANewLeaderComeAtEachTick(t *testing.T) {
+	members := []*raftpb.Member{{Id: 1, Name: "a"}, {Id: 2, Name: "b"}, {Id: 3, Name: "c"}}
+	storage := NewMemoryStorage(BootstrapSnapshot(members, nil))
+	n, err := New(Config{ID: 1, Group: 1, ElectionTicks: 8, HeartbeatTicks: 4, Storage: storage, Rand: func(int) int { return 0 },
+		BatchReads: true, ReadsWithHeartbeats: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.term = 2
+	n.becomeLeader()
+	n.log.commitTo(n.log.lastIndex())
+	rounds := func(ticks int) uint64 {
+		before := n.reads.round
+		for range ticks {
+			n.addRead(readRequest{id: 1, from: 2})
+			n.Tick()
+			for _, id := range n.others() {
+				n.progress[id].heardAt = n.ticks
+			}
+		}
+		return n.reads.round - before
+	}
+	if got := rounds(8); got != 8 {
+		t.Errorf("%d rounds in the first 8 ticks; want 8", got)
+	}
+	n.leaderSince -= 100
+	if got := rounds(8); got != 2 {
+		t.Errorf("%d rounds in 8 ticks later on; want 2, one for each heartbeat", got)
+	}
+}
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -11,6 +11,8 @@
 func (n *Node) becomeLeader() {
 	n.role = Leader
 	n.knewLeader = true
+	n.leaderSince = n.ticks
+	n.leaderSince = n.ticks
 	n.leader = n.config.ID
 	n.votes = nil
 	n.progress = map[uint64]*progress{}
--- a/raft/node.go
+++ b/raft/node.go
@@ -43,8 +43,9 @@
 	// votes holds the answers to the current campaign.
 	votes map[uint64]bool
 
-	// Leader state.
-	progress map[uint64]*progress
+	// Leader state. leaderSince is the tick of the election.
+	leaderSince uint64
+	progress    map[uint64]*progress
 	// promotable is the commit index at the last heartbeat; a learner that has it may become a voter.
 	promotable uint64
 	reads      readQueue
@@ -137,13 +138,18 @@
 	}
 	n.retrySnapshots()
 	n.heartbeatElapsed++
-	// The first round of a leader waits for nothing: after an election many readers have waited long.
-	readsDue := n.reads.hasWaiting() && (!n.config.ReadsWithHeartbeats || n.reads.round == 0)
+	readsDue := n.reads.hasWaiting() && (!n.config.ReadsWithHeartbeats || n.isNewLeader())
 	if n.heartbeatElapsed >= n.config.HeartbeatTicks || readsDue {
 		n.heartbeat()
 	}
 }
 
+// isNewLeader tells whether the node was elected lately. Readers have waited for the election then, and come in waves as
+// replicas find the leader, so their rounds wait for no heartbeat.
+func (n *Node) isNewLeader() bool {
+	return n.ticks-n.leaderSince < uint64(2*n.config.ElectionTicks)
+}
+
 // Step handles a message of another replica. Messages may be lost, repeated or reordered. *InvalidMessageError leaves
 // the node as it was; every other error stops it.
 func (n *Node) Step(m *raftpb.Message) error {
