--- a/balance/engine.go
+++ b/balance/engine.go
@@ -156,6 +156,9 @@
 
 func (e *Engine) configure(ev Configured) {
 	e.setDomains(ev.DomainsOut)
+	if ev.RetryBurst > 0 {
+		e.config.RetryBurst = ev.RetryBurst
+	}
 	for _, s := range e.services {
 		s.limit.Store(0)
 	}
--- a/balance/event.go
+++ b/balance/event.go
@@ -82,6 +82,8 @@
 	Members  []MemberLimit
 	// DomainsOut lists failure domains that receive no new request.
 	DomainsOut []string
+	// RetryBurst is the number of retries that can be saved for each service; 0 leaves it as it is.
+	RetryBurst int64
 }
 
 // Ticked advances the engine's clock; Engine.Tick applies it.
--- a/control/errors.go
+++ b/control/errors.go
@@ -95,3 +95,8 @@
 func (e *ChangeSizeError) Error() string {
 	return fmt.Sprintf("change of %d bytes: expected at most %d", e.Bytes, maxChangeBytes)
 }
+
+// NotOpenError reports a call to a replica that has not opened its groups yet.
+type NotOpenError struct{}
+
+func (e *NotOpenError) Error() string { return "the replica has not opened its groups yet" }
--- /dev/null
+++ b/control/notopen_test.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/settings"
+	"heatherwall.example/telemetry"
+)
+
+// Guards against a replica that lost its folder and crashes because its group still sends to its address while it asks
+// for the number of the setup.
+func TestPeersOfAReplicaWithoutIdentity(t *testing.T) {
+	s := &settings.Control{DataFolder: t.TempDir(), Discovery: &settings.Discovery{Seeds: []string{"127.0.0.1:1"}}}
+	s.Name = "c1"
+	r := newReplica(s, nil, telemetry.NewLogger(io.Discard, telemetry.Error))
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	stop := r.answerProbes(listener)
+	defer stop()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	conn, err := dialer{name: "c2", address: "127.0.0.1:2"}.dial(listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	peers := controlpb.NewPeersClient(conn)
+	if _, err := peers.Probe(ctx, &controlpb.ProbeRequest{}); err != nil {
+		t.Fatalf("probe: %v", err)
+	}
+	stream, err := peers.Exchange(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := stream.Send(&controlpb.PeerBatch{ClusterId: 7}); err != nil {
+		t.Logf("send: %v", err) // the answer may come first
+	}
+	if _, err := stream.Recv(); status.Code(err) != codes.Unavailable {
+		t.Errorf("exchange: %v; want Unavailable", err)
+	}
+	if _, err := peers.Join(ctx, &controlpb.JoinRequest{}); status.Code(err) != codes.Unavailable {
+		t.Errorf("join: %v; want Unavailable", err)
+	}
+	if _, err := peers.Probe(ctx, &controlpb.ProbeRequest{}); err != nil {
+		t.Errorf("probe after an exchange: %v", err)
+	}
+}
--- a/control/peers.go
+++ b/control/peers.go
@@ -36,8 +36,17 @@
 	return "", status.Error(codes.PermissionDenied, err.Error())
 }
 
+// notOpen answers peers of a replica that has no identity yet: it lost its folder, and the group still sends to its
+// address.
+func notOpen() error {
+	return status.Error(codes.Unavailable, (&NotOpenError{}).Error())
+}
+
 // Exchange takes raft messages and reports of one replica.
 func (s *peerServer) Exchange(stream grpc.BidiStreamingServer[controlpb.PeerBatch, controlpb.PeerBatchAck]) error {
+	if !s.r.opened.Load() {
+		return notOpen()
+	}
 	name, err := s.checkReplica(stream.Context())
 	if err != nil {
 		return err
@@ -127,6 +136,9 @@
 // Join adds the calling replica to a group that this replica leads. It is repeated until the caller sees itself in the
 // membership.
 func (s *peerServer) Join(ctx context.Context, r *controlpb.JoinRequest) (*controlpb.JoinAnswer, error) {
+	if !s.r.opened.Load() {
+		return nil, notOpen()
+	}
 	name, err := s.checkReplica(ctx)
 	if err != nil {
 		return nil, err
--- a/gateway/backends.go
+++ b/gateway/backends.go
@@ -26,6 +26,7 @@
 	clock    clock
 	engine   *balance.Engine
 	cold     settings.ColdLimit
+	retry    settings.RetryBudget
 	log      *telemetry.Logger
 	counters *telemetry.Counters
 
@@ -78,7 +79,7 @@
 		regroup := gatewayNames(b.gateways, b.region) != gatewayNames(l.gateways, b.region)
 		reroute := b.view.routes != l.catalogue.routes
 		b.view, b.gateways = l.catalogue, l.gateways
-		b.engine.Apply(balance.Configured{DomainsOut: l.catalogue.domainsOut})
+		b.engine.Apply(balance.Configured{DomainsOut: l.catalogue.domainsOut, RetryBurst: retryBurst(b.retry, len(b.gateways))})
 		b.removeGone()
 		for id, s := range b.view.servers {
 			b.update(now, id, s, regroup || reroute)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -158,13 +158,13 @@
 	engine := balance.New(balance.Config{
 		Region: s.Region, FailureDomain: s.FailureDomain, EvidenceLifetime: noExpiry,
 		RegionCost: s.Catalogue.DomainCost(), SpillCost: s.Catalogue.SpillCost(),
-		RetryShare: s.Catalogue.Retry.Ratio * retryShareUse, RetryBurst: retryBurst(s.Catalogue.Retry),
+		RetryShare: s.Catalogue.Retry.Ratio * retryShareUse, RetryBurst: 1,
 		FullFactor: fullFactor,
 		// Servers tell when they are cold, and those of noisy neighbours look alike.
 		Switches: balance.Switches{NoFallbackDetection: true},
 	})
 	d.backends = &backends{
-		name: s.Name, region: s.Region, clock: d.clock, engine: engine, cold: s.Catalogue.Cold, log: d.log, counters: d.counters,
+		name: s.Name, region: s.Region, clock: d.clock, engine: engine, cold: s.Catalogue.Cold, retry: s.Catalogue.Retry, log: d.log, counters: d.counters,
 		commands: make(chan func(time.Duration)), stopped: make(chan struct{}), records: map[string]*backendRecord{},
 	}
 	d.lease.serveStale = s.Catalogue.ServeStale()
@@ -184,13 +184,11 @@
 	// the windows in which requests and retries are counted differ.
 	retryShareUse = 0.9
 	retryUse      = 0.8
-	// retryGateways is the number of gateways among which the slack of the retry budget is divided.
-	retryGateways = 24
 )
 
-// retryBurst is the number of retries that this gateway may save.
-func retryBurst(b settings.RetryBudget) int64 {
-	return max(int64(b.Slack*retryUse/retryGateways), 1)
+// retryBurst is the number of retries that one of so many gateways may save: its part of the slack of the retry budget.
+func retryBurst(b settings.RetryBudget, gateways int) int64 {
+	return max(int64(b.Slack*retryUse/float64(max(gateways, 1))), 1)
 }
 
 // join introduces this gateway to the others, then lets it serve requests. A request that crashed backend servers
