--- /dev/null
+++ b/control/replace_test.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"testing"
+
+	"heatherwall.example/api/raftpb"
+	"heatherwall.example/raft"
+)
+
+// Guards against a group whose lost voters pile up, and against one that removes replicas which only restart.
+func TestLostVoter(t *testing.T) {
+	members := &raftpb.Membership{Members: []*raftpb.Member{{Id: 1}, {Id: 2}, {Id: 3}, {Id: 4, Learner: true}}}
+	status := func(second, third, learner uint64) raft.Status {
+		return raft.Status{Membership: members, Replicas: []raft.ReplicaStatus{
+			{ID: 1}, {ID: 2, SilentTicks: second}, {ID: 3, SilentTicks: third}, {ID: 4, Learner: true, SilentTicks: learner},
+		}}
+	}
+	for _, c := range []struct {
+		status raft.Status
+		lost   uint64
+	}{
+		{status(0, 0, 0), 0},
+		{status(replaceAfterTicks, 10, 500), 0},
+		{status(replaceAfterTicks+1, 0, 0), 2},
+		{status(100, 200, 500), 3},
+	} {
+		if got := lostVoter(c.status).GetId(); got != c.lost {
+			t.Errorf("%+v: lost voter %d; want %d", c.status.Replicas, got, c.lost)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/catalogue_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/api/raftpb"
+)
+
+func routeTable(version uint64) *controlpb.RouteTable {
+	return &controlpb.RouteTable{
+		Version: version, Services: []*controlpb.RoutedService{{Name: "s"}},
+		Routes: []*controlpb.Route{{Name: "r", Host: "a.example", PathPrefix: "/", TimeoutMs: 1000, Shares: []*controlpb.RouteShare{{Service: "s", Weight: 1}}}},
+	}
+}
+
+func catalogueAnswer(base, index uint64, t *controlpb.RouteTable, servers ...string) *controlpb.RenewAnswer {
+	d := &controlpb.CatalogueDelta{Base: base, Index: index, Routes: t}
+	for _, id := range servers {
+		d.Servers = append(d.Servers, &controlpb.BackendServer{Id: id, Changed: index})
+	}
+	return &controlpb.RenewAnswer{ClusterId: 7, Catalogue: d}
+}
+
+// Guards against a gateway that goes back to an older catalogue, misses a change without notice, or takes a change that was
+// only passed on for a confirmation.
+func TestCatalogueNeverGoesBack(t *testing.T) {
+	c := newTestLease(t)
+	if ok, err := c.accept(catalogueAnswer(0, 10, routeTable(3), "a", "b"), time.Hour); !ok || err != nil {
+		t.Fatalf("the first catalogue was refused: %v", err)
+	}
+	push := catalogueAnswer(10, 12, nil, "c")
+	push.Catalogue.Removed = []string{"a"}
+	push.DomainsOut = []string{"north-a"}
+	if err := c.acceptPush(push); err != nil {
+		t.Fatal(err)
+	}
+	l := c.Current()
+	if l.expires != time.Hour || len(l.catalogue.servers) != 2 || l.catalogue.routes.Version != 3 || !l.domainOut("north-a") {
+		t.Errorf("after a push: %+v", l.catalogue)
+	}
+	var unfit *DeltaError
+	for name, a := range map[string]*controlpb.RenewAnswer{
+		"gap": catalogueAnswer(11, 13, nil, "d"), "older whole": catalogueAnswer(0, 11, routeTable(9), "z"),
+	} {
+		if _, err := c.accept(a, 2*time.Hour); !errors.As(err, &unfit) {
+			t.Errorf("%s: %v; want *DeltaError", name, err)
+		}
+		if err := c.acceptPush(a); !errors.As(err, &unfit) {
+			t.Errorf("%s pushed: %v; want *DeltaError", name, err)
+		}
+	}
+	if c.Current().catalogue.index != 12 {
+		t.Errorf("index %d after differences that do not fit", c.Current().catalogue.index)
+	}
+	if _, err := c.accept(catalogueAnswer(12, 14, routeTable(2)), time.Hour); err != nil || c.Current().catalogue.routes.Version != 3 {
+		t.Errorf("routes of version %d in use, %v; want 3", c.Current().catalogue.routes.Version, err)
+	}
+}
+
+// Guards against a gateway that serves for ever without control replicas, or not at all although it may.
+func TestServingWithAStaleCatalogue(t *testing.T) {
+	c := newTestLease(t)
+	if _, ok := c.Valid(); ok {
+		t.Fatal("valid without a catalogue")
+	}
+	if _, err := c.accept(catalogueAnswer(0, 1, routeTable(1)), time.Nanosecond); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := c.Valid(); ok {
+		t.Error("valid after the lease without a setting that permits it")
+	}
+	c.serveStale = time.Hour
+	if _, ok := c.Valid(); !ok {
+		t.Error("not valid although serving with a stale catalogue is permitted")
+	}
+}
+
+// Guards against gateways that keep to a far replica, or to one that fails.
+func TestReplicasByDistance(t *testing.T) {
+	l := &replicaList{region: "north", domain: "north-a", seeds: []string{"seed:1", "far:1"}}
+	now := time.Unix(1000, 0)
+	if got := l.next(now).Address; got != "seed:1" {
+		t.Errorf("first %s; want a seed", got)
+	}
+	l.setMembers([]*raftpb.Member{
+		{Name: "c", Address: "far:1", Region: "south", FailureDomain: "south-a"},
+		{Name: "b", Address: "near:1", Region: "north", FailureDomain: "north-b"},
+		{Name: "a", Address: "own:1", Region: "north", FailureDomain: "north-a"},
+	})
+	for _, want := range []string{"own:1", "near:1", "far:1", "seed:1", "own:1"} {
+		got := l.next(now)
+		if got.Address != want {
+			t.Errorf("next %s; want %s", got.Address, want)
+		}
+		l.fail(got, now)
+		now = now.Add(time.Second)
+	}
+	now = now.Add(shunFailed)
+	if far := replicaAt("far:1"); !l.hasNearer(far, now) {
+		t.Error("a gateway stays at a far replica although a nearer one has not failed for long")
+	}
+	if own := replicaAt("own:1"); l.hasNearer(own, now) {
+		t.Error("a gateway leaves the nearest replica")
+	}
+}
