--- a/cmd/heatherwall/reload.go
+++ b/cmd/heatherwall/reload.go
@@ -22,9 +22,9 @@
 func reloads[S any](ctx context.Context, file string, parse func(file string, text []byte) (*S, error), log *telemetry.Logger) <-chan *S {
 	changes := make(chan *S)
 	hangups := make(chan os.Signal, 1)
+	// Never given back: a hangup would end the process while it finishes its requests.
 	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(hangups)
 		watch := &fileWatch{file: file}
 		watch.changed() // what the process started with
 		ticker := time.NewTicker(reloadInterval)
