--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -17,10 +17,24 @@
 	idleConnectionTimeout    = 30 * time.Second
 	maxIdlePerServer         = 32
 	maxAnswerHeaderBytes     = 256 << 10
-	backendWriteBufferBytes  = 16 << 10
 	backendKeepAliveInterval = 15 * time.Second
 )
 
+// connectionBuffers are the limits of each connection to a backend server.
+type connectionBuffers struct {
+	// write is the buffer for requests in bytes.
+	write int
+	// idle is how long a connection stays open without requests.
+	idle time.Duration
+}
+
+var (
+	backendBuffers = connectionBuffers{write: 16 << 10, idle: idleConnectionTimeout}
+	// smallBuffers suit many servers with a few requests each. Servers of a catalogue close idle connections after ten
+	// seconds or more; this side closes them first, so that no request meets a connection that is being closed.
+	smallBuffers = connectionBuffers{write: 2 << 10, idle: 8 * time.Second}
+)
+
 // SendForbiddenError reports an attempt that was stopped before its first byte was written.
 type SendForbiddenError struct {
 	Reason string
@@ -167,7 +181,7 @@
 }
 
 // newTransport returns the transport to backend servers. Every request must carry a gate, see withGate.
-func newTransport() *http.Transport {
+func newTransport(b connectionBuffers) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: backendKeepAliveInterval}
 	return &http.Transport{
 		Proxy: nil,
@@ -180,9 +194,9 @@
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerServer,
-		IdleConnTimeout:        idleConnectionTimeout,
+		IdleConnTimeout:        b.idle,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
-		WriteBufferSize:        backendWriteBufferBytes,
+		WriteBufferSize:        b.write,
 		ForceAttemptHTTP2:      false,
 	}
 }
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -113,7 +113,7 @@
 	must(t, err)
 	f := &pathFixture{servers: &listSelector{addresses: addresses}, configuration: &fixedConfiguration{lease: &lease{config: config}}}
 	f.claims = &stubClaims{controlStub: controlStub{claims: map[string]*controlpb.CompleteRequest{}, holder: map[string]*controlpb.ClaimRequest{}}}
-	transport := newTransport()
+	transport := newTransport(backendBuffers)
 	f.requestPath = &requestPath{
 		lines:   telemetry.NewLineLimit(requestLines, telemetry.NewCounters()),
 		dialect: nativeDialect, steps: documentSteps,
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -116,7 +116,7 @@
 	d.path = &requestPath{
 		region: s.Region, dialect: cmp.Or(o.Dialect, nativeDialect), maxRequests: int64(s.MaxRequests), clock: d.clock, configuration: d.lease,
 		holders: newHolderNames(s.Name, incarnation), poison: newPoisonMarks(s.Name),
-		transport: newTransport(), log: log, counters: d.counters, lines: telemetry.NewLineLimit(requestLines, d.counters),
+		transport: newTransport(backendBuffers), log: log, counters: d.counters, lines: telemetry.NewLineLimit(requestLines, d.counters),
 	}
 	if s.Catalogue != nil {
 		d.serveCatalogue()
@@ -155,6 +155,7 @@
 // marks, so the gateway talks to no other gateway.
 func (d *daemon) serveCatalogue() {
 	s := d.settings
+	limitMemory(s.Catalogue.MemoryMB)
 	engine := balance.New(balance.Config{
 		Region: s.Region, FailureDomain: s.FailureDomain, EvidenceLifetime: noExpiry,
 		RegionCost: s.Catalogue.DomainCost(), SpillCost: s.Catalogue.SpillCost(),
@@ -171,6 +172,7 @@
 	d.lease.takePoison = d.path.poison.takeReports
 	d.lease.onPoison = func(reports []*controlpb.PoisonReport) { d.path.poison.setTotals(d.clock.now(), reports) }
 	d.path.poison.threshold = reportedPoisonThreshold
+	d.path.transport = newTransport(smallBuffers)
 	d.path.steps = routeSteps
 	d.path.spreadMarks = func() {}
 	d.path.selector = &engineSelector{engine: engine, clock: d.clock, prober: newLoadProber(d)}
