--- a/balance/eligible.go
+++ b/balance/eligible.go
@@ -30,6 +30,9 @@
 	if q.Now < c.load.unreachableUntil.load() {
 		return verdictNo
 	}
+	if c.server.State != StateCold && q.Now < c.load.coldHeard.load() {
+		return verdictBusy
+	}
 	if q.Now < c.load.ejectedUntil.load() || !s.returned(c, q) {
 		return verdictBusy
 	}
--- a/balance/load.go
+++ b/balance/load.go
@@ -16,6 +16,8 @@
 	readAt   atomicTime
 	slowness atomicFloat
 	slowAt   atomicTime
+	// coldHeard is until when the server counts as cold by its own word alone.
+	coldHeard atomicTime
 	// coldTurn is when the next request may be sent to the server while it is cold.
 	coldTurn         atomicTime
 	evidence         atomicTime
--- a/balance/reading.go
+++ b/balance/reading.go
@@ -34,12 +34,21 @@
 	InFlight int
 	// Slowness is the work time of the moment in usual work times; 0 when unknown.
 	Slowness float64
+	// Cold is the rest of a cold start; 0 for a warm server.
+	Cold time.Duration
 }
 
+// coldHeardMost bounds how long a server that tells of a cold start, which the catalogue does not know yet, gets nothing:
+// its next report comes sooner, and brings the limits of a cold start.
+const coldHeardMost = 2 * time.Second
+
 // Observe takes the answer to a probe. It may be called by any goroutine.
 func (t ProbeTarget) Observe(r Reading) {
 	t.load.report.add(r.At, int64(r.InFlight), t.load.inFlight.Load())
 	t.load.readAt.raise(r.At)
+	if r.Cold > 0 {
+		t.load.coldHeard.raise(r.At + min(r.Cold, coldHeardMost))
+	}
 	if r.Slowness > 0 {
 		t.load.slowness.store(r.Slowness)
 		t.load.slowAt.raise(r.At)
--- a/balance/reading_test.go
+++ b/balance/reading_test.go
@@ -67,3 +67,27 @@
 		}
 	}
 }
+
+// Guards against a server that fell back into cold start and gets the work of a warm one until its next report.
+func TestServerThatTellsOfAColdStartGetsNothing(t *testing.T) {
+	e := New(Config{Region: "r", FailureDomain: "d", EvidenceLifetime: time.Hour})
+	server := Server{Address: "10.0.0.1:80", Service: "s", Region: "r", FailureDomain: "d", Slots: 2, Incarnation: 1}
+	e.Apply(ServerChanged{Server: server})
+	now := time.Second
+	q := Query{Now: now, Service: "s", AnyRegion: true, Probed: true}
+	e.Current().ProbeTargets(&q, false)[0].Observe(Reading{At: now, Cold: time.Second})
+	if _, refusal := e.Current().Pick(q); !refusal.Refused() {
+		t.Error("a server in cold start was picked")
+	}
+	server.State, server.Owned, server.SendUntil, server.Sequence = StateCold, true, time.Hour, 1
+	e.Apply(ServerChanged{Server: server})
+	if _, refusal := e.Current().Pick(q); refusal.Refused() {
+		t.Errorf("a server whose cold start is known, and shared out, was refused: %v", refusal)
+	}
+	q.Now += coldHeardMost
+	server.State, server.Sequence = StateReady, 2
+	e.Apply(ServerChanged{Server: server})
+	if _, refusal := e.Current().Pick(q); refusal.Refused() {
+		t.Errorf("a warm server was refused: %v", refusal)
+	}
+}
--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -129,6 +129,6 @@
 	if answer.StatusCode != http.StatusOK || (report.Server != "" && report.Server != t.ID) {
 		return false
 	}
-	t.Observe(balance.Reading{At: sent, InFlight: report.InFlight, Slowness: report.Slowness})
+	t.Observe(balance.Reading{At: sent, InFlight: report.InFlight, Slowness: report.Slowness, Cold: report.Cold})
 	return true
 }
