--- a/gateway/backends.go
+++ b/gateway/backends.go
@@ -137,6 +137,7 @@
 	server := balance.Server{
 		Address: s.GetAddress(), ID: s.GetId(), Service: s.GetService(), Region: s.GetRegion(), FailureDomain: s.GetFailureDomain(),
 		Incarnation: s.GetIncarnation(), Sequence: s.GetChanged(), Slots: int(s.GetSlots()), Evidence: now,
+		Connections: b.connectionShare(s.GetService()),
 	}
 	switch {
 	case s.GetState() == controlpb.BackendState_BACKEND_DRAINING:
@@ -149,6 +150,16 @@
 	b.engine.Apply(balance.ServerChanged{Server: server})
 }
 
+// connectionShare is this gateway's part of the connections that a server accepts from all gateways, without those for
+// probes; 0 for no limit.
+func (b *backends) connectionShare(service string) int {
+	if b.view.routes == nil || b.view.routes.Services[service] == nil || b.view.routes.Services[service].MaxConnections == 0 {
+		return 0
+	}
+	part := b.view.routes.Services[service].MaxConnections / max(len(b.gateways), 1)
+	return max(part-maxProbeConnections, 1)
+}
+
 // coldShare returns how often this gateway may send to a cold server, and whether it may at all.
 func (b *backends) coldShare(s *controlpb.BackendServer) (time.Duration, bool) {
 	rate := 0.0
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -49,6 +49,7 @@
 	requestID   string
 
 	body        []byte
+	held        *heldBody // what the body takes of the gateway's memory; nil before it is read
 	fingerprint fingerprint
 	claim       *heldClaim // nil when the request is idempotent or no key was given
 }
@@ -190,10 +191,16 @@
 	// The deadline of the read must be lifted again: the server keeps reading to notice that the caller goes away.
 	controller := http.NewResponseController(c.w)
 	_ = controller.SetReadDeadline(c.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.rule.MaxBody))
+	c.held = &heldBody{budget: &p.bodies, body: http.MaxBytesReader(c.w, c.r.Body, c.rule.MaxBody)}
+	body, err := io.ReadAll(c.held)
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
+	var full *BodyBudgetError
 	switch {
+	case errors.As(err, &full):
+		r := refuse(Overloaded, "the gateway holds as many request bodies as it may").after(retryLater)
+		r.closeConnection = true
+		return r
 	case errors.As(err, &tooLarge):
 		return refuse(RequestTooLarge, "the body is larger than the rule permits")
 	case err != nil && !time.Now().Before(c.deadline):
--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -21,6 +21,8 @@
 	loadProbeTimeout = 300 * time.Millisecond
 	// mutePause is how long a service whose answers tell no load is not asked.
 	mutePause = 10 * time.Second
+	// maxProbeConnections is the number of idle connections for probes to one server.
+	maxProbeConnections = 2
 	// probeIdle closes probe connections before servers do.
 	probeIdle = 8 * time.Second
 )
@@ -39,7 +41,7 @@
 }
 
 func newLoadProber(d *daemon) *loadProber {
-	transport := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 2, IdleConnTimeout: probeIdle, DisableCompression: true}
+	transport := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: maxProbeConnections, IdleConnTimeout: probeIdle, DisableCompression: true}
 	return &loadProber{
 		client:  &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
 		dialect: d.path.dialect, clock: d.clock, counters: d.counters, muted: map[string]time.Duration{},
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -53,6 +53,7 @@
 	inFlight atomic.Int64
 	byDomain domainCounts
 	load     loadMeter
+	bodies   bodyBudget
 	// background counts work that outlives its handler: losing attempts and outcomes of claims.
 	background sync.WaitGroup
 }
@@ -67,6 +68,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{w: w, r: r, ctx: r.Context(), arrived: p.clock.now(), requestID: p.requestID(r)}
+	defer c.release()
 	if inFlight > p.maxRequests {
 		p.answerRefusal(c, refuse(Overloaded, "too many requests in flight at this gateway").after(time.Second))
 		return
@@ -74,6 +76,14 @@
 	p.serve(c)
 }
 
+// release gives back what the call holds. A losing attempt may still read the body for a moment; the budget leaves room
+// for that.
+func (c *call) release() {
+	if c.held != nil {
+		c.held.release()
+	}
+}
+
 func (p *requestPath) serve(c *call) {
 	for _, s := range p.steps {
 		if refusal := s(p, c); refusal != nil {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -118,6 +118,7 @@
 		holders: newHolderNames(s.Name, incarnation), poison: newPoisonMarks(s.Name),
 		transport: newTransport(backendBuffers), log: log, counters: d.counters, lines: telemetry.NewLineLimit(requestLines, d.counters),
 	}
+	d.path.bodies.limit = heldBodyBytes
 	if s.Catalogue != nil {
 		d.serveCatalogue()
 	} else {
@@ -134,6 +135,10 @@
 	return l
 }
 
+// heldBodyBytes bounds the request bodies in memory. It holds one of the largest bodies that a route table may permit, and
+// leaves the rest of a small instance to connections.
+const heldBodyBytes = 80 << 20
+
 // serveDocument sets up what a setup with a document needs: gossip with the other gateways, and claims.
 func (d *daemon) serveDocument(incarnation uint64) {
 	s := d.settings
