--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -51,6 +51,13 @@
 	return smallServer(mux, adminTimeout)
 }
 
+// metricsServer serves /metrics alone, for a collector that must not reach the rest.
+func (d *daemon) metricsServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", d.counters)
+	return smallServer(mux, adminTimeout)
+}
+
 func smallServer(h http.Handler, timeout time.Duration) *http.Server {
 	return &http.Server{Handler: h, MaxHeaderBytes: smallHeaderBytes, ReadHeaderTimeout: timeout, ReadTimeout: timeout, WriteTimeout: timeout, IdleTimeout: callerIdleTimeout}
 }
--- /dev/null
+++ b/gateway/leasesession.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/settings"
+)
+
+// session renews at one replica until it is silent, breaks the stream or ctx ends.
+func (c *leaseClient) session(ctx context.Context, peer settings.Peer) error {
+	conn, err := c.dial(peer.Name, peer.Address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &leaseSession{client: c, peer: peer, sent: map[uint64]time.Duration{}, answers: make(chan *controlpb.RenewAnswer), broken: make(chan error, 1)}
+	// A replica that never answers must not hold the client for longer than the permitted silence.
+	opening := time.AfterFunc(replicaSilence, cancel)
+	stream, err := controlpb.NewConfigurationsClient(conn).Watch(ctx)
+	if !opening.Stop() {
+		return &ReplicaSilentError{Replica: peer.Name}
+	}
+	if err != nil {
+		return fmt.Errorf("open stream to %s: %w", peer.Name, err)
+	}
+	go s.receive(ctx, stream)
+	return s.run(ctx, stream)
+}
+
+// leaseSession is one stream to one replica.
+type leaseSession struct {
+	client  *leaseClient
+	peer    settings.Peer
+	sent    map[uint64]time.Duration // by nonce; unanswered renewals of this stream
+	answers chan *controlpb.RenewAnswer
+	broken  chan error
+}
+
+type watchStream interface {
+	Send(*controlpb.RenewRequest) error
+	Recv() (*controlpb.RenewAnswer, error)
+}
+
+func (s *leaseSession) receive(ctx context.Context, stream watchStream) {
+	for {
+		a, err := stream.Recv()
+		if err != nil {
+			s.broken <- err
+			return
+		}
+		select {
+		case s.answers <- a:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *leaseSession) run(ctx context.Context, stream watchStream) error {
+	renew := time.NewTicker(renewInterval)
+	defer renew.Stop()
+	silence := time.NewTimer(replicaSilence)
+	defer silence.Stop()
+	if err := s.renew(stream); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-s.broken:
+			return fmt.Errorf("stream of %s: %w", s.peer.Name, err)
+		case <-silence.C:
+			return &ReplicaSilentError{Replica: s.peer.Name}
+		case <-renew.C:
+			if s.client.replicas.hasNearer(s.peer, time.Now()) {
+				return &NearerReplicaError{}
+			}
+			renew.Reset(renewInterval)
+			if err := s.renew(stream); err != nil {
+				return err
+			}
+		case a := <-s.answers:
+			first := s.client.confirmed == 0
+			confirmed, err := s.answer(ctx, a)
+			if err != nil {
+				return err
+			}
+			if confirmed {
+				silence.Reset(replicaSilence)
+			}
+			if first && s.client.confirmed != 0 {
+				renew.Reset(listDelay)
+			}
+		}
+	}
+}
+
+func (s *leaseSession) renew(stream watchStream) error {
+	c := s.client
+	c.nonce++
+	now := c.clock.now()
+	s.sent[c.nonce] = now
+	request := &controlpb.RenewRequest{
+		Nonce: c.nonce, Gateway: c.status(), GatewaysDigest: c.Current().gatewayHash, CatalogueIndex: c.Current().catalogue.index,
+	}
+	if c.takePoison != nil {
+		request.Poison = c.takePoison()
+	}
+	request.Gateway.Revision = c.Current().revision
+	if err := stream.Send(request); err != nil {
+		return fmt.Errorf("renewal to %s: %w", s.peer.Name, err)
+	}
+	return nil
+}
+
+// answer takes one answer and reports whether it confirmed the configuration. The lease counts from the moment the
+// renewal with the same nonce was sent, so an answer without such a renewal confirms nothing. After an error the stream
+// is of no more use.
+func (s *leaseSession) answer(ctx context.Context, a *controlpb.RenewAnswer) (confirmed bool, err error) {
+	s.client.replicas.setMembers(a.GetReplicas())
+	if a.GetNonce() == 0 {
+		return false, s.client.acceptPush(a)
+	}
+	sentAt, ok := s.sent[a.GetNonce()]
+	if !ok {
+		return false, nil
+	}
+	maps.DeleteFunc(s.sent, func(_ uint64, at time.Duration) bool { return at <= sentAt })
+	accepted, err := s.client.accept(a, sentAt+leaseDuration)
+	if err != nil || !accepted {
+		return false, err
+	}
+	s.client.noteList(ctx, sentAt, a.GetGatewaysComplete())
+	return true, nil
+}
--- /dev/null
+++ b/gateway/setup.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/balance"
+	"heatherwall.example/balance/budget"
+	"heatherwall.example/membership"
+	"heatherwall.example/settings"
+)
+
+func newReplicaList(s *settings.Gateway) *replicaList {
+	l := &replicaList{listed: s.Control, region: s.Region, domain: s.FailureDomain}
+	if s.Discovery != nil {
+		l.seeds = s.Discovery.Addresses()
+	}
+	return l
+}
+
+// heldBodyBytes bounds the request bodies in memory. It holds one of the largest bodies that a route table may permit, and
+// leaves the rest of a small instance to connections.
+const heldBodyBytes = 80 << 20
+
+// serveDocument sets up what a setup with a document needs: gossip with the other gateways, and claims.
+func (d *daemon) serveDocument(incarnation uint64) {
+	s := d.settings
+	d.state = &state{
+		name: s.Name, region: s.Region, clock: d.clock, registry: membership.New(s.Name, incarnation),
+		engine:  balance.New(balance.Config{Region: s.Region, FailureDomain: s.FailureDomain}),
+		limiter: budget.New(budget.Rates{}), poison: d.path.poison, peers: &grpcExchanger{d.toGateways}, prober: d.prober, log: d.log, counters: d.counters,
+		commands: make(chan func(time.Duration)), stopped: make(chan struct{}), probing: map[string]bool{},
+	}
+	d.claims = newClaimClient(s.Control, func() map[string]string { return d.lease.Current().claimLeaders }, d.toControl)
+	d.path.steps = documentSteps
+	d.path.claims = d.claims
+	d.path.spreadMarks = d.state.spreadMarks
+	d.path.selector = &engineSelector{engine: d.state.engine, clock: d.clock, evidence: d.state.evidence.add}
+	d.path.joining.Store(true)
+}
+
+// serveCatalogue sets up what a setup with a catalogue needs. The control replicas tell of backend servers and of crash
+// marks, so the gateway talks to no other gateway.
+func (d *daemon) serveCatalogue() {
+	s := d.settings
+	limitMemory(s.Catalogue.MemoryMB)
+	engine := balance.New(balance.Config{
+		Region: s.Region, FailureDomain: s.FailureDomain, EvidenceLifetime: noExpiry,
+		RegionCost: s.Catalogue.DomainCost(), SpillCost: s.Catalogue.SpillCost(),
+		RetryShare: s.Catalogue.Retry.Ratio * retryShareUse, RetryBurst: 1,
+		FullFactor: fullFactor,
+		// Servers tell when they are cold, and those of noisy neighbours look alike.
+		Switches: balance.Switches{NoFallbackDetection: true},
+	})
+	d.backends = &backends{
+		name: s.Name, region: s.Region, clock: d.clock, engine: engine, cold: s.Catalogue.Cold, retry: s.Catalogue.Retry, log: d.log, counters: d.counters,
+		commands: make(chan func(time.Duration)), stopped: make(chan struct{}), records: map[string]*backendRecord{},
+	}
+	d.lease.serveStale = s.Catalogue.ServeStale()
+	d.lease.takePoison = d.path.poison.takeReports
+	d.lease.onPoison = func(reports []*controlpb.PoisonReport) { d.path.poison.setTotals(d.clock.now(), reports) }
+	d.path.poison.threshold = reportedPoisonThreshold
+	d.path.transport = newTransport(smallBuffers)
+	d.path.steps = routeSteps
+	d.path.spreadMarks = func() {}
+	d.path.selector = &engineSelector{engine: engine, clock: d.clock, prober: newLoadProber(d)}
+}
+
+const (
+	// fullFactor is how much longer work takes at a server whose slots are nearly all taken; docs/platform.md names the
+	// measurement.
+	fullFactor = 1.7
+	// retryShareUse and retryUse are the parts of the share and of the slack of the retry budget that gateways use, because
+	// the windows in which requests and retries are counted differ.
+	retryShareUse = 0.9
+	retryUse      = 0.8
+)
+
+// retryBurst is the number of retries that one of so many gateways may save: its part of the slack of the retry budget.
+func retryBurst(b settings.RetryBudget, gateways int) int64 {
+	return max(int64(b.Slack*retryUse/float64(max(gateways, 1))), 1)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -115,6 +115,8 @@
 	// Catalogue makes the gateway serve the catalogue of the control replicas instead of the document; nil for the
 	// document.
 	Catalogue *GatewayCatalogue `yaml:"catalogue"`
+	// Metrics is a further listener for /metrics alone; it is left out by default.
+	Metrics Listener `yaml:"metrics"`
 	// MaxRequests limits the requests in flight at this gateway; the default is 4096.
 	MaxRequests int `yaml:"max_requests"`
 	// DrainNoticeMs is the time in milliseconds between the failure of /readyz and the closing of the listeners, in which
@@ -168,6 +170,9 @@
 		c.listener("announce", s.Announce, false)
 		c.listener("peer", s.Peer, true)
 	}
+	if s.Metrics.Address != "" {
+		c.listener("metrics", s.Metrics, false)
+	}
 	c.replicas("control", s.Control, s.Discovery)
 	c.gatewayCatalogue(s.Catalogue)
 	s.MaxRequests = c.positive("max_requests", s.MaxRequests, DefaultMaxRequests)
