--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -13,7 +13,6 @@
 	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/document"
-	"heatherwall.example/settings"
 	"heatherwall.example/telemetry"
 )
 
