Bind the shared port of a relay test before its first connection

The test takes the local port that the kernel chose at connect and binds it again; the kernel shares such ports between connections of several processes, and one that another test holds without SO_REUSEADDR cannot be bound.

--- a/testbed/relay/owner_test.go
+++ b/testbed/relay/owner_test.go
@@ -19,7 +19,9 @@
 		}
 		return failed
 	}
-	dialer := net.Dialer{Control: reuse}
+	// The port is bound before the first connection: the kernel may give a port that it chooses at connect to a connection
+	// of another process as well, and then it cannot be bound again.
+	dialer := net.Dialer{Control: reuse, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}}
 	var connections []net.Conn
 	for range 2 {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
