--- a/balance/pick.go
+++ b/balance/pick.go
@@ -94,8 +94,6 @@
 }
 
 // choose prefers servers that have answered a probe, if the query asks for that.
-//
-// Within them, it compares the tiers: the own region first, and other regions only when the gain exceeds their cost.
 func (s *Snapshot) choose(v *serviceView, q *Query) choice {
 	if !q.Probed {
 		return s.chooseAny(v, q)
@@ -107,6 +105,7 @@
 	return s.chooseAny(v, q)
 }
 
+// chooseAny compares the tiers: the own region first, and other regions only when the gain exceeds their cost.
 func (s *Snapshot) chooseAny(v *serviceView, q *Query) choice {
 	var best choice
 	s.sample(v, v.tiers[tierDomain], q, 0, &best)
--- a/control/catalogue.go
+++ b/control/catalogue.go
@@ -50,7 +50,7 @@
 		return err
 	}
 	err := c.decide(ctx, controlstate.PutRoutesEntry(t))
-	c.r.log.Log(eventRoutesPut, telemetry.F("version", t.GetVersion()), telemetry.F("routes", len(t.GetRoutes())), telemetry.F("error", errorText(err)))
+	c.r.log.Log(eventRoutesPut, telemetry.F("version", t.GetVersion()), telemetry.F("routes", len(t.GetRoutes())), telemetry.FErr(err))
 	return err
 }
 
@@ -78,7 +78,7 @@
 // SetDomainOut takes a failure domain out of service or back in. The error is an *UnavailableError.
 func (c *Catalogue) SetDomainOut(ctx context.Context, domain string, out bool) error {
 	err := c.decide(ctx, controlstate.SetDomainOutEntry(domain, out))
-	c.r.log.Log(eventDomainSet, telemetry.F("failure_domain", domain), telemetry.F("out", out), telemetry.F("error", errorText(err)))
+	c.r.log.Log(eventDomainSet, telemetry.F("failure_domain", domain), telemetry.F("out", out), telemetry.FErr(err))
 	return err
 }
 
@@ -92,7 +92,7 @@
 // *UnavailableError.
 func (c *Catalogue) Leave(ctx context.Context, id string, incarnation uint64) error {
 	err := c.untilLed(ctx, func(done func(error)) { c.r.takeLeave(id, incarnation, done) })
-	c.r.log.Log(eventServerLeft, telemetry.F("server", id), telemetry.F("incarnation", incarnation), telemetry.F("error", errorText(err)))
+	c.r.log.Log(eventServerLeft, telemetry.F("server", id), telemetry.F("incarnation", incarnation), telemetry.FErr(err))
 	return err
 }
 
@@ -138,13 +138,6 @@
 	return &UnavailableError{Cause: err}
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // serveCatalogue opens the catalogue listener if the settings have one. stop lets requests in flight end.
 func (r *replica) serveCatalogue(wg *sync.WaitGroup) (stop func(), err error) {
 	s := r.settings.Catalogue
--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -41,9 +40,8 @@
 }
 
 func newLoadProber(d *daemon) *loadProber {
-	transport := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: maxProbeConnections, IdleConnTimeout: probeIdle, DisableCompression: true}
 	return &loadProber{
-		client:  &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
+		client:  newProbeClient(maxProbeConnections, probeIdle),
 		dialect: d.path.dialect, clock: d.clock, counters: d.counters, muted: map[string]time.Duration{},
 		healthPath: func(service string) string {
 			if t := d.lease.Current().catalogue.routes; t != nil && t.Services[service] != nil {
@@ -109,20 +107,13 @@
 func (p *loadProber) probe(service, path string, t balance.ProbeTarget) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), loadProbeTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+path, nil)
-	if err != nil {
-		return false // the address was checked when the server reported
-	}
-	request.Header["User-Agent"] = nil
 	sent := p.clock.now()
 	p.counters.Total("probes").Inc(1)
-	answer, err := p.client.Do(request)
+	answer, err := getProbe(ctx, p.client, t.Address, path)
 	if err != nil {
 		p.counters.Total("probes_unanswered").Inc(1)
 		return false
 	}
-	defer answer.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxProbeBodyBytes)) // so that the connection can be used again
 	report := p.dialect.Report(answer.Header)
 	if report.Slots == 0 {
 		p.mute(service)
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,9 +13,8 @@
 const (
 	probeTimeout = time.Second
 	// probeBytes is charged for a probe and its answer, packet headers included.
-	probeBytes        = 700
-	maxProbeBodyBytes = 1 << 10
-	probePath         = "/.heatherwall/state"
+	probeBytes = 700
+	probePath  = "/.heatherwall/state"
 )
 
 // probeReport is what a backend server answers to a probe.
@@ -47,22 +45,15 @@
 }
 
 func newHTTPProber() *httpProber {
-	transport := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnectionTimeout, DisableCompression: true}
-	return &httpProber{client: &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+	return &httpProber{client: newProbeClient(1, idleConnectionTimeout)}
 }
 
 // Probe implements prober.
 func (p *httpProber) Probe(ctx context.Context, address string) (probeReport, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+probePath, nil)
+	answer, err := getProbe(ctx, p.client, address, probePath)
 	if err != nil {
 		return probeReport{}, err
 	}
-	answer, err := p.client.Do(request)
-	if err != nil {
-		return probeReport{}, err
-	}
-	defer answer.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxProbeBodyBytes))
 	report := nativeDialect.Report(answer.Header)
 	state, ok := reportedState(report.State)
 	if !ok {
--- /dev/null
+++ b/gateway/probeclient.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+// maxProbeBodyBytes is how much of a probe's body is read; what it tells is in its header.
+const maxProbeBodyBytes = 1 << 10
+
+// newProbeClient returns a client for probes, with connections of its own so that probes do not wait behind requests.
+func newProbeClient(connectionsPerServer int, idle time.Duration) *http.Client {
+	transport := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: connectionsPerServer, IdleConnTimeout: idle, DisableCompression: true}
+	return &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
+// getProbe sends a probe and returns its answer, whose body has been read so that the connection can be used again.
+func getProbe(ctx context.Context, client *http.Client, address, path string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header["User-Agent"] = nil
+	answer, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxProbeBodyBytes))
+	return answer, nil
+}
--- a/telemetry/event.go
+++ b/telemetry/event.go
@@ -83,6 +83,14 @@
 	return Field{key: key, value: value}
 }
 
+// FErr returns the field "error"; it is empty for a nil error.
+func FErr(err error) Field {
+	if err == nil {
+		return F("error", "")
+	}
+	return F("error", err.Error())
+}
+
 // Logger writes events as lines of JSON. It is safe for use by several goroutines.
 type Logger struct {
 	out log.Logger
