Find a leader and a configuration sooner after all processes were restarted

Logs: every gateway asked the same seed first, whose machine was still dark, and waited 1 s for it (the library's base delay for a connection); pre-votes to replicas without a listener were lost and not sent again before the next election timeout; peers waited 250 ms after a refused connection and 400 ms for a dark machine.

--- a/api/timing.go
+++ b/api/timing.go
@@ -10,9 +10,9 @@
 	// RenewInterval is the time between two renewals of a gateway.
 	RenewInterval = 600 * time.Millisecond
 	// ConnectTimeout bounds one attempt to open a connection between daemons. An instance without power does not answer the
-	// first packet, which would be sent again after a second; a new attempt finds it up earlier. Handshakes between
-	// regions take less.
-	ConnectTimeout = 400 * time.Millisecond
+	// first packet, which would be sent again after a second; a new attempt finds it up earlier. A handshake takes two round
+	// trips, 50 ms between regions.
+	ConnectTimeout = 250 * time.Millisecond
 	// LeaseMargin is added where another instance waits for a lease to run out, for clocks that run at different speed.
 	LeaseMargin = 200 * time.Millisecond
 )
--- a/control/transport.go
+++ b/control/transport.go
@@ -13,6 +13,9 @@
 const (
 	// peerQueue bounds the messages that wait for one peer; raft repeats what is dropped.
 	peerQueue = 1024
+	// reconnectPause separates attempts to reach a peer. Where all replicas return together, each waits for a majority of
+	// the others to open their listeners.
+	reconnectPause = 50 * time.Millisecond
 	// batchMessages bounds the messages of one batch.
 	batchMessages = 64
 )
@@ -84,7 +87,7 @@
 		}
 		t.log.Log(eventPeerCut, telemetry.F("address", s.address), telemetry.F("error", err))
 		t.dropped[droppedConnection].Inc(s.discard())
-		pause(t.ctx, maxReconnectDelay/4)
+		pause(t.ctx, reconnectPause)
 	}
 }
 
--- a/gateway/cataloguelease.go
+++ b/gateway/cataloguelease.go
@@ -87,6 +87,9 @@
 	c.current.Store(next)
 	c.counters.Gauge("catalogue_index").Update(int64(next.catalogue.index))
 	c.onChange(next)
+	if next.configured() {
+		c.configured.open()
+	}
 }
 
 // domainOut tells whether operators took a failure domain out.
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -74,6 +74,15 @@
 	return fmt.Sprintf("control replica %s was silent for %s", e.Replica, replicaSilence)
 }
 
+// ReplicaUnreachableError reports a control replica to which no connection could be opened in time.
+type ReplicaUnreachableError struct {
+	Replica string
+}
+
+func (e *ReplicaUnreachableError) Error() string {
+	return fmt.Sprintf("no connection to control replica %s within %s", e.Replica, api.ConnectTimeout)
+}
+
 // leaseClient keeps the configuration lease alive. Run is called once; Current and Valid may be called from any
 // goroutine.
 type leaseClient struct {
@@ -95,7 +104,9 @@
 	counters *telemetry.Counters
 
 	current atomic.Pointer[lease]
-	nonce   uint64
+	// configured opens with the first configuration, when the selection of servers knows it.
+	configured latch
+	nonce      uint64
 	// confirmed is the time of the first confirmed configuration; 0 before it.
 	confirmed time.Duration
 	listed    bool
@@ -109,6 +120,9 @@
 	return &lease{}
 }
 
+// Configured is closed once there is a configuration.
+func (c *leaseClient) Configured() <-chan struct{} { return c.configured.channel() }
+
 // Valid returns the configuration if the right to serve has not run out.
 func (c *leaseClient) Valid() (*lease, bool) {
 	l := c.Current()
@@ -220,6 +234,7 @@
 	if changed || next.revision != old.revision || old.config == nil {
 		c.onChange(&next)
 	}
+	c.configured.open()
 	return true, nil
 }
 
--- a/gateway/leasesession.go
+++ b/gateway/leasesession.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/settings"
 )
@@ -20,11 +21,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &leaseSession{client: c, peer: peer, sent: map[uint64]time.Duration{}, answers: make(chan *controlpb.RenewAnswer), broken: make(chan error, 1)}
-	// A replica that never answers must not hold the client for longer than the permitted silence.
-	opening := time.AfterFunc(replicaSilence, cancel)
+	// An instance without power does not answer; another replica may.
+	opening := time.AfterFunc(api.ConnectTimeout, cancel)
 	stream, err := controlpb.NewConfigurationsClient(conn).Watch(ctx)
 	if !opening.Stop() {
-		return &ReplicaSilentError{Replica: peer.Name}
+		return &ReplicaUnreachableError{Replica: peer.Name}
 	}
 	if err != nil {
 		return fmt.Errorf("open stream to %s: %w", peer.Name, err)
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -76,6 +76,12 @@
 
 func (f *fixedConfiguration) Current() *lease { return f.lease }
 
+func (f *fixedConfiguration) Configured() <-chan struct{} {
+	open := make(chan struct{})
+	close(open)
+	return open
+}
+
 func (f *fixedConfiguration) Valid() (*lease, bool) { return f.lease, !f.expired.Load() }
 
 // stubClaims is a claimer on the stub of a control replica.
--- a/gateway/peertls.go
+++ b/gateway/peertls.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
@@ -47,6 +48,12 @@
 // dialFunc opens a connection to the peer listener of an instance; it does not wait for the connection.
 type dialFunc func(name, address string) (*grpc.ClientConn, error)
 
+// connectParams retry soon: the library waits at least the base delay for each attempt to connect.
+var connectParams = grpc.ConnectParams{
+	Backoff:           backoff.Config{BaseDelay: replicaBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: time.Second},
+	MinConnectTimeout: api.ConnectTimeout,
+}
+
 // dialPeers returns a dialFunc with mutual TLS, or in plain text without certificates.
 func dialPeers(i *identity) dialFunc {
 	return func(name, address string) (*grpc.ClientConn, error) {
@@ -55,7 +62,7 @@
 			c = api.PeerTLS([]tls.Certificate{i.certificate}, i.roots, name)
 		}
 		return api.DialDaemon(address, c, api.Introduction(i.name, ""), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessageBytes)),
-			grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: api.ConnectTimeout}))
+			grpc.WithConnectParams(connectParams))
 	}
 }
 
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -15,6 +15,8 @@
 	Valid() (*lease, bool)
 	// Current returns the newest configuration, whether or not it may be served.
 	Current() *lease
+	// Configured is closed once there is a configuration.
+	Configured() <-chan struct{}
 }
 
 // query describes the request that a backend server is selected for.
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heatherwall.example/api/raftpb"
 	"heatherwall.example/settings"
 )
@@ -17,8 +19,9 @@
 // replicaList orders the control replicas that the gateway may renew at. It is safe for use by several goroutines.
 type replicaList struct {
 	// listed is the fixed list of the settings, the nearest first; empty with discovery.
-	listed         []settings.Peer
-	region, domain string
+	listed []settings.Peer
+	// name of the gateway; it decides between replicas that are equally near.
+	name, region, domain string
 
 	mu      sync.Mutex
 	seeds   []string
@@ -41,8 +44,11 @@
 	for _, m := range l.members {
 		list = append(list, settings.Peer{Name: m.GetName(), Address: m.GetAddress(), Region: m.GetRegion(), FailureDomain: m.GetFailureDomain()})
 	}
-	slices.SortStableFunc(list, func(a, b settings.Peer) int { return cmp.Compare(l.distance(a), l.distance(b)) })
-	for _, seed := range l.seeds {
+	slices.SortStableFunc(list, func(a, b settings.Peer) int {
+		return cmp.Or(cmp.Compare(l.distance(a), l.distance(b)), cmp.Compare(l.rank(a.Address), l.rank(b.Address)))
+	})
+	seeds := slices.SortedFunc(slices.Values(l.seeds), func(a, b string) int { return cmp.Compare(l.rank(a), l.rank(b)) })
+	for _, seed := range seeds {
 		if !slices.ContainsFunc(list, func(p settings.Peer) bool { return p.Address == seed }) {
 			list = append(list, replicaAt(seed))
 		}
@@ -61,6 +67,11 @@
 	return 2
 }
 
+// rank orders replicas differently at each gateway, so that those which start together don't all ask the same one.
+func (l *replicaList) rank(address string) uint64 {
+	return xxhash.Sum64String(l.name + "\x00" + address)
+}
+
 // next returns the replica to try: the nearest one that has not failed lately, or the one that failed first.
 func (l *replicaList) next(now time.Time) settings.Peer {
 	list := l.all()
--- a/gateway/routing.go
+++ b/gateway/routing.go
@@ -9,6 +9,7 @@
 
 // routeSteps replace steps where the catalogue is served: callers need no token, and host and path select the route.
 var routeSteps = []step{
+	(*requestPath).awaitConfiguration,
 	(*requestPath).admit,
 	(*requestPath).matchRoute,
 	(*requestPath).limitRouted,
@@ -33,13 +34,14 @@
 	return nil
 }
 
-// limitRouted reads the deadline. The time counts from the arrival of the header.
+// limitRouted reads the deadline. The time counts from the arrival of the header, so that it includes the wait for a
+// configuration.
 func (p *requestPath) limitRouted(c *call) *Refusal {
 	remaining, ok := headerNumber(c.r.Header, p.dialect.Deadline, int(c.rule.Deadline.Milliseconds()))
 	if !ok {
 		return refuse(BadRequest, p.dialect.Deadline+": expected a number of milliseconds")
 	}
-	limit := min(c.rule.Deadline, time.Duration(remaining)*time.Millisecond)
+	limit := min(c.rule.Deadline, time.Duration(remaining)*time.Millisecond) - (p.clock.now() - c.arrived)
 	if limit < minDeadline {
 		return refuse(DeadlineTooShort, "the remaining time is too short for any backend server")
 	}
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -11,7 +11,7 @@
 )
 
 func newReplicaList(s *settings.Gateway) *replicaList {
-	l := &replicaList{listed: s.Control, region: s.Region, domain: s.FailureDomain}
+	l := &replicaList{listed: s.Control, name: s.Name, region: s.Region, domain: s.FailureDomain}
 	if s.Discovery != nil {
 		l.seeds = s.Discovery.Addresses()
 	}
--- /dev/null
+++ b/gateway/startwait.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// startWait is how long a request waits at a gateway that has no configuration yet. Where all processes were restarted
+	// together, an election and a first renewal take about that long.
+	startWait = 600 * time.Millisecond
+	// startWaitPart is the part of the caller's time, as a divisor, that the wait may take.
+	startWaitPart = 3
+)
+
+// latch is opened once and stays open. The zero value is closed. It is safe for use by several goroutines.
+type latch struct {
+	mu     sync.Mutex
+	opened chan struct{}
+	isOpen bool
+}
+
+// channel is closed when the latch is open.
+func (l *latch) channel() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.make()
+}
+
+func (l *latch) make() chan struct{} {
+	if l.opened == nil {
+		l.opened = make(chan struct{})
+	}
+	return l.opened
+}
+
+func (l *latch) open() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.isOpen {
+		l.isOpen = true
+		close(l.make())
+	}
+}
+
+// awaitConfiguration lets a request wait while the gateway fetches its first configuration. It answers restarts of all
+// processes, after which a refusal would send every caller away for longer than the wait takes. Whether the gateway
+// serves is decided by the steps that follow.
+func (p *requestPath) awaitConfiguration(c *call) *Refusal {
+	if p.configuration.Current().configured() || p.draining.Load() {
+		return nil
+	}
+	limit := startWait
+	if ms, ok := headerNumber(c.r.Header, p.dialect.Deadline, 0); ok && ms > 0 {
+		limit = min(limit, time.Duration(ms)*time.Millisecond/startWaitPart)
+	}
+	ctx, cancel := context.WithTimeout(c.r.Context(), limit)
+	defer cancel()
+	p.counters.Total("requests_awaiting_configuration").Inc(1)
+	select {
+	case <-p.configuration.Configured():
+	case <-ctx.Done():
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/startwait_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heatherwall.example/telemetry"
+)
+
+// startingPath is the path of a gateway that serves a catalogue and has just started.
+func startingPath(t *testing.T) (*requestPath, *leaseClient) {
+	c := newTestLease(t)
+	c.serveStale = time.Hour
+	p := &requestPath{
+		dialect: nativeDialect, steps: routeSteps, maxRequests: 100, clock: c.clock, configuration: c, poison: newPoisonMarks("gw-1"),
+		selector: &listSelector{}, spreadMarks: func() {}, bodies: bodyBudget{limit: heldBodyBytes},
+		lines: telemetry.NewLineLimit(requestLines, c.counters), log: telemetry.NewLogger(io.Discard, telemetry.Info), counters: c.counters,
+	}
+	return p, c
+}
+
+// ask sends a request and returns the answer's reason and how long it took.
+func ask(p *requestPath, deadlineMs string) (Reason, time.Duration) {
+	began := time.Now()
+	r := httptest.NewRequest(http.MethodGet, "http://a.example/x", nil)
+	r.Header.Set(headerDeadline, deadlineMs)
+	w := httptest.NewRecorder()
+	p.ServeHTTP(w, r)
+	return reasonOf(w.Body.String()), time.Since(began)
+}
+
+// Guards against gateways that send callers away for a second although their configuration comes within a few hundred
+// milliseconds, as after a restart of all processes.
+func TestRequestWaitsForTheFirstConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, c := startingPath(t)
+		go func() {
+			time.Sleep(400 * time.Millisecond)
+			if _, err := c.accept(catalogueAnswer(0, 1, routeTable(1)), time.Hour); err != nil {
+				t.Error(err)
+			}
+		}()
+		if reason, took := ask(p, "2000"); reason != NoServer || took != 400*time.Millisecond {
+			t.Errorf("%q after %s; want the request to go on as soon as there is a configuration", reason, took)
+		}
+		if reason, took := ask(p, "2000"); reason != NoServer || took != 0 {
+			t.Errorf("%q after %s; want no wait once there is a configuration", reason, took)
+		}
+	})
+}
+
+// Guards against requests that are held for longer than their caller can spare, and against a wait without an end.
+func TestWaitForTheFirstConfigurationIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := startingPath(t)
+		for deadlineMs, most := range map[string]time.Duration{"300": 100 * time.Millisecond, "8000": startWait, "": startWait} {
+			if reason, took := ask(p, deadlineMs); reason != NotReady || took != most {
+				t.Errorf("deadline %q: %q after %s; want %q after %s", deadlineMs, reason, took, NotReady, most)
+			}
+		}
+		p.draining.Store(true)
+		if reason, took := ask(p, "8000"); reason != Draining || took != 0 {
+			t.Errorf("%q after %s while the gateway stops", reason, took)
+		}
+	})
+}
+
+// Guards against a backend server that gets more time than its caller has left after the wait.
+func TestWaitCountsForTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, c := startingPath(t)
+		if _, err := c.accept(catalogueAnswer(0, 1, routeTable(1)), time.Hour); err != nil {
+			t.Fatal(err)
+		}
+		arrived := p.clock.now()
+		time.Sleep(300 * time.Millisecond)
+		r := httptest.NewRequest(http.MethodGet, "http://a.example/x", nil)
+		r.Header.Set(headerDeadline, "800")
+		call := &call{r: r, arrived: arrived}
+		if refusal := p.admit(call); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if refusal := p.matchRoute(call); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if refusal := p.limitRouted(call); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if left := time.Until(call.deadline); left != 500*time.Millisecond {
+			t.Errorf("%s left; want 500 ms", left)
+		}
+	})
+}
+
+// Guards against gateways that all ask the same control replica when they start together.
+func TestGatewaysSpreadOverSeeds(t *testing.T) {
+	first := map[string]int{}
+	for _, name := range []string{"gw-1", "gw-2", "gw-3", "gw-4", "gw-5", "gw-6", "gw-7", "gw-8", "gw-9", "gw-10", "gw-11", "gw-12"} {
+		l := &replicaList{name: name, seeds: []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}}
+		first[l.next(time.Unix(1000, 0)).Address]++
+	}
+	for address, n := range first {
+		if n > 8 {
+			t.Errorf("%d of 12 gateways ask %s first", n, address)
+		}
+	}
+	if len(first) != 3 {
+		t.Errorf("%d of 3 seeds are asked first by any gateway", len(first))
+	}
+}
--- a/raft/election.go
+++ b/raft/election.go
@@ -36,27 +36,35 @@
 	if !isVoter(n.membership(), n.config.ID) {
 		return
 	}
-	request := &raftpb.Message{Type: raftpb.MessageType_MESSAGE_PRE_VOTE, Term: n.term + 1}
 	n.role = PreCandidate
 	if !preVote {
 		n.term++
 		n.vote = n.config.ID
 		n.role = Candidate
-		request.Type = raftpb.MessageType_MESSAGE_VOTE
-		request.Transfer = transfer
 	}
+	n.transferred = transfer
 	n.leader = 0
 	n.votes = map[uint64]bool{n.config.ID: true}
 	n.resetElectionTimer()
 	if n.countVotes() {
 		return
 	}
+	n.askForVotes()
+}
+
+// askForVotes sends the request of the campaign to the voters that have not answered it. It is repeated at each tick: the
+// first one is lost where a connection is not open yet, and an answer counts once.
+func (n *Node) askForVotes() {
+	request := raftpb.MessageType_MESSAGE_PRE_VOTE
+	if n.role == Candidate {
+		request = raftpb.MessageType_MESSAGE_VOTE
+	}
 	for _, id := range voters(n.membership()) {
-		if id == n.config.ID {
+		if _, answered := n.votes[id]; answered {
 			continue
 		}
 		n.send(&raftpb.Message{
-			Type: request.Type, Term: n.campaignTerm(), To: id, Transfer: request.Transfer,
+			Type: request, Term: n.campaignTerm(), To: id, Transfer: n.transferred,
 			LogIndex: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
 		})
 	}
--- a/raft/firstelection_test.go
+++ b/raft/firstelection_test.go
@@ -75,3 +75,54 @@
 		t.Errorf("%d rounds in 8 ticks later on; want 2, one for each heartbeat", got)
 	}
 }
+
+// Guards against an election that waits for a whole timeout because voters could not be reached when the campaign began:
+// where all machines return together, their connections open one after the other.
+func TestCampaignAsksAgainWhoeverHasNotAnswered(t *testing.T) {
+	members := []*raftpb.Member{{Id: 1, Name: "a"}, {Id: 2, Name: "b"}, {Id: 3, Name: "c"}, {Id: 4, Name: "d"}, {Id: 5, Name: "e"}}
+	storage := NewMemoryStorage(BootstrapSnapshot(members, nil))
+	n, err := New(Config{ID: 1, Group: 1, ElectionTicks: 8, HeartbeatTicks: 2, Storage: storage, Rand: func(int) int { return 7 }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range firstElectionTicks + 7 {
+		n.Tick()
+	}
+	n.messages = nil // nobody is reached
+	answer := &raftpb.Message{Type: raftpb.MessageType_MESSAGE_PRE_VOTE_ANSWER, Group: 1, From: 2, To: 1, Term: n.term + 1}
+	if err := n.Step(answer); err != nil {
+		t.Fatal(err)
+	}
+	n.Tick()
+	asked := map[uint64]bool{}
+	for _, m := range n.messages {
+		if m.Type != raftpb.MessageType_MESSAGE_PRE_VOTE || m.Term != n.term+1 {
+			t.Errorf("sent %s of term %d", m.Type, m.Term)
+		}
+		asked[m.To] = true
+	}
+	if len(asked) != 3 || asked[2] {
+		t.Errorf("asked %v; want 3, 4 and 5 a second time", asked)
+	}
+}
+
+// Guards against a repeated vote request that names another term than the one the candidate voted for itself in.
+func TestCandidateRepeatsItsVoteRequest(t *testing.T) {
+	members := []*raftpb.Member{{Id: 1, Name: "a"}, {Id: 2, Name: "b"}, {Id: 3, Name: "c"}}
+	storage := NewMemoryStorage(BootstrapSnapshot(members, nil))
+	n, err := New(Config{ID: 1, Group: 1, ElectionTicks: 8, HeartbeatTicks: 2, Storage: storage, Rand: func(int) int { return 7 }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.campaign(false, true)
+	n.messages = nil
+	n.Tick()
+	if len(n.messages) != 2 {
+		t.Fatalf("%d messages; want one to each of the two other voters", len(n.messages))
+	}
+	for _, m := range n.messages {
+		if m.Type != raftpb.MessageType_MESSAGE_VOTE || m.Term != n.term || !m.Transfer {
+			t.Errorf("repeated %s of term %d with transfer %t; want the vote request as first sent", m.Type, m.Term, m.Transfer)
+		}
+	}
+}
--- a/raft/node.go
+++ b/raft/node.go
@@ -40,8 +40,9 @@
 	heartbeatElapsed int
 
 	memberships membershipHistory
-	// votes holds the answers to the current campaign.
-	votes map[uint64]bool
+	// votes holds the answers to the current campaign; transferred tells that the leader asked for it.
+	votes       map[uint64]bool
+	transferred bool
 
 	// Leader state. leaderSince is the tick of the election.
 	leaderSince uint64
@@ -122,6 +123,10 @@
 		n.leader = 0
 		n.resetElectionTimer()
 		n.campaign(true, false)
+		return
+	}
+	if n.role != Follower {
+		n.askForVotes()
 	}
 }
 
