--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -46,12 +46,14 @@
 // to one connection, and records whether anything was written. It outlives the attempt: a connection that the
 // transport tries later finds it closed.
 type sendGate struct {
-	mu      sync.Mutex
-	check   func() error // nil error permits the first byte
-	conn    *backendConn
-	stopped bool
-	denied  error // why the check forbade the first byte
-	wrote   atomic.Bool
+	mu    sync.Mutex
+	check func() error // nil error permits the first byte
+	// repeatable permits further connections after the first one; it is set for probes only.
+	repeatable bool
+	conn       *backendConn
+	stopped    bool
+	denied     error // why the check forbade the first byte
+	wrote      atomic.Bool
 }
 
 // enter is called before every write of the attempt. Only the first connection that is permitted to write may go on,
@@ -62,7 +64,7 @@
 	if g.conn == c {
 		return nil
 	}
-	if g.conn != nil {
+	if g.conn != nil && !g.repeatable {
 		return &SendForbiddenError{Reason: "the request was already written to another connection"}
 	}
 	if g.stopped {
@@ -210,6 +212,12 @@
 func (e *UnreachableError) Error() string { return fmt.Sprintf("connect to %s: %v", e.Address, e.Err) }
 func (e *UnreachableError) Unwrap() error { return e.Err }
 
+// withProbe lets a probe use the connections of requests. The request that follows a probe finds a connection that was in
+// use a moment ago, which the server has neither closed nor forgotten.
+func withProbe(ctx context.Context) context.Context {
+	return withGate(ctx, &sendGate{check: func() error { return nil }, repeatable: true})
+}
+
 // withGate lets the connection that the transport chooses for the request write through the gate.
 func withGate(ctx context.Context, g *sendGate) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -20,10 +20,8 @@
 	loadProbeTimeout = 300 * time.Millisecond
 	// mutePause is how long a service whose answers tell no load is not asked.
 	mutePause = 10 * time.Second
-	// maxProbeConnections is the number of idle connections for probes to one server.
+	// maxProbeConnections is the number of connections to one server that probes use while requests use the others.
 	maxProbeConnections = 2
-	// probeIdle closes probe connections before servers do.
-	probeIdle = 8 * time.Second
 )
 
 // loadProber asks a few servers for their load right before a selection. Only services whose servers tell their load are
@@ -41,7 +39,7 @@
 
 func newLoadProber(d *daemon) *loadProber {
 	return &loadProber{
-		client:  newProbeClient(maxProbeConnections, probeIdle),
+		client:  &http.Client{Transport: d.path.transport, CheckRedirect: noRedirect},
 		dialect: d.path.dialect, clock: d.clock, counters: d.counters, muted: map[string]time.Duration{},
 		healthPath: func(service string) string {
 			if t := d.lease.Current().catalogue.routes; t != nil && t.Services[service] != nil {
@@ -105,7 +103,7 @@
 
 // probe asks one server and reports whether it told its load.
 func (p *loadProber) probe(service, path string, t balance.ProbeTarget) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), loadProbeTimeout)
+	ctx, cancel := context.WithTimeout(withProbe(context.Background()), loadProbeTimeout)
 	defer cancel()
 	sent := p.clock.now()
 	p.counters.Total("probes").Inc(1)
--- /dev/null
+++ b/gateway/loadprobe_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"heatherwall.example/balance"
+	"heatherwall.example/telemetry"
+)
+
+// loadServer tells an idle load on every path and counts the connections that it accepts.
+func loadServer(t *testing.T) (address string, connections *atomic.Int32) {
+	connections = &atomic.Int32{}
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(headerLoad, "0/2") }))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String(), connections
+}
+
+// newTestProber probes over the connections of a transport to backend servers.
+func newTestProber(t *testing.T) *loadProber {
+	transport := newTransport(smallBuffers)
+	t.Cleanup(transport.CloseIdleConnections)
+	return &loadProber{
+		client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, dialect: nativeDialect, clock: newClock(),
+		healthPath: func(string) string { return "/healthz" }, counters: telemetry.NewCounters(), muted: map[string]time.Duration{},
+	}
+}
+
+// oneServer is an engine that knows one server of the service "labels".
+func oneServer(p *loadProber, address string) *balance.Engine {
+	e := balance.New(balance.Config{Region: "north", FailureDomain: "north-a", EvidenceLifetime: noExpiry})
+	e.Apply(balance.ServerChanged{Server: balance.Server{Address: address, Service: "labels", Region: "north", FailureDomain: "north-a", Slots: 2, Evidence: p.clock.now()}})
+	return e
+}
+
+// Guards against a connection for the request beside the one that its probe has just used: a server that forgets idle
+// connections resets the request, which may then have run.
+func TestRequestUsesTheConnectionOfItsProbe(t *testing.T) {
+	address, connections := loadServer(t)
+	p := newTestProber(t)
+	q := &balance.Query{Now: p.clock.now(), Service: "labels", AnyRegion: true}
+	p.ask(t.Context(), oneServer(p, address).Current(), q)
+	ctx := withGate(context.Background(), &sendGate{check: func() error { return nil }})
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/x", nil)
+	must(t, err)
+	answer, err := p.client.Transport.RoundTrip(r)
+	must(t, err)
+	_ = answer.Body.Close()
+	if n := connections.Load(); n != 1 || !q.Probed {
+		t.Errorf("%d connections for a probe and a request, probed %t; want 1", n, q.Probed)
+	}
+}
+
+// Guards against a probe that fails because the server has closed the idle connection it was sent on.
+func TestProbeOpensAnotherConnection(t *testing.T) {
+	address, connections := loadServer(t)
+	p := newTestProber(t)
+	target := oneServer(p, address).Current().ProbeTargets(&balance.Query{Now: p.clock.now(), Service: "labels", AnyRegion: true}, false)
+	if !p.probe("labels", "/healthz", target[0]) {
+		t.Fatal("the first probe failed")
+	}
+	gate := &sendGate{check: func() error { return nil }, repeatable: true}
+	stale, fresh := newBackendConn(nil), newBackendConn(nil)
+	if gate.enter(stale) != nil || gate.enter(fresh) != nil {
+		t.Error("a probe may not be written to another connection")
+	}
+	if !p.probe("labels", "/healthz", target[0]) || connections.Load() != 1 {
+		t.Errorf("the second probe opened connection %d", connections.Load())
+	}
+}
--- a/gateway/probeclient.go
+++ b/gateway/probeclient.go
@@ -13,9 +13,12 @@
 // newProbeClient returns a client for probes, with connections of its own so that probes do not wait behind requests.
 func newProbeClient(connectionsPerServer int, idle time.Duration) *http.Client {
 	transport := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: connectionsPerServer, IdleConnTimeout: idle, DisableCompression: true}
-	return &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
 }
 
+// noRedirect takes a redirection for the answer to a probe.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // getProbe sends a probe and returns its answer, whose body has been read so that the connection can be used again.
 func getProbe(ctx context.Context, client *http.Client, address, path string) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
