--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -20,6 +20,11 @@
 	loadProbeTimeout = 300 * time.Millisecond
 	// mutePause is how long a service whose answers tell no load is not asked.
 	mutePause = 10 * time.Second
+	// probeRounds is the number of selections of a gateway that probe at the same time. A small instance answers fewer
+	// probes within their patience than a crowd of requests sends; those that wait find the readings of the others.
+	probeRounds = 4
+	// roundWait is how long a selection waits for others that probe; it then does without.
+	roundWait = 100 * time.Millisecond
 	// maxProbeConnections is the number of connections to one server that probes use while requests use the others.
 	maxProbeConnections = 2
 )
@@ -33,6 +38,9 @@
 	healthPath func(service string) string
 	counters   *telemetry.Counters
 
+	// rounds bounds the selections that probe at the same time.
+	rounds chan struct{}
+
 	mu    sync.Mutex
 	muted map[string]time.Duration // by service: not to be asked before
 }
@@ -40,7 +48,7 @@
 func newLoadProber(d *daemon) *loadProber {
 	return &loadProber{
 		client:  &http.Client{Transport: d.path.transport, CheckRedirect: noRedirect},
-		dialect: d.path.dialect, clock: d.clock, counters: d.counters, muted: map[string]time.Duration{},
+		dialect: d.path.dialect, clock: d.clock, counters: d.counters, rounds: make(chan struct{}, probeRounds), muted: map[string]time.Duration{},
 		healthPath: func(service string) string {
 			if t := d.lease.Current().catalogue.routes; t != nil && t.Services[service] != nil {
 				return t.Services[service].HealthPath
@@ -57,6 +65,11 @@
 		return
 	}
 	q.Probed = true
+	if !p.enter(ctx) {
+		return
+	}
+	defer func() { <-p.rounds }()
+	q.Now = p.clock.now()
 	p.askAll(ctx, q.Service, path, s.ProbeTargets(q, false))
 	if q.Now = p.clock.now(); s.HasIdle(q) {
 		return
@@ -64,6 +77,18 @@
 	p.askAll(ctx, q.Service, path, s.ProbeTargets(q, true))
 }
 
+// enter waits for the right to probe. It reports false if that takes too long or ctx ends.
+func (p *loadProber) enter(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, roundWait)
+	defer cancel()
+	select {
+	case p.rounds <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // askAll probes servers and waits a moment for their answers.
 func (p *loadProber) askAll(ctx context.Context, service, path string, targets []balance.ProbeTarget) {
 	if len(targets) == 0 {
--- a/gateway/loadprobe_test.go
+++ b/gateway/loadprobe_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"heatherwall.example/balance"
@@ -33,7 +34,7 @@
 	t.Cleanup(transport.CloseIdleConnections)
 	return &loadProber{
 		client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, dialect: nativeDialect, clock: newClock(),
-		healthPath: func(string) string { return "/healthz" }, counters: telemetry.NewCounters(), muted: map[string]time.Duration{},
+		healthPath: func(string) string { return "/healthz" }, counters: telemetry.NewCounters(), rounds: make(chan struct{}, probeRounds), muted: map[string]time.Duration{},
 	}
 }
 
@@ -79,3 +80,24 @@
 		t.Errorf("the second probe opened connection %d", connections.Load())
 	}
 }
+
+// Guards against a crowd of requests whose probes crowd out each other's answers, and against requests that wait for ever
+// for those before them.
+func TestSelectionsThatProbeAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &loadProber{rounds: make(chan struct{}, probeRounds)}
+		for range probeRounds {
+			if !p.enter(t.Context()) {
+				t.Fatal("a selection within the bound had to wait")
+			}
+		}
+		began := time.Now()
+		if p.enter(t.Context()) || time.Since(began) != roundWait {
+			t.Errorf("one selection too many was admitted, or waited %s", time.Since(began))
+		}
+		time.AfterFunc(roundWait/2, func() { <-p.rounds })
+		if !p.enter(t.Context()) {
+			t.Error("a selection was not admitted when another had ended")
+		}
+	})
+}
