Place requests that are bound to other regions by the answers to their probes

At a gateway without a permitted server in its region, a selection looked at four random servers whether or not they had answered, and a server that was not asked looks better than a busy one.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -129,16 +129,18 @@
 	return len(v.tiers[tierDomain])+len(v.tiers[tierRegion]) > 0
 }
 
-// sample compares up to sampleSize eligible candidates, found from a random position on with a random stride.
+// sample compares eligible candidates from a random position on: up to sampleSize of them or, where the query asks for
+// servers that answered a probe, all of those.
 func (s *Snapshot) sample(v *serviceView, list []candidate, q *Query, cost float64, best *choice) {
 	n := uint64(len(list))
 	if n == 0 {
 		return
 	}
 	i := mix(q.Random, n) % n
+	readOnly := q.Probed && !(list[0].tier == tierOther && best.candidate != nil)
 	found := 0
 	for scanned := range n {
-		if scanned >= scanSize && found > 0 {
+		if scanned >= scanSize && found > 0 && !readOnly {
 			return
 		}
 		c := &list[i]
@@ -146,7 +148,7 @@
 		if i == n {
 			i = 0
 		}
-		if q.Probed && c.tier != tierOther && !c.load.isRead(q.Now) {
+		if readOnly && !c.load.isRead(q.Now) {
 			continue
 		}
 		switch s.judge(v, c, q) {
@@ -160,7 +162,7 @@
 		if best.candidate == nil || wait < best.wait {
 			best.candidate, best.wait = c, wait
 		}
-		if found++; found == sampleSize {
+		if found++; found == sampleSize && !readOnly {
 			return
 		}
 	}
--- a/balance/reading.go
+++ b/balance/reading.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A reading is what a server tells about itself in the answer to a probe. It answers noisy neighbours, which shift within
 // milliseconds: a gateway that sends a few requests per second to each server learns nothing of them from its answers.
@@ -71,7 +74,7 @@
 	seen := s.addTargets(v, tierDomain, q, ownDomain, &list)
 	seen += s.addTargets(v, tierRegion, q, most-seen, &list)
 	if seen == 0 {
-		s.addTargets(v, tierOther, q, maxProbes, &list)
+		s.addTargets(v, tierOther, q, most, &list)
 	}
 	return list
 }
@@ -97,27 +100,40 @@
 	return found
 }
 
-// HasIdle tells whether a server of the region that answered a moment ago has room and is undisturbed.
+// HasIdle tells whether a server that answered a moment ago has room and is undisturbed. It looks at the region, and at
+// other regions only where the region has no server for the request.
 func (s *Snapshot) HasIdle(q *Query) bool {
 	v := s.services[q.Service]
 	if v == nil {
 		return false
 	}
-	for _, tier := range []int{tierDomain, tierRegion} {
-		for i := range v.tiers[tier] {
-			c := &v.tiers[tier][i]
-			if !c.load.isRead(q.Now) || s.judge(v, c, q) != verdictYes {
-				continue
-			}
-			total := s.total(v, c, q.Now, c.load.inFlight.Load())
-			if total+1 <= nearlyFull*float64(c.slots) && c.load.currentSlowness(q.Now) < quietSlowness {
-				return true
-			}
+	if s.anyIdle(v, tierDomain, q) || s.anyIdle(v, tierRegion, q) {
+		return true
+	}
+	if s.anyPermitted(v, tierDomain, q) || s.anyPermitted(v, tierRegion, q) {
+		return false
+	}
+	return s.anyIdle(v, tierOther, q)
+}
+
+func (s *Snapshot) anyIdle(v *serviceView, tier int, q *Query) bool {
+	for i := range v.tiers[tier] {
+		c := &v.tiers[tier][i]
+		if !c.load.isRead(q.Now) || s.judge(v, c, q) != verdictYes {
+			continue
+		}
+		total := s.total(v, c, q.Now, c.load.inFlight.Load())
+		if total+1 <= nearlyFull*float64(c.slots) && c.load.currentSlowness(q.Now) < quietSlowness {
+			return true
 		}
 	}
 	return false
 }
 
+func (s *Snapshot) anyPermitted(v *serviceView, tier int, q *Query) bool {
+	return slices.ContainsFunc(v.tiers[tier], func(c candidate) bool { return s.permitted(&c, q) })
+}
+
 // isRead tells whether the server answered a probe a moment ago.
 func (l *serverLoad) isRead(now time.Duration) bool {
 	at := l.readAt.load()
--- a/balance/reading_test.go
+++ b/balance/reading_test.go
@@ -91,3 +91,58 @@
 		t.Errorf("a warm server was refused: %v", refusal)
 	}
 }
+
+// farServers is an engine in region "r" whose service has servers in region "far" only.
+func farServers(n int) *Engine {
+	e := New(Config{Region: "r", FailureDomain: "d", EvidenceLifetime: time.Hour})
+	for i := range n {
+		e.Apply(ServerChanged{Server: Server{Address: fmt.Sprintf("10.0.0.%d:80", i), ID: fmt.Sprint(i), Service: "s", Region: "far", FailureDomain: "f", Slots: 2}})
+	}
+	return e
+}
+
+// Guards against requests bound to other regions that are placed without regard to the servers that were asked: with 60
+// servers, a random one of those that were not asked looked better than a busy one that was.
+func TestRequestsBoundElsewhereFollowReadings(t *testing.T) {
+	e := farServers(60)
+	now := time.Second
+	for round := range 200 {
+		now += 100 * time.Millisecond
+		e.Tick(now)
+		q := Query{Now: now, Service: "s", Regions: []string{"far"}, Random: uint64(round) * 0x9e3779b97f4a7c15, Probed: true}
+		targets := e.Current().ProbeTargets(&q, false)
+		if len(targets) != maxProbes {
+			t.Fatalf("%d servers to ask; want %d", len(targets), maxProbes)
+		}
+		for _, target := range targets {
+			target.Observe(Reading{At: now, InFlight: 2, Slowness: 3})
+		}
+		if e.Current().HasIdle(&q) {
+			t.Fatal("busy servers count as idle")
+		}
+		more := e.Current().ProbeTargets(&q, true)
+		if len(more) != moreProbes-maxProbes {
+			t.Fatalf("%d more servers to ask; want %d", len(more), moreProbes-maxProbes)
+		}
+		for _, target := range more[1:] {
+			target.Observe(Reading{At: now, InFlight: 2, Slowness: 3})
+		}
+		more[0].Observe(Reading{At: now, Slowness: 1})
+		if !e.Current().HasIdle(&q) {
+			t.Error("the idle server does not count as idle")
+		}
+		a, refusal := e.Current().Pick(q)
+		if refusal.Refused() || a.Address != more[0].Address {
+			t.Fatalf("picked %q, refusal %v; want the idle server %s", a.Address, refusal, more[0].Address)
+		}
+		a.Done(Outcome{Kind: OutcomeOK, Latency: 200 * time.Millisecond})
+	}
+}
+
+// Guards against requests bound to other regions that nobody serves while no server there has answered.
+func TestRequestsBoundElsewhereWithoutReadings(t *testing.T) {
+	q := Query{Now: time.Second, Service: "s", Regions: []string{"far"}, Probed: true}
+	if _, refusal := farServers(3).Current().Pick(q); refusal.Refused() {
+		t.Errorf("refused: %v", refusal)
+	}
+}
