--- a/balance/config.go
+++ b/balance/config.go
@@ -30,6 +30,8 @@
 	NoRetryBudget bool
 	// NoHedging refuses every hedge.
 	NoHedging bool
+	// NoYield lets requests that are late take any slot.
+	NoYield bool
 	// NoGradualReturn gives a server that returns its full share at once.
 	NoGradualReturn bool
 }
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -42,35 +42,38 @@
 		s.refund(v, &q)
 		return Attempt{}, refusal(r)
 	}
-	c, cold, reason := s.find(v, &q)
-	if reason != ReasonNone {
+	c, cold, refused := s.find(v, &q)
+	if refused.Refused() {
 		s.release(v, m)
 		s.refund(v, &q)
-		return Attempt{}, refusal(reason)
+		return Attempt{}, refused
 	}
 	return s.start(v, m, c, cold, &q), Refusal{}
 }
 
 // find chooses a server and reserves a place there.
-func (s *Snapshot) find(v *serviceView, q *Query) (*candidate, bool, Reason) {
+func (s *Snapshot) find(v *serviceView, q *Query) (*candidate, bool, Refusal) {
 	for range reserveTries {
 		best := s.choose(v, q)
 		if best.candidate == nil {
 			if best.busy {
-				return nil, false, ReasonOverloaded
+				return nil, false, refusal(ReasonOverloaded)
 			}
-			return nil, false, ReasonNoServer
+			return nil, false, refusal(ReasonNoServer)
 		}
 		if q.Remaining > 0 && best.wait > hopelessFactor*float64(q.Remaining) {
-			return nil, false, ReasonDeadline
+			return nil, false, refusal(ReasonDeadline)
+		}
+		if y, yields := s.yields(v, q, &best); yields {
+			return nil, false, Refusal{Reason: ReasonYield, RetryAfter: refuseRetryAfter, Yield: y}
 		}
 		cold := s.isCold(best.candidate, q.Now)
 		if s.take(best.candidate, cold, q.Now) {
-			return best.candidate, cold, ReasonNone
+			return best.candidate, cold, Refusal{}
 		}
 		q.Random = mix(q.Random, 1)
 	}
-	return nil, false, ReasonOverloaded
+	return nil, false, refusal(ReasonOverloaded)
 }
 
 // take reserves a place at a server and, while it is cold, its next turn.
--- a/balance/query.go
+++ b/balance/query.go
@@ -34,6 +34,10 @@
 	Idempotent bool
 	// Remaining is the time left to the deadline; 0 means no deadline.
 	Remaining time.Duration
+	// Target is the time left in which an answer is of full use; negative when it has passed, 0 for none.
+	Target time.Duration
+	// Late requests are past their target whatever Target says: they have waited, or their caller has tried before.
+	Late bool
 	// Random is a uniformly distributed 64-bit value.
 	Random uint64
 	Kind   AttemptKind
@@ -60,6 +64,9 @@
 	ReasonBudget
 	// ReasonDeadline: the remaining time is shorter than any answer can take.
 	ReasonDeadline
+	// ReasonYield: no server can answer in time, and the free slots are left to requests that can be answered in time.
+	// The request may wait and be picked for again.
+	ReasonYield
 )
 
 // String returns the reason's name as counters use it.
@@ -79,6 +86,8 @@
 		return "budget"
 	case ReasonDeadline:
 		return "deadline_too_short"
+	case ReasonYield:
+		return "yield"
 	}
 	return "unknown"
 }
@@ -88,6 +97,8 @@
 	Reason Reason
 	// RetryAfter suggests when a caller may try again.
 	RetryAfter time.Duration
+	// Yield is set for ReasonYield.
+	Yield Yield
 }
 
 // Refused reports whether Pick refused.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -43,7 +43,11 @@
 	rule      *document.Rule
 	placement document.Placement
 
-	deadline    time.Time
+	deadline time.Time
+	// patience is how long the caller waits, as it says, from the arrival of the request.
+	patience time.Duration
+	// returning tells that the caller seems to have tried before.
+	returning   bool
 	depth       int
 	retriesLeft int
 	requestID   string
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -32,5 +32,6 @@
 	eventPoisonMarked    = telemetry.Define(2050, "poison_marked", telemetry.Warn, "A request was in flight on two connections that broke; it is refused for 60 s.")
 	eventAttemptEnded    = telemetry.Define(2070, "attempt_ended", telemetry.Info, "A request was sent to a backend server; the evidence of its selection and the outcome are in the fields.")
 	eventRequestRefused  = telemetry.Define(2071, "request_refused", telemetry.Info, "A request was refused; reason, configuration and age of the lease are in the fields.")
+	eventRequestYielded  = telemetry.Define(2072, "request_yielded", telemetry.Info, "No server can answer the request in time; it waits while the free ones are left to requests that can be answered in time.")
 	eventAnswerAborted   = telemetry.Define(2060, "answer_aborted", telemetry.Warn, "A backend server's answer ended early; the caller's connection was aborted.")
 )
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -30,6 +30,10 @@
 	// tried lists addresses that this request has been sent to.
 	tried    []string
 	deadline time.Duration // on the monotonic clock
+	// target is when the answer stops being of full use, on the monotonic clock; 0 for none.
+	target time.Duration
+	// late is set when the request yields to others: it has waited, or its caller has tried before.
+	late bool
 	// hedge is set for a second attempt in parallel, retry for one after a failure.
 	hedge bool
 	retry bool
--- a/gateway/reason.go
+++ b/gateway/reason.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"heatherwall.example/balance"
 )
 
 // Ran tells whether a refused request was run by a backend server.
@@ -94,6 +96,8 @@
 	Regions []string
 	// RetryAfter is rounded up to seconds unless the dialect permits fractions; 0 leaves the header out.
 	RetryAfter time.Duration
+	// yield is set when the request makes way for others; it may wait and be picked for again.
+	yield *balance.Yield
 	// closeConnection is set when the body must stay unread.
 	closeConnection bool
 }
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -29,7 +29,7 @@
 		telemetry.F("server", a.target.id), telemetry.F("address", a.target.address), telemetry.F("failure_domain", a.target.domain),
 		telemetry.F("cold", a.target.cold), telemetry.F("load", a.target.evidence.Load), telemetry.F("slowness", a.target.evidence.Slowness),
 		telemetry.F("reading_age", a.target.evidence.ReadingAge), telemetry.F("result", a.result.kind.String()), telemetry.F("status", status),
-		telemetry.F("latency", a.result.latency), telemetry.F("left", time.Until(c.deadline)), telemetry.FErr(a.err))
+		telemetry.F("latency", a.result.latency), telemetry.F("patience", c.patience), telemetry.F("left", time.Until(c.deadline)), telemetry.FErr(a.err))
 }
 
 // logRefusal writes why a request is refused.
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -53,6 +53,7 @@
 	inFlight atomic.Int64
 	byDomain domainCounts
 	load     loadMeter
+	patience patienceMeter
 	bodies   bodyBudget
 	// background counts work that outlives its handler: losing attempts and outcomes of claims.
 	background sync.WaitGroup
--- a/gateway/routing.go
+++ b/gateway/routing.go
@@ -45,6 +45,8 @@
 	if limit < minDeadline {
 		return refuse(DeadlineTooShort, "the remaining time is too short for any backend server")
 	}
+	c.patience = time.Duration(remaining) * time.Millisecond
+	c.returning = p.patience.isReturning(c.lease.catalogue.routes, c.route, c.patience)
 	c.retriesLeft, c.deadline = c.route.MaxAttempts-1, time.Now().Add(limit)
 	return nil
 }
--- a/gateway/selector.go
+++ b/gateway/selector.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -66,7 +67,10 @@
 func (e *engineSelector) query(q *query, now time.Duration) balance.Query {
 	query := balance.Query{
 		Now: now, Service: q.service, Member: q.member, Regions: q.regions, AnyRegion: q.allRegions,
-		Idempotent: q.idempotent, Remaining: max(q.deadline-now, 1), Random: rand.Uint64(), Kind: attemptKind(q),
+		Idempotent: q.idempotent, Late: q.late, Remaining: max(q.deadline-now, 1), Random: rand.Uint64(), Kind: attemptKind(q),
+	}
+	if q.target != 0 {
+		query.Target = cmp.Or(q.target-now, -1)
 	}
 	last := q.tried[max(0, len(q.tried)-balance.MaxExcluded):]
 	copy(query.Excluded[:], last)
@@ -98,6 +102,10 @@
 		return refuse(LimitMember, "the member is at its limit at this gateway").after(r.RetryAfter)
 	case balance.ReasonDeadline:
 		return refuse(DeadlineTooShort, "the remaining time is shorter than any answer takes")
+	case balance.ReasonYield:
+		refusal := refuse(Overloaded, "no server can answer in time, and the free ones are left to requests that can be").after(r.RetryAfter)
+		refusal.yield = &r.Yield
+		return refusal
 	case balance.ReasonBudget:
 		return refuse(Overloaded, "the budget of further attempts is spent").after(retrySoon)
 	}
