Fetch the first catalogue from a nearby replica and take it as a whole

All 117 gateways fetched the catalogue from the three seeds (11 replicas are there), and moved to a nearer replica afterwards.

--- a/balance/engine.go
+++ b/balance/engine.go
@@ -66,6 +66,24 @@
 
 // Apply takes an event. Events that change the structure publish a new snapshot.
 func (e *Engine) Apply(ev Event) {
+	if e.take(ev) {
+		e.publish()
+	}
+}
+
+// ApplyAll takes several events and publishes one snapshot, because each costs a look at every server.
+func (e *Engine) ApplyAll(events []Event) {
+	changed := false
+	for _, ev := range events {
+		changed = e.take(ev) || changed
+	}
+	if changed {
+		e.publish()
+	}
+}
+
+// take reports whether the event changes the structure.
+func (e *Engine) take(ev Event) bool {
 	switch ev := ev.(type) {
 	case ServerChanged:
 		e.change(ev.Server)
@@ -75,18 +93,18 @@
 		e.configure(ev)
 	case EvidenceSeen:
 		e.seen(ev)
-		return
+		return false
 	case SendRightRenewed:
 		e.renewed(ev)
-		return
+		return false
 	case StateReported:
 		e.stateReported(ev)
-		return
+		return false
 	case Ticked:
 		e.Tick(ev.Now)
-		return
+		return false
 	}
-	e.publish()
+	return true
 }
 
 // change keeps the load of a server unless its incarnation rises. What answers reported is valid until the server
--- a/control/watch.go
+++ b/control/watch.go
@@ -63,6 +63,9 @@
 		}
 		if first {
 			w.catalogue = request.GetCatalogueIndex()
+			if err := w.tellReplicas(ctx); err != nil {
+				return err
+			}
 		}
 		if err := w.answer(ctx, request); err != nil {
 			return err
@@ -70,6 +73,21 @@
 	}
 }
 
+// tellReplicas sends the members of the group to a gateway that has no catalogue yet, before anything is confirmed. It may
+// then fetch the catalogue from a replica nearby; only the seeds are asked otherwise when all gateways start together.
+func (w *watcher) tellReplicas(ctx context.Context) error {
+	if w.catalogue != 0 || w.r.settings.Discovery == nil {
+		return nil
+	}
+	members, err := call(ctx, w.r.loop, func(finish func([]*raftpb.Member, error)) { finish(w.newReplicas(), nil) })
+	if err != nil || len(members) == 0 {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stream.Send(&controlpb.RenewAnswer{Replicas: members})
+}
+
 func (w *watcher) answer(ctx context.Context, request *controlpb.RenewRequest) error {
 	if request.GetGateway().GetName() != w.name {
 		err := &IdentityError{Certificate: w.name, Expected: request.GetGateway().GetName()}
--- a/gateway/backends.go
+++ b/gateway/backends.go
@@ -34,7 +34,9 @@
 	stopped  chan struct{}
 
 	// The fields below belong to the owner goroutine.
-	records  map[string]*backendRecord
+	records map[string]*backendRecord
+	// pending holds the events of one turn, which the engine takes together.
+	pending  []balance.Event
 	view     catalogueView
 	gateways []*controlpb.GatewayStatus
 }
@@ -79,14 +81,25 @@
 		regroup := gatewayNames(b.gateways, b.region) != gatewayNames(l.gateways, b.region)
 		reroute := b.view.routes != l.catalogue.routes
 		b.view, b.gateways = l.catalogue, l.gateways
-		b.engine.Apply(balance.Configured{DomainsOut: l.catalogue.domainsOut, RetryBurst: retryBurst(b.retry, len(b.gateways))})
+		b.pending = append(b.pending, balance.Configured{DomainsOut: l.catalogue.domainsOut, RetryBurst: retryBurst(b.retry, len(b.gateways))})
 		b.removeGone()
+		first := len(b.records) == 0
 		for id, s := range b.view.servers {
-			b.update(now, id, s, regroup || reroute)
+			b.update(now, id, s, regroup || reroute, first)
 		}
+		if first && len(b.records) > 0 {
+			b.log.Log(eventBackendsLoaded, telemetry.F("servers", len(b.records)), telemetry.F("index", b.view.index))
+		}
+		b.flush()
 	})
 }
 
+// flush hands the events of a turn to the engine.
+func (b *backends) flush() {
+	b.engine.ApplyAll(b.pending)
+	b.pending = b.pending[:0]
+}
+
 func gatewayNames(list []*controlpb.GatewayStatus, region string) string {
 	names := ""
 	for _, g := range list {
@@ -105,13 +118,14 @@
 			continue
 		}
 		delete(b.records, id)
-		b.engine.Apply(balance.ServerRemoved{Address: r.server.GetAddress()})
+		b.pending = append(b.pending, balance.ServerRemoved{Address: r.server.GetAddress()})
 		b.log.Log(eventBackendGone, telemetry.F("server", id), telemetry.F("service", r.server.GetService()), telemetry.F("index", b.view.index))
 	}
 }
 
-// update passes a record on to the engine if it is new, or if the limits of a cold start may have changed.
-func (b *backends) update(now time.Duration, id string, s *controlpb.BackendServer, relimit bool) {
+// update passes a record on to the engine if it is new, or if the limits of a cold start may have changed. The first
+// catalogue after a start has one log line for all its servers.
+func (b *backends) update(now time.Duration, id string, s *controlpb.BackendServer, relimit, first bool) {
 	r := b.records[id]
 	if r != nil && r.server.GetChanged() == s.GetChanged() && !(relimit && r.coldUntil > 0) {
 		return
@@ -125,13 +139,19 @@
 		if s.GetColdMs() > 0 {
 			r.coldUntil = now + time.Duration(s.GetColdMs())*time.Millisecond + coldMargin
 		}
-		b.log.Log(eventBackendChanged, telemetry.F("server", id), telemetry.F("service", s.GetService()), telemetry.F("address", s.GetAddress()),
-			telemetry.F("state", s.GetState().String()), telemetry.F("cold_ms", int(s.GetColdMs())), telemetry.F("index", b.view.index))
+		if !first {
+			b.logChange(s)
+		}
 	}
 	r.server = s
 	b.apply(now, r)
 }
 
+func (b *backends) logChange(s *controlpb.BackendServer) {
+	b.log.Log(eventBackendChanged, telemetry.F("server", s.GetId()), telemetry.F("service", s.GetService()), telemetry.F("address", s.GetAddress()),
+		telemetry.F("state", s.GetState().String()), telemetry.F("cold_ms", int(s.GetColdMs())), telemetry.F("index", b.view.index))
+}
+
 func (b *backends) apply(now time.Duration, r *backendRecord) {
 	s := r.server
 	server := balance.Server{
@@ -147,7 +167,7 @@
 		server.SendUntil = r.coldUntil
 		server.ColdInterval, server.Owned = b.coldShare(s)
 	}
-	b.engine.Apply(balance.ServerChanged{Server: server})
+	b.pending = append(b.pending, balance.ServerChanged{Server: server})
 }
 
 // connectionShare is this gateway's part of the connections that a server accepts from all gateways, without those for
@@ -187,6 +207,7 @@
 			b.apply(now, r)
 		}
 	}
+	b.flush()
 	b.engine.Tick(now)
 	for _, n := range b.engine.Notices() {
 		b.notice(n)
--- a/gateway/backends_test.go
+++ b/gateway/backends_test.go
@@ -1,9 +1,18 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
+	"fmt"
+	"maps"
+	"strings"
 	"testing"
+	"time"
 
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/balance"
 	"heatherwall.example/settings"
+	"heatherwall.example/telemetry"
 )
 
 // Guards against gateways that together save more retries than the budget holds. Where there are more gateways than
@@ -18,3 +27,34 @@
 		}
 	}
 }
+
+// Guards against a snapshot for each server of a catalogue, which takes a small instance a tenth of a second, and against
+// a log line for each.
+func TestFirstCatalogueIsTakenAsAWhole(t *testing.T) {
+	var lines bytes.Buffer
+	b := &backends{name: "gw-1", region: "north", engine: balance.New(balance.Config{Region: "north", FailureDomain: "north-a"}),
+		log: telemetry.NewLogger(&lines, telemetry.Info), counters: telemetry.NewCounters(),
+		commands: make(chan func(time.Duration)), stopped: make(chan struct{}), records: map[string]*backendRecord{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	go b.run(ctx)
+	defer func() { cancel(); <-b.stopped }()
+	servers := map[string]*controlpb.BackendServer{}
+	for i := range 400 {
+		id := fmt.Sprint("server-", i)
+		servers[id] = &controlpb.BackendServer{Id: id, Address: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), Service: "s", Region: "north", FailureDomain: "north-a", Slots: 2, Changed: 1}
+	}
+	b.configure(&lease{catalogue: catalogueView{index: 1, servers: servers}})
+	if n := len(b.engine.Current().ProbeTargets(&balance.Query{Now: time.Second, Service: "s", AnyRegion: true}, true)); n == 0 {
+		t.Error("the engine knows no server")
+	}
+	if n := strings.Count(lines.String(), "\n"); n != 1 || !strings.Contains(lines.String(), `"servers":400`) {
+		t.Errorf("%d lines for the first catalogue; want one that counts the servers", n)
+	}
+	next := maps.Clone(servers)
+	delete(next, "server-0")
+	next["server-1"] = &controlpb.BackendServer{Id: "server-1", Address: "10.0.0.1:80", Service: "s", State: controlpb.BackendState_BACKEND_DRAINING, Changed: 2}
+	b.configure(&lease{catalogue: catalogueView{index: 2, servers: next}})
+	if n := strings.Count(lines.String(), "\n"); n != 3 {
+		t.Errorf("%d lines after a server left and one changed; want 3", n)
+	}
+}
--- a/gateway/catalogue_test.go
+++ b/gateway/catalogue_test.go
@@ -106,3 +106,35 @@
 		t.Error("a gateway leaves the nearest replica")
 	}
 }
+
+// Guards against gateways that all fetch the whole catalogue from the few seeds when they start together, although each
+// has a replica nearby.
+func TestGatewayWithoutCatalogueGoesToANearerReplica(t *testing.T) {
+	c := newTestLease(t)
+	c.replicas = &replicaList{region: "north", domain: "north-a", seeds: []string{"far:1"}}
+	s := &leaseSession{client: c, peer: replicaAt("far:1"), sent: map[uint64]time.Duration{}}
+	members := []*raftpb.Member{
+		{Name: "b", Address: "far:1", Region: "south", FailureDomain: "south-a"},
+		{Name: "a", Address: "own:1", Region: "north", FailureDomain: "north-a"},
+	}
+	var nearer *NearerReplicaError
+	if _, err := s.answer(t.Context(), &controlpb.RenewAnswer{Replicas: members}); !errors.As(err, &nearer) {
+		t.Errorf("%v; want to go to the replica of the own failure domain", err)
+	}
+	if got := c.replicas.next(time.Now()).Address; got != "own:1" {
+		t.Errorf("next %s; want own:1", got)
+	}
+	if c.Current().configured() {
+		t.Error("a list of replicas counts as a configuration")
+	}
+	own := &leaseSession{client: c, peer: replicaAt("own:1"), sent: map[uint64]time.Duration{}}
+	if _, err := own.answer(t.Context(), &controlpb.RenewAnswer{Replicas: members}); err != nil {
+		t.Errorf("%v; want to stay at the nearest replica", err)
+	}
+	if _, err := c.accept(catalogueAnswer(0, 1, routeTable(1)), time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.answer(t.Context(), &controlpb.RenewAnswer{Replicas: members}); err != nil {
+		t.Errorf("%v; want a gateway that serves to move between two renewals only", err)
+	}
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -25,6 +25,7 @@
 	eventRoutesInUse     = telemetry.Define(2018, "routes_in_use", telemetry.Info, "A new version of the route table is in use.")
 	eventBackendChanged  = telemetry.Define(2026, "backend_changed", telemetry.Info, "The catalogue has a new record of a backend server.")
 	eventBackendGone     = telemetry.Define(2027, "backend_gone", telemetry.Info, "A backend server is no longer in the catalogue and gets no more requests.")
+	eventBackendsLoaded  = telemetry.Define(2028, "backends_loaded", telemetry.Info, "The gateway has the first catalogue since its start; the number of backend servers is in the fields.")
 	eventReloaded        = telemetry.Define(2004, "settings_reloaded", telemetry.Info, "The settings file has changed; the addresses of control replicas are in the fields.")
 	eventGossipFailed    = telemetry.Define(2030, "gossip_failed", telemetry.Debug, "An exchange with another gateway failed.")
 	eventClaimFailed     = telemetry.Define(2040, "claim_failed", telemetry.Warn, "No answer to a claim; the request was refused.")
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -138,12 +138,13 @@
 		if ctx.Err() != nil {
 			return
 		}
-		var nearer *NearerReplicaError
-		if !errors.As(err, &nearer) {
-			c.replicas.fail(peer, time.Now())
-		}
 		c.counters.Counter("lease_replica_changes", "replica", peer.Name).Inc(1)
 		c.log.Log(eventReplicaChanged, telemetry.F("replica", peer.Name), telemetry.F("error", err))
+		var nearer *NearerReplicaError
+		if errors.As(err, &nearer) {
+			continue
+		}
+		c.replicas.fail(peer, time.Now())
 		sleep(ctx, replicaBackoff)
 	}
 }
--- a/gateway/leasesession.go
+++ b/gateway/leasesession.go
@@ -126,6 +126,9 @@
 // is of no more use.
 func (s *leaseSession) answer(ctx context.Context, a *controlpb.RenewAnswer) (confirmed bool, err error) {
 	s.client.replicas.setMembers(a.GetReplicas())
+	if a.GetNonce() == 0 && !s.client.Current().configured() && s.client.replicas.hasNearer(s.peer, time.Now()) {
+		return false, &NearerReplicaError{} // the whole catalogue comes from there
+	}
 	if a.GetNonce() == 0 {
 		return false, s.client.acceptPush(a)
 	}
