--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -23,6 +23,8 @@
 	replicaSilence = time.Second
 	// replicaBackoff separates attempts when replicas refuse connections at once.
 	replicaBackoff = 100 * time.Millisecond
+	// expiryPoll is the time between two looks at the lease for the log.
+	expiryPoll = 100 * time.Millisecond
 	// listDelay follows the first confirmation. In this time the control replicas tell each other of new gateways, so the
 	// list in the next answer holds all that started before.
 	listDelay = 300 * time.Millisecond
@@ -152,7 +154,7 @@
 // watchExpiry logs the transitions between a valid and a lost lease.
 func (c *leaseClient) watchExpiry(ctx context.Context) {
 	held := false
-	for sleep(ctx, replicaBackoff) {
+	for sleep(ctx, expiryPoll) {
 		_, valid := c.Valid()
 		if held && !valid {
 			c.log.Log(eventLeaseLost, telemetry.F("revision", c.Current().revision))
--- a/testbed/relay/relay.go
+++ b/testbed/relay/relay.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Direction tells which bytes a relay drops.
@@ -48,6 +49,8 @@
 	identify Identify
 	all      path
 	bytes    atomic.Int64
+	// delay is how long each piece of a stream is held back, in ns.
+	delay atomic.Int64
 
 	mu sync.Mutex
 	// connections holds the open connections with the name of the process that made them.
@@ -120,6 +123,22 @@
 	return nil
 }
 
+// SetDelay holds each piece of every stream back for d from now on.
+func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
+
+// Reset resets all open connections; new ones are not affected.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.connections {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // a failure leaves an ordinary close, which is a fault as well
+		}
+		c.Close()
+		delete(r.connections, c)
+	}
+}
+
 func (d Direction) check() error {
 	switch d {
 	case None, Forward, Backward, Both:
@@ -193,6 +212,9 @@
 		if cut() {
 			n = 0
 		}
+		if d := time.Duration(r.delay.Load()); d > 0 {
+			time.Sleep(d)
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				break
--- a/testbed/relay/relay_test.go
+++ b/testbed/relay/relay_test.go
@@ -122,3 +122,26 @@
 		t.Errorf("expected silence, got %d bytes and %v", n, err)
 	}
 }
+
+// Guards against a reset that leaves connections open or keeps new ones out, and against a delay that is not kept.
+func TestResetAndDelay(t *testing.T) {
+	lines := make(chan string, 4)
+	r, err := Start("127.0.0.1:0", echoServer(t, lines), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.Close() })
+	c := dial(t, r.Address())
+	exchange(t, c, lines)
+	r.Reset()
+	if _, err := c.Read(make([]byte, 1)); err == nil || isTimeout(err) {
+		t.Errorf("%v after a reset; want a broken connection", err)
+	}
+	const delay = 50 * time.Millisecond
+	r.SetDelay(delay)
+	began := time.Now()
+	exchange(t, dial(t, r.Address()), lines)
+	if took := time.Since(began); took < delay {
+		t.Errorf("an exchange took %s with a delay of %s", took, delay)
+	}
+}
