--- a/balance/coldshare.go
+++ b/balance/coldshare.go
@@ -28,7 +28,7 @@
 		return 0, false
 	}
 	ranked := slices.SortedFunc(slices.Values(gateways), func(a, b string) int {
-		if x, y := coldRank(server, a), coldRank(server, b); x != y {
+		if x, y := rank(server, a), rank(server, b); x != y {
 			if x < y {
 				return -1
 			}
@@ -44,7 +44,8 @@
 	return time.Duration(coldSpread * float64(time.Second) / float64(perSecond)), true
 }
 
-func coldRank(server, gateway string) uint64 {
+// rank is a hash of a server and a gateway, by which gateways share servers without talking to each other.
+func rank(server, gateway string) uint64 {
 	h := fnv.New64a()
 	for _, part := range []string{server, gateway} {
 		_, _ = h.Write([]byte(part)) // never fails
--- a/balance/config.go
+++ b/balance/config.go
@@ -38,6 +38,8 @@
 
 // Config is fixed for the life of an Engine. Zero fields take the default named in the comment.
 type Config struct {
+	// Name of the gateway; it decides which servers the gateway asks first.
+	Name          string
 	Region        string
 	FailureDomain string
 	Switches      Switches
--- a/balance/engine.go
+++ b/balance/engine.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"cmp"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -31,6 +33,8 @@
 	load     *serverLoad
 	probed   bool
 	probedAt time.Duration
+	// rank decides how soon this gateway asks the server.
+	rank uint64
 }
 
 // usage tells when a service was last used.
@@ -114,7 +118,7 @@
 	if old != nil && s.Incarnation < old.server.Incarnation {
 		return
 	}
-	r := &record{server: s}
+	r := &record{server: s, rank: rank(s.ID, e.config.Name)}
 	if old != nil && old.server.Incarnation == s.Incarnation {
 		r.load = old.load
 		e.compareAnnouncements(r, old.server)
@@ -217,7 +221,7 @@
 	return e.services[name]
 }
 
-// publish builds a snapshot; servers are in the order of their addresses.
+// publish builds a snapshot.
 func (e *Engine) publish() {
 	s := &Snapshot{config: e.config, services: map[string]*serviceView{}, members: map[string]*memberLoad{}}
 	for name, m := range e.members {
@@ -228,6 +232,9 @@
 		for _, r := range e.byService[name] {
 			e.add(s, r)
 		}
+		if e.config.Name != "" {
+			s.services[name].order()
+		}
 	}
 	e.current.Store(s)
 }
@@ -243,10 +250,18 @@
 	}
 	t := e.tier(r.server)
 	v.tiers[t] = append(v.tiers[t], candidate{
-		server: r.server, load: r.load, slots: slots(r.server), tier: t, cost: e.cost(r.server),
+		server: r.server, load: r.load, slots: slots(r.server), tier: t, cost: e.cost(r.server), rank: r.rank,
 	})
 }
 
+// order puts the servers of each tier in the order in which a gateway prefers to ask them: by a hash, so that each server
+// is preferred by some gateways.
+func (v *serviceView) order() {
+	for _, tier := range v.tiers {
+		slices.SortStableFunc(tier, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
+	}
+}
+
 func slots(s Server) int64 { return int64(max(s.Slots, 1)) }
 
 // cost is the round trip to a server, by its place.
--- a/balance/reading.go
+++ b/balance/reading.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -13,10 +14,13 @@
 	// slownessLife is the age at which half of a server's slowness counts; noise lasts a few hundred milliseconds.
 	slownessLife = 150 * time.Millisecond
 	// ownDomainProbes and maxProbes bound the servers that are asked first for one request, and moreProbes those that are
-	// asked when none of them is idle.
+	// asked beside them when none of them is idle.
 	ownDomainProbes = 2
 	maxProbes       = 3
-	moreProbes      = 8
+	moreProbes      = 5
+	// preferredServers is the number of servers of a tier among which a gateway asks first. Others are asked when none of
+	// those is idle. With more servers than that, a gateway would open a connection for most questions.
+	preferredServers = 8
 	// quietSlowness is the slowness up to which a server counts as undisturbed.
 	quietSlowness = 1.5
 )
@@ -66,38 +70,55 @@
 	if v == nil {
 		return nil
 	}
-	ownDomain, most := ownDomainProbes, maxProbes
+	r := probeRound{ownDomain: ownDomainProbes, most: maxProbes, among: preferredServers}
 	if more {
-		ownDomain, most = moreProbes, moreProbes
+		r = probeRound{ownDomain: moreProbes, most: moreProbes, among: math.MaxInt, onlyNew: true}
 	}
-	var list []ProbeTarget
-	seen := s.addTargets(v, tierDomain, q, ownDomain, &list)
-	seen += s.addTargets(v, tierRegion, q, most-seen, &list)
-	if seen == 0 {
-		s.addTargets(v, tierOther, q, most, &list)
+	if !s.anyPermitted(v, tierDomain, q) && !s.anyPermitted(v, tierRegion, q) {
+		s.addTargets(v, tierOther, q, &r, r.most)
+		return r.targets
 	}
-	return list
+	s.addTargets(v, tierDomain, q, &r, r.ownDomain)
+	s.addTargets(v, tierRegion, q, &r, r.most)
+	return r.targets
 }
 
-// addTargets adds up to n servers of a tier, from a random one on, and returns how many it found, those included that
-// need no probe.
-func (s *Snapshot) addTargets(v *serviceView, tier int, q *Query, n int, list *[]ProbeTarget) int {
+// probeRound is one round of questions before a selection.
+type probeRound struct {
+	// ownDomain and most bound the servers of the own failure domain and all of them.
+	ownDomain, most int
+	// among is the number of servers of a tier that are asked before the others.
+	among int
+	// onlyNew leaves servers that were asked a moment ago out of the count.
+	onlyNew bool
+	found   int
+	targets []ProbeTarget
+}
+
+// addTargets adds servers of a tier, the preferred ones first and from a random one on, until the round has found n.
+func (s *Snapshot) addTargets(v *serviceView, tier int, q *Query, r *probeRound, n int) {
 	candidates := v.tiers[tier]
-	found := 0
+	first := min(r.among, len(candidates))
 	for i := range candidates {
-		if found >= n {
-			break
+		if r.found >= n {
+			return
+		}
+		c := &candidates[i]
+		if i < first {
+			c = &candidates[(mix(q.Random, uint64(tier))+uint64(i))%uint64(first)]
 		}
-		c := &candidates[(mix(q.Random, uint64(tier))+uint64(i))%uint64(len(candidates))]
 		if !s.permitted(c, q) || q.Now < c.load.unreachableUntil.load() {
 			continue
 		}
-		found++
-		if !c.load.isRead(q.Now) {
-			*list = append(*list, ProbeTarget{Address: c.server.Address, ID: c.server.ID, load: c.load})
+		if c.load.isRead(q.Now) {
+			if !r.onlyNew {
+				r.found++
+			}
+			continue
 		}
+		r.found++
+		r.targets = append(r.targets, ProbeTarget{Address: c.server.Address, ID: c.server.ID, load: c.load})
 	}
-	return found
 }
 
 // HasIdle tells whether a server that answered a moment ago has room and is undisturbed. It looks at the region, and at
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -29,6 +29,8 @@
 	tier   int
 	// cost is the round trip to the server's tier.
 	cost time.Duration
+	// rank orders the servers of a tier.
+	rank uint64
 }
 
 // HedgeAfter returns how long to wait for an answer of the service before a hedge is worthwhile; ok is false when too
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -45,7 +45,7 @@
 	s := d.settings
 	limitMemory(s.Catalogue.MemoryMB)
 	engine := balance.New(balance.Config{
-		Region: s.Region, FailureDomain: s.FailureDomain, EvidenceLifetime: noExpiry,
+		Name: s.Name, Region: s.Region, FailureDomain: s.FailureDomain, EvidenceLifetime: noExpiry,
 		RegionCost: s.Catalogue.DomainCost(), SpillCost: s.Catalogue.SpillCost(),
 		RetryShare: s.Catalogue.Retry.Ratio * retryShareUse, RetryBurst: 1,
 		FullFactor: fullFactor,
--- a/routes/table.go
+++ b/routes/table.go
@@ -54,8 +54,6 @@
 	Prefix string
 	// Target is the time within which an answer is of full use; 0 for none.
 	Target time.Duration
-	// Priority is 0 for the most urgent routes.
-	Priority int
 	// MaxAttempts is the largest number of backend servers that one request may be sent to.
 	MaxAttempts int
 	shares      []share
@@ -101,7 +99,7 @@
 func (c *Table) compileRoute(r *controlpb.Route) *Route {
 	compiled := &Route{
 		Name: r.GetName(), Prefix: r.GetPathPrefix(), Target: time.Duration(r.GetLatencyTargetMs()) * time.Millisecond,
-		Priority: int(r.GetPriority()), MaxAttempts: cmp.Or(int(r.GetMaxAttempts()), defaultAttempts),
+		MaxAttempts: cmp.Or(int(r.GetMaxAttempts()), defaultAttempts),
 	}
 	for _, s := range r.GetShares() {
 		if s.GetWeight() == 0 {
