--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -79,6 +79,18 @@
   exec 9<>"/dev/tcp/${1%%:*}/${1##*:}"
 )
 
+# need_free_ports FIRST COUNT: fails at once and names a port that is taken, instead of waiting for processes that cannot
+# listen.
+need_free_ports() {
+  local port
+  for ((port = $1; port < $1 + $2; port++)); do
+    if listens "127.0.0.1:$port" 2>/dev/null; then
+      echo "port $port is taken; a setup of make run or make demo may still run or stop" >&2
+      return 1
+    fi
+  done
+}
+
 # secret DEPLOYMENT NAME prints a development token or credential.
 secret() {
   awk -v name="$2:" '$1 == name { print $2 }' "examples/$1/dev-tokens.yaml"
@@ -91,9 +103,13 @@
 gateway_announce() { echo "127.0.0.1:$(($1 + 7 + 4 * ($2 - 1)))"; }
 gateway_admin() { echo "127.0.0.1:$(($1 + 9 + 4 * ($2 - 1)))"; }
 
+# Ports of three control replicas and two gateways.
+ports_of_system=14
+
 # start_system DEPLOYMENT PORT CONTROL-PLACES GATEWAY-PLACES
 start_system() {
   local name=$1 port=$2 folder=$base/$1 i
+  need_free_ports "$port" "$ports_of_system"
   "$standin" settings -folder "$folder" -first-port "$port" -controls 3 -gateways 2 \
     -control-places "$3" -gateway-places "$4" >"$folder.json"
   # The replica that creates the group asks the others first, so they have to listen.
@@ -132,6 +148,7 @@
 start_servers() {
   local name=$1 system=$2 service=$3 region=$4 domain=$5 port=$6 count=$7 i
   shift 7
+  need_free_ports "$port" "$count"
   for ((i = 0; i < count; i++)); do server_ports+=($((port + i))); done
   start "$name-servers-$service-$domain" "$base/$name/servers-$service-$domain.log" "$standin" serve \
     -service "$service" -region "$region" -failure-domain "$domain" -address "127.0.0.1:$port" -count "$count" \
