Let callers with little patience find an idle server before they wait

cause: reading the change: a caller whose patience is short is taken for one that comes back, and a late request asked three servers only; with half of all slots in use, a third of them would have waited although others were idle change: only a request that already waits asks a few servers; each first look asks as many as other requests do.

--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -58,9 +58,9 @@
 	}
 }
 
-// ask probes the servers that a selection may choose, and waits a moment for their answers. A late request asks the first
-// few only; it can wait, and probes are work for a small instance.
-func (p *loadProber) ask(ctx context.Context, s *balance.Snapshot, q *balance.Query) {
+// ask probes the servers that a selection may choose, and waits a moment for their answers. brief asks the first few only;
+// a request that waits looks again, and probes are work for a small instance.
+func (p *loadProber) ask(ctx context.Context, s *balance.Snapshot, q *balance.Query, brief bool) {
 	path := p.healthPath(q.Service)
 	if path == "" || p.isMuted(q.Service) {
 		return
@@ -72,7 +72,7 @@
 	defer func() { <-p.rounds }()
 	q.Now = p.clock.now()
 	p.askAll(ctx, q.Service, path, s.ProbeTargets(q, false))
-	if q.Now = p.clock.now(); q.Late || s.HasIdle(q) {
+	if q.Now = p.clock.now(); brief || s.HasIdle(q) {
 		return
 	}
 	p.askAll(ctx, q.Service, path, s.ProbeTargets(q, true))
--- a/gateway/loadprobe_test.go
+++ b/gateway/loadprobe_test.go
@@ -51,7 +51,7 @@
 	address, connections := loadServer(t)
 	p := newTestProber(t)
 	q := &balance.Query{Now: p.clock.now(), Service: "labels", AnyRegion: true}
-	p.ask(t.Context(), oneServer(p, address).Current(), q)
+	p.ask(t.Context(), oneServer(p, address).Current(), q, false)
 	ctx := withGate(context.Background(), &sendGate{check: func() error { return nil }})
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/x", nil)
 	must(t, err)
@@ -101,3 +101,34 @@
 		}
 	})
 }
+
+// Guards against callers with little patience who are sent away although a server that was not asked first is idle, and
+// against requests that ask everyone at each look.
+func TestRequestThatWaitsAsksAFewServers(t *testing.T) {
+	p := newTestProber(t)
+	e := balance.New(balance.Config{Name: "gw-1", Region: "north", FailureDomain: "north-a", EvidenceLifetime: noExpiry})
+	asked := &atomic.Int32{}
+	for range 12 {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			asked.Add(1)
+			w.Header().Set(headerLoad, "2/2")
+		}))
+		t.Cleanup(s.Close)
+		e.Apply(balance.ServerChanged{Server: balance.Server{Address: s.Listener.Addr().String(), Service: "labels", Region: "north", FailureDomain: "north-a", Slots: 2}})
+	}
+	first := 0
+	for _, brief := range []bool{true, false} {
+		asked.Store(0)
+		p.ask(t.Context(), e.Current(), &balance.Query{Now: p.clock.now(), Service: "labels", AnyRegion: true, Late: true}, brief)
+		switch n := int(asked.Load()); {
+		case brief:
+			first = n
+		case n <= first:
+			t.Errorf("%d servers asked by a late request that has not waited, %d by one that waits", n, first)
+		}
+		time.Sleep(100 * time.Millisecond) // readings of the first round are out of date
+	}
+	if first == 0 {
+		t.Error("a request that waits asked nobody")
+	}
+}
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -34,6 +34,8 @@
 	target time.Duration
 	// late is set when the request yields to others: it has waited, or its caller has tried before.
 	late bool
+	// waits is set while the request looks again and again for a server with room.
+	waits bool
 	// hedge is set for a second attempt in parallel, retry for one after a failure.
 	hedge bool
 	retry bool
--- a/gateway/selector.go
+++ b/gateway/selector.go
@@ -54,7 +54,7 @@
 	now := e.clock.now()
 	query := e.query(q, now)
 	if e.prober != nil {
-		e.prober.ask(ctx, e.engine.Current(), &query)
+		e.prober.ask(ctx, e.engine.Current(), &query, q.waits)
 		query.Now = e.clock.now()
 	}
 	a, refusal := e.engine.Current().Pick(query)
--- a/gateway/yield.go
+++ b/gateway/yield.go
@@ -21,7 +21,7 @@
 	r.p.counters.Total("requests_yielded").Inc(1)
 	r.p.logYield(r.c, q, refusal)
 	end := time.Now().Add(min(yieldMost, time.Until(r.c.deadline)/yieldPart))
-	q.late = true
+	q.late, q.waits = true, true
 	for refusal.yield != nil {
 		wait := time.Duration((0.5 + rand.Float64()) * float64(yieldPoll)) // requests that came together look apart
 		if time.Now().Add(wait).After(end) || !sleep(r.c.ctx, wait) {
