Count the voters of the committed membership only

Its log ends with the promotion of the third voter (15:20:54.475); the test kills it when heatherwall_voters is 3. The gauge showed the membership in effect at the leader, which a change that nobody else has yet is part of. With the leader such a change is lost, and the two that remain know two voters, one of them dead.

--- a/control/group.go
+++ b/control/group.go
@@ -244,10 +244,10 @@
 	return errors.As(err, &target)
 }
 
-// voters returns the number of voters, as far as this replica knows.
+// voters returns the number of voters of the committed membership, as far as this replica knows.
 func (g *group) voters() int {
 	n := 0
-	for _, m := range g.node.Status().Membership.GetMembers() {
+	for _, m := range g.node.Status().Committed.GetMembers() {
 		if !m.Learner {
 			n++
 		}
--- a/raft/rules_test.go
+++ b/raft/rules_test.go
@@ -177,3 +177,28 @@
 		}
 	}
 }
+
+// Guards against a count of voters that includes a change which is lost with the leader: the group would be taken for one
+// that bears a loss which it does not bear yet.
+func TestStatusTellsTheCommittedMembership(t *testing.T) {
+	members := []*raftpb.Member{{Id: 1, Name: "a"}, {Id: 2, Name: "b"}}
+	storage := NewMemoryStorage(BootstrapSnapshot(members, nil))
+	n, err := New(Config{ID: 1, Group: 1, ElectionTicks: 8, HeartbeatTicks: 2, Storage: storage, Rand: func(int) int { return 0 }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.term = 2
+	n.becomeLeader()
+	n.log.commitTo(n.log.lastIndex())
+	change := &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_ADD_LEARNER, Member: &raftpb.Member{Id: 3, Name: "c"}}
+	if err := n.ProposeMembership(change); err != nil {
+		t.Fatal(err)
+	}
+	if s := n.Status(); len(s.Membership.Members) != 3 || len(s.Committed.GetMembers()) != 2 {
+		t.Errorf("%d members in effect, %d committed; want 3 and 2", len(s.Membership.Members), len(s.Committed.GetMembers()))
+	}
+	n.log.commitTo(n.log.lastIndex())
+	if s := n.Status(); len(s.Committed.GetMembers()) != 3 {
+		t.Errorf("%d members committed; want 3", len(s.Committed.GetMembers()))
+	}
+}
--- a/raft/status.go
+++ b/raft/status.go
@@ -13,6 +13,8 @@
 	LastIndex         uint64
 	Membership        *raftpb.Membership
 	MembershipPending bool
+	// Committed is the newest membership that no change of leader takes back; Membership may be newer.
+	Committed *raftpb.Membership
 	// Voter tells whether the node is a voter in Membership.
 	Voter bool
 	// Current tells whether the node leads with a quorum, or has heard from a leader within an election timeout.
@@ -39,7 +41,8 @@
 		ID: n.config.ID, Group: n.config.Group, Role: n.role, Term: n.term, Leader: n.leader,
 		Commit: n.log.committed, Applied: n.log.applied, LastIndex: n.log.lastIndex(),
 		Membership: n.membership(), MembershipPending: n.memberships.latest().index > n.log.committed,
-		Voter: isVoter(n.membership(), n.config.ID), Current: n.hearsLeader(), TransferTo: n.transferTo,
+		Committed: n.memberships.at(n.log.committed),
+		Voter:     isVoter(n.membership(), n.config.ID), Current: n.hearsLeader(), TransferTo: n.transferTo,
 	}
 	if n.role != Leader {
 		return s
