--- a/gateway/cataloguelease.go
+++ b/gateway/cataloguelease.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/routes"
 	"heatherwall.example/telemetry"
@@ -61,7 +63,8 @@
 			return view, err
 		}
 		next.routes = compiled
-		c.log.Log(eventRoutesInUse, telemetry.F("version", t.GetVersion()), telemetry.F("index", next.index))
+		c.log.Log(eventRoutesInUse, telemetry.F("version", t.GetVersion()), telemetry.F("index", next.index),
+			telemetry.F("routes", len(t.GetRoutes())), telemetry.F("bytes", proto.Size(t)))
 	}
 	if c.onCrashTotals != nil && len(d.GetPoison()) > 0 {
 		c.onCrashTotals(d.GetPoison())
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -90,6 +90,8 @@
 type leaseClient struct {
 	replicas *replicaList
 	dial     dialFunc
+	// meter counts the bytes that replicas send.
+	meter *byteMeter
 	// serveStale is how long the gateway keeps serving after the lease has expired; 0 in document mode.
 	serveStale time.Duration
 	// takeCrashReports returns the crash counts to report with a renewal, and onCrashTotals receives the totals over all
@@ -138,12 +140,14 @@
 	go c.watchExpiry(ctx)
 	for ctx.Err() == nil {
 		replica := c.replicas.next(time.Now())
+		receivedBefore := c.meter.received.Load()
 		err := c.runSession(ctx, replica)
 		if ctx.Err() != nil {
 			return
 		}
 		c.counters.Counter("lease_replica_changes", "replica", replica.Name).Inc(1)
-		c.log.Log(eventReplicaChanged, telemetry.F("replica", replica.Name), telemetry.F("error", err))
+		c.log.Log(eventReplicaChanged, telemetry.F("replica", replica.Name), telemetry.F("received_bytes", c.meter.received.Load()-receivedBefore),
+			telemetry.F("catalogue", c.Current().catalogue.index), telemetry.F("error", err))
 		var nearer *NearerReplicaError
 		if errors.As(err, &nearer) {
 			continue
--- a/gateway/lease_test.go
+++ b/gateway/lease_test.go
@@ -19,7 +19,7 @@
 func newTestLease(t *testing.T) *leaseClient {
 	t.Helper()
 	return &leaseClient{
-		replicas: &replicaList{listed: []settings.Replica{{Name: "control-1"}}}, compile: compileSections, clock: newClock(),
+		replicas: &replicaList{listed: []settings.Replica{{Name: "control-1"}}}, compile: compileSections, clock: newClock(), meter: &byteMeter{},
 		status: func() *controlpb.GatewayStatus { return &controlpb.GatewayStatus{} }, onChange: func(*lease) {}, onGatewaysListed: func(context.Context) {},
 		log: telemetry.NewLogger(io.Discard, telemetry.Info), counters: telemetry.NewMetrics(),
 	}
--- a/gateway/leasesession.go
+++ b/gateway/leasesession.go
@@ -106,6 +106,7 @@
 
 func (s *leaseSession) renew(stream watchStream) error {
 	c := s.client
+	c.counters.Gauge("control_bytes_received").Update(int64(c.meter.received.Load()))
 	c.nonce++
 	now := c.clock.now()
 	s.sent[c.nonce] = now
--- a/gateway/peertls.go
+++ b/gateway/peertls.go
@@ -55,14 +55,16 @@
 }
 
 // dialPeers returns a dialFunc that uses mutual TLS, or plaintext if the identity has no certificate.
-func dialPeers(i *identity) dialFunc {
+func dialPeers(i *identity, extra ...grpc.DialOption) dialFunc {
 	return func(name, address string) (*grpc.ClientConn, error) {
 		var c *tls.Config
 		if !i.plaintext {
 			c = api.PeerTLS([]tls.Certificate{i.certificate}, i.roots, name)
 		}
-		return api.DialDaemon(address, c, api.WithCallerIdentity(i.name, ""), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessageBytes)),
-			grpc.WithConnectParams(connectParams))
+		options := []grpc.DialOption{
+			api.WithCallerIdentity(i.name, ""), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessageBytes)), grpc.WithConnectParams(connectParams),
+		}
+		return api.DialDaemon(address, c, append(options, extra...)...)
 	}
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -106,8 +106,9 @@
 		settings: s, log: log, counters: telemetry.NewMetrics(), clock: newClock(), identity: id, reload: o.Reload,
 		controlConnections: newConnectionPool(dial), gatewayConnections: newConnectionPool(dial), prober: newHTTPStateProber(),
 	}
+	meter := &byteMeter{}
 	d.lease = &leaseClient{
-		replicas: newReplicaList(s), dial: dial, compile: compileSections, clock: d.clock, log: log, counters: d.counters,
+		replicas: newReplicaList(s), dial: dialPeers(id, grpc.WithContextDialer(meter.dialContext)), meter: meter, compile: compileSections, clock: d.clock, log: log, counters: d.counters,
 		status: func() *controlpb.GatewayStatus { return d.status(incarnation) }, onChange: d.configure, onGatewaysListed: d.join,
 	}
 	d.path = &requestPath{
