--- a/testbed/relay/relay.go
+++ b/testbed/relay/relay.go
@@ -42,6 +42,12 @@
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Cause }
 
+// Sizes of the chunks that are read at once, without and with a limited bandwidth.
+const (
+	bufferBytes       = 32 << 10
+	limitedChunkBytes = 1 << 10
+)
+
 // Relay accepts connections on one address and forwards them to another.
 type Relay struct {
 	listener   net.Listener
@@ -51,6 +57,8 @@
 	bytes      atomic.Int64
 	// delay is how long each chunk of a stream is held back, in ns.
 	delay atomic.Int64
+	// rate is the bandwidth of each direction of each connection in bytes per second; 0 for no limit.
+	rate atomic.Int64
 
 	mu sync.Mutex
 	// connections maps both ends of each open connection to the name of the process that opened it.
@@ -127,6 +135,9 @@
 // SetDelay delays each chunk of every stream by d from now on.
 func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
 
+// SetRate limits each direction of every connection to a bandwidth in bytes per second from now on; 0 ends the limit.
+func (r *Relay) SetRate(bytesPerSecond int) { r.rate.Store(int64(bytesPerSecond)) }
+
 // Reset resets all open connections. Later connections are not affected.
 func (r *Relay) Reset() {
 	r.mu.Lock()
@@ -207,16 +218,18 @@
 // copy forwards bytes while the direction is not cut, and drops them otherwise. It also forwards the end of the stream by
 // closing both connections, but not during a cut.
 func (r *Relay) copy(to, from net.Conn, cut func() bool) {
-	const bufferBytes = 32 << 10
 	buffer := make([]byte, bufferBytes)
 	for {
-		n, err := from.Read(buffer)
+		n, err := from.Read(buffer[:r.chunkBytes()])
 		if cut() {
 			n = 0
 		}
 		if d := time.Duration(r.delay.Load()); d > 0 {
 			time.Sleep(d)
 		}
+		if rate := r.rate.Load(); rate > 0 {
+			time.Sleep(time.Duration(n) * time.Second / time.Duration(rate))
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				break
@@ -232,6 +245,15 @@
 	}
 }
 
+// chunkBytes returns how many bytes are read at once. With a limited bandwidth, chunks are small, so that bytes arrive
+// evenly.
+func (r *Relay) chunkBytes() int {
+	if r.rate.Load() > 0 {
+		return limitedChunkBytes
+	}
+	return bufferBytes
+}
+
 func (r *Relay) closeAll(connections ...net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/testbed/relay/relay_test.go
+++ b/testbed/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"os"
 	"testing"
@@ -145,3 +146,31 @@
 		t.Errorf("an exchange took %s with a delay of %s", took, delay)
 	}
 }
+
+// Guards against a bandwidth limit without effect.
+func TestRateLimitsConnections(t *testing.T) {
+	const rate, size = 64 << 10, 32 << 10
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		if c, err := listener.Accept(); err == nil {
+			c.Write(make([]byte, size))
+		}
+	}()
+	r, err := Start("127.0.0.1:0", listener.Addr().String(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.Close() })
+	r.SetRate(rate)
+	started := time.Now()
+	if _, err := io.ReadFull(dial(t, r.Address()), make([]byte, size)); err != nil {
+		t.Fatal(err)
+	}
+	if took, least := time.Since(started), size*time.Second/rate; took < least {
+		t.Errorf("%d bytes took %s; want at least %s", size, took, least)
+	}
+}
