--- a/control/counters.go
+++ b/control/counters.go
@@ -60,6 +60,7 @@
 	leadershipsGained   counter
 	leadershipsLost     counter
 	snapshots           counter
+	routePartBytes      counter
 	voters              metrics.Gauge
 	peerMessagesDropped map[dropCause]counter
 }
@@ -79,6 +80,7 @@
 		leadershipsGained:   exporter.Counter("leadership_changes", "change", "gained"),
 		leadershipsLost:     exporter.Counter("leadership_changes", "change", "lost"),
 		snapshots:           exporter.UnlabeledCounter("snapshots"),
+		routePartBytes:      exporter.UnlabeledCounter("route_part_bytes"),
 		voters:              exporter.Gauge("voters"),
 		peerMessagesDropped: map[dropCause]counter{},
 	}
--- a/control/events.go
+++ b/control/events.go
@@ -46,6 +46,10 @@
 		"A backend server sent no reports for several intervals; its removal was proposed.")
 	eventReportOutdated = telemetry.Define(1055, "report_outdated", telemetry.Info,
 		"A report of a backend server is older than a known one and was ignored.")
+	eventRouteStepBegun = telemetry.Define(1057, "route_step_begun", telemetry.Info,
+		"A replica begins to send a newer route table to a gateway, or continues to; versions and size are in the fields.")
+	eventPushFailed = telemetry.Define(1058, "push_failed", telemetry.Info,
+		"Changes could not be sent to a gateway, in most cases because its session has ended; its next renewal opens a new one.")
 	eventPoisonReportLost = telemetry.Define(1056, "poison_report_lost", telemetry.Warn,
 		"Crash counts of requests may not have been recorded; gateways continue to count.")
 	eventConfirmationRefused = telemetry.Define(1041, "confirmation_refused", telemetry.Warn,
--- a/control/watch.go
+++ b/control/watch.go
@@ -41,13 +41,17 @@
 	// older than the gateway's.
 	confirmed      bool
 	sentMembership *raftpb.Membership
+	// routes is nil for a gateway that does not accept route tables in parts.
+	routes *routeSender
+	// wake asks pushChanges to send route parts.
+	wake chan struct{}
 }
 
 // Watch answers each renewal after a quorum has confirmed, since the renewal arrived, that the applied configuration is
 // current. If no quorum confirms in time, the stream ends with Unavailable. Changes of the catalogue are pushed as soon
 // as they are applied.
 func (s *configurationServer) Watch(stream renewStream) error {
-	w := &gatewayWatch{r: s.r, stream: stream, name: api.PeerName(stream.Context())}
+	w := &gatewayWatch{r: s.r, stream: stream, name: api.PeerName(stream.Context()), wake: make(chan struct{}, 1)}
 	return s.r.runUntilStopped(w.run)
 }
 
@@ -56,21 +60,51 @@
 	var pushing sync.WaitGroup
 	defer pushing.Wait()
 	defer cancel()
-	pushing.Go(func() { w.pushChanges(ctx) })
+	pushing.Go(func() {
+		defer cancel() // without pushes, the next renewal ends the stream, and the gateway opens another one
+		w.pushChanges(ctx)
+	})
 	for first := true; ; first = false {
 		request, err := w.stream.Recv()
 		if err != nil {
 			return err
 		}
 		if first {
-			w.catalogueIndex = request.GetCatalogueIndex()
-			if err := w.sendReplicas(ctx); err != nil {
+			if err := w.begin(ctx, request); err != nil {
 				return err
 			}
 		}
-		if err := w.handleRenewal(ctx, request); err != nil {
-			return err
+		if request.GetNonce() != 0 {
+			if err := w.handleRenewal(ctx, request); err != nil {
+				return err
+			}
 		}
+		w.acknowledgeRoutes(request)
+	}
+}
+
+// begin records what the gateway holds at its first renewal.
+func (w *gatewayWatch) begin(ctx context.Context, request *controlpb.RenewRequest) error {
+	w.mu.Lock()
+	w.catalogueIndex = request.GetCatalogueIndex()
+	if request.GetAcceptsRouteParts() {
+		w.routes = &routeSender{position: request.GetRoutes()}
+	}
+	w.mu.Unlock()
+	return w.sendReplicas(ctx)
+}
+
+// acknowledgeRoutes notes the progress of the gateway and lets pushChanges send further parts.
+func (w *gatewayWatch) acknowledgeRoutes(request *controlpb.RenewRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.routes == nil {
+		return
+	}
+	w.routes.acknowledge(request.GetRoutes())
+	select {
+	case w.wake <- struct{}{}:
+	default: // a wake-up is pending already
 	}
 }
 
@@ -138,7 +172,10 @@
 	answer, err := runInLoop(ctx, w.r.loop, func(finish func(*controlpb.RenewAnswer, error)) {
 		a := w.r.configuration.documentDelta(revision)
 		// Cloned, because the loop may change the records while the answer is sent.
-		a.Catalogue = proto.CloneOf(w.r.configuration.state.CatalogueDeltaSince(w.catalogueIndex))
+		a.Catalogue = proto.CloneOf(w.r.configuration.state.CatalogueDeltaSince(w.catalogueIndex, w.routes == nil))
+		if w.routes != nil {
+			a.RoutesVersion = w.r.configuration.state.RouteTable().GetVersion()
+		}
 		a.Replicas = w.changedReplicas()
 		finish(a, nil)
 	})
@@ -168,17 +205,28 @@
 	changed := w.r.catalogueChanges.subscribe()
 	defer w.r.catalogueChanges.unsubscribe(changed)
 	for {
+		var err error
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
+			err = w.pushChange(ctx)
+		case <-w.wake:
+			err = w.pushRouteParts(ctx)
 		}
-		if w.pushChange(ctx) != nil {
-			return // the stream has failed; run returns the error of Recv
+		if err != nil {
+			w.r.log.Log(eventPushFailed, telemetry.F("gateway", w.name), telemetry.F("error", err))
+			return
 		}
 	}
 }
 
+func (w *gatewayWatch) pushRouteParts(ctx context.Context) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sendRouteParts(ctx)
+}
+
 func (w *gatewayWatch) pushChange(ctx context.Context) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -190,7 +238,10 @@
 	if err != nil || answer.Catalogue == nil {
 		return err
 	}
-	return w.stream.Send(answer)
+	if err := w.stream.Send(answer); err != nil {
+		return err
+	}
+	return w.sendRouteParts(ctx)
 }
 
 // confirmConfigurationRead calls done once a quorum of the configuration group has confirmed that the applied state is
--- a/controlstate/catalogue.go
+++ b/controlstate/catalogue.go
@@ -7,6 +7,7 @@
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/statepb"
+	"heatherwall.example/routes/transfer"
 )
 
 // Limits of the catalogue.
@@ -25,7 +26,9 @@
 	changedIndex       uint64
 	routes             *controlpb.RouteTable
 	routesChangedIndex uint64
-	servers            map[string]*controlpb.BackendServer
+	// routeHistory is derived from the tables since the last snapshot, and not part of snapshots.
+	routeHistory transfer.History
+	servers      map[string]*controlpb.BackendServer
 	// idByAddress maps each address to the identifier of the server there.
 	idByAddress map[string]string
 	// tombstones records removed servers, sorted by log index. It may be incomplete up to the index tombstonesFloor.
@@ -39,15 +42,19 @@
 	return &catalogue{servers: map[string]*controlpb.BackendServer{}, idByAddress: map[string]string{}}
 }
 
-// putRoutes replaces the route table if the new one has a higher version, and reports whether it did.
-func (c *catalogue) putRoutes(index uint64, t *controlpb.RouteTable) bool {
+// putRoutes replaces the route table if the new one has a higher version.
+func (c *catalogue) putRoutes(index uint64, t *controlpb.RouteTable) {
 	if c.routes != nil && t.GetVersion() <= c.routes.GetVersion() {
-		return false
+		return
 	}
 	c.routes, c.routesChangedIndex, c.changedIndex = t, index, index
-	return true
+	c.recordRoutes()
 }
 
+// recordRoutes adds the current table to the history. After an error gateways get whole tables, and the error is returned
+// to each stream that asks for one.
+func (c *catalogue) recordRoutes() { _ = c.routeHistory.Put(c.routes) }
+
 // applyReports applies reports of backend servers in the given order.
 func (c *catalogue) applyReports(index uint64, reports []*statepb.ServerReport) {
 	for _, r := range reports {
@@ -159,8 +166,9 @@
 }
 
 // deltaSince returns the changes after an index, or nil if there are none. For index 0, and for indexes that the
-// tombstones do not cover or that are ahead of this state, it returns the whole catalogue.
-func (c *catalogue) deltaSince(index uint64) *controlpb.CatalogueDelta {
+// tombstones do not cover or that are ahead of this state, it returns the whole catalogue. It leaves out the route table
+// unless withRoutes is set.
+func (c *catalogue) deltaSince(index uint64, withRoutes bool) *controlpb.CatalogueDelta {
 	if index == c.changedIndex {
 		return nil
 	}
@@ -168,7 +176,7 @@
 	if index < c.tombstonesFloor || index > c.changedIndex {
 		d.Base = 0
 	}
-	if c.routes != nil && c.routesChangedIndex > d.Base {
+	if withRoutes && c.routes != nil && c.routesChangedIndex > d.Base {
 		d.Routes = withoutSource(c.routes)
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
@@ -209,6 +217,9 @@
 	c := newCatalogue()
 	c.routes, c.routesChangedIndex, c.changedIndex = m.GetRoutes(), m.GetRoutesChanged(), m.GetChanged()
 	c.tombstones, c.tombstonesFloor, c.poisonCounts = m.GetGone(), m.GetGoneFloor(), m.GetPoison()
+	if c.routes != nil {
+		c.recordRoutes()
+	}
 	for _, s := range m.GetServers() {
 		c.servers[s.GetId()] = s
 		c.idByAddress[s.GetAddress()] = s.GetId()
--- a/controlstate/catalogue_commands.go
+++ b/controlstate/catalogue_commands.go
@@ -6,6 +6,7 @@
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/statepb"
+	"heatherwall.example/routes/transfer"
 )
 
 // EncodePutRoutesEntry returns the encoded log entry that puts a route table. The table must be valid; see package
@@ -93,7 +94,13 @@
 func (c *Configuration) CatalogueIndex() uint64 { return c.catalogue.changedIndex }
 
 // CatalogueDeltaSince returns the changes of the catalogue after a log index, for a gateway that is at that index; nil
-// if there are none.
-func (c *Configuration) CatalogueDeltaSince(index uint64) *controlpb.CatalogueDelta {
-	return c.catalogue.deltaSince(index)
+// if there are none. It contains a changed route table only if withRoutes is set.
+func (c *Configuration) CatalogueDeltaSince(index uint64, withRoutes bool) *controlpb.CatalogueDelta {
+	return c.catalogue.deltaSince(index, withRoutes)
+}
+
+// NextRouteStep returns the step that brings the route table of a gateway forward and the first part to send; nil if the
+// gateway is up to date. The error is a *transfer.EncodeError.
+func (c *Configuration) NextRouteStep(p *controlpb.RoutePosition) (*transfer.Step, int, error) {
+	return c.catalogue.routeHistory.Next(p)
 }
--- a/controlstate/catalogue_test.go
+++ b/controlstate/catalogue_test.go
@@ -170,7 +170,7 @@
 			}
 			applyAll(t, c, entry)
 			if rapid.IntRange(0, 3).Draw(rt, "follow") == 0 {
-				v.applyDelta(t, c.CatalogueDeltaSince(v.index))
+				v.applyDelta(t, c.CatalogueDeltaSince(v.index, true))
 			}
 			if rapid.IntRange(0, 5).Draw(rt, "restart") == 0 {
 				restored, err := RestoreConfiguration(c.Snapshot())
@@ -180,7 +180,7 @@
 				c = restored
 			}
 		}
-		v.applyDelta(t, c.CatalogueDeltaSince(v.index))
+		v.applyDelta(t, c.CatalogueDeltaSince(v.index, true))
 		list := c.BackendServers()
 		if v.version != c.RouteTable().GetVersion() || len(list) != len(v.servers) {
 			rt.Fatalf("gateway at version %d with %d servers; replica at %d with %d", v.version, len(v.servers), c.RouteTable().GetVersion(), len(list))
--- a/gateway/cataloguelease.go
+++ b/gateway/cataloguelease.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -15,8 +16,13 @@
 type catalogueView struct {
 	// index is the version of the catalogue; 0 before the first catalogue.
 	index uint64
-	// routes is nil before the first route table.
+	// routes is nil before the first route table; table is its source.
 	routes *routes.Table
+	table  *controlpb.RouteTable
+	// newestRoutes is the highest version of a route table that a replica has named.
+	newestRoutes uint64
+	// routesConfirmedAt is when the newest renewal was sent whose answer confirmed that routes is current.
+	routesConfirmedAt time.Duration
 	// servers holds the backend servers by identifier. The map is never modified; a change creates a new one.
 	servers map[string]*controlpb.BackendServer
 	// domainsOut is sorted.
@@ -58,13 +64,10 @@
 		delete(next.servers, id)
 	}
 	if t := d.GetRoutes(); t != nil && (view.routes == nil || t.GetVersion() >= view.routes.Version) {
-		compiled, err := routes.Compile(t)
-		if err != nil {
+		var err error
+		if next, err = c.useRoutes(next, t); err != nil {
 			return view, err
 		}
-		next.routes = compiled
-		c.log.Log(eventRoutesInUse, telemetry.F("version", t.GetVersion()), telemetry.F("index", next.index),
-			telemetry.F("routes", len(t.GetRoutes())), telemetry.F("bytes", proto.Size(t)))
 	}
 	if c.onCrashTotals != nil && len(d.GetPoison()) > 0 {
 		c.onCrashTotals(d.GetPoison())
@@ -72,15 +75,33 @@
 	return next, nil
 }
 
+// useRoutes returns the view with a new route table. The error is an *routes.InvalidError.
+func (c *leaseClient) useRoutes(view catalogueView, t *controlpb.RouteTable) (catalogueView, error) {
+	compiled, err := routes.Compile(t)
+	if err != nil {
+		return view, err
+	}
+	view.routes, view.table = compiled, t
+	c.routeParts.Hold(t)
+	c.log.Log(eventRoutesInUse, telemetry.F("version", t.GetVersion()), telemetry.F("index", view.index),
+		telemetry.F("routes", len(t.GetRoutes())), telemetry.F("bytes", proto.Size(t)))
+	return view, nil
+}
+
 // acceptPush applies a change that a replica pushes between renewals. It does not extend the lease.
 func (c *leaseClient) acceptPush(a *controlpb.RenewAnswer) error {
 	old := c.Current()
 	view, changed, err := c.mergeCatalogue(old.catalogue, a)
-	if err != nil || !changed {
+	if err != nil {
 		return err
 	}
 	next := *old
 	next.catalogue = view
+	next.catalogue.newestRoutes = max(view.newestRoutes, a.GetRoutesVersion())
+	if !changed {
+		c.current.Store(&next)
+		return nil
+	}
 	c.publish(&next)
 	return nil
 }
@@ -105,3 +126,8 @@
 
 // isConfigured reports whether the lease has a configuration or a route table to serve.
 func (l *lease) isConfigured() bool { return l.config != nil || l.catalogue.routes != nil }
+
+// hasCurrentRoutes reports whether no replica has named a newer route table than the one in use.
+func (v *catalogueView) hasCurrentRoutes() bool {
+	return v.routes != nil && v.routes.Version >= v.newestRoutes
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -23,6 +23,7 @@
 	eventServerFellBack  = telemetry.Define(2025, "server_fell_back", telemetry.Warn, "The responses of a backend server suggest a cold start that it did not announce.")
 	eventDomainsOut      = telemetry.Define(2017, "domains_out", telemetry.Info, "The failure domains that operators took out have changed.")
 	eventRoutesInUse     = telemetry.Define(2018, "routes_in_use", telemetry.Info, "A new version of the route table is in use.")
+	eventRoutesOutdated  = telemetry.Define(2019, "routes_outdated", telemetry.Info, "A replica has a newer route table, which has not arrived here completely; the lease is not extended until then.")
 	eventBackendChanged  = telemetry.Define(2026, "backend_changed", telemetry.Info, "The catalogue has a new record of a backend server.")
 	eventBackendGone     = telemetry.Define(2027, "backend_gone", telemetry.Info, "A backend server is no longer in the catalogue and gets no more requests.")
 	eventBackendsLoaded  = telemetry.Define(2028, "backends_loaded", telemetry.Info, "The gateway has the first catalogue since its start; the number of backend servers is in the fields.")
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -13,6 +13,7 @@
 	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/document"
+	"heatherwall.example/routes/transfer"
 	"heatherwall.example/telemetry"
 )
 
@@ -108,6 +109,12 @@
 	counters         *telemetry.Metrics
 
 	current atomic.Pointer[lease]
+	// routeParts collects the parts of a newer route table, and pending the renewals whose answers named such a table. Only
+	// the goroutine of the session uses them.
+	routeParts transfer.Receiver
+	pending    []pendingConfirmation
+	// wantsWholeCatalogue is set while the replicas reached so far do not send the route table that the gateway lacks.
+	wantsWholeCatalogue bool
 	// configuredLatch opens once the first configuration has been applied to server selection.
 	configuredLatch latch
 	nonce           uint64
@@ -212,15 +219,17 @@
 	}
 	next := *old
 	next.clusterID = a.GetClusterId()
-	next.expires = max(old.expires, expires)
 	next.claimLeaders = a.GetClaimLeaders()
 	view, catalogueChanged, err := c.mergeCatalogue(old.catalogue, a)
 	if err != nil {
 		return false, err
 	}
 	next.catalogue = view
+	next.catalogue.newestRoutes = max(view.newestRoutes, a.GetRoutesVersion())
+	c.confirm(&next, pendingConfirmation{routesVersion: a.GetRoutesVersion(), sentAt: expires - leaseDuration})
 	if a.GetRevision() == 0 && !next.isConfigured() {
-		return true, nil // the cluster has no configuration yet; that is no failure of the replica
+		c.current.Store(&next)
+		return true, nil // there is no document, and no route table has arrived yet; that is no failure of the replica
 	}
 	if a.GetRevision() == 0 {
 		// The cluster has no document; the catalogue is the whole configuration.
--- a/gateway/leasesession.go
+++ b/gateway/leasesession.go
@@ -90,13 +90,18 @@
 			}
 		case a := <-s.answers:
 			first := s.client.firstConfirmedAt == 0
-			confirmed, err := s.handleAnswer(ctx, a)
+			progress, err := s.handleAnswer(ctx, a)
 			if err != nil {
 				return err
 			}
-			if confirmed {
+			if progress {
 				silence.Reset(replicaTimeout)
 			}
+			if a.GetRoutePart() != nil {
+				if err := s.acknowledgeRoutes(stream); err != nil {
+					return err
+				}
+			}
 			if first && s.client.firstConfirmedAt != 0 {
 				renew.Reset(gatewayListDelay)
 			}
@@ -111,7 +116,8 @@
 	now := c.clock.now()
 	s.sent[c.nonce] = now
 	request := &controlpb.RenewRequest{
-		Nonce: c.nonce, Gateway: c.status(), GatewaysDigest: c.Current().gatewaysDigest, CatalogueIndex: c.Current().catalogue.index,
+		Nonce: c.nonce, Gateway: c.status(), GatewaysDigest: c.Current().gatewaysDigest, CatalogueIndex: c.catalogueIndex(),
+		AcceptsRouteParts: true, Routes: c.routeParts.Position(),
 	}
 	if c.takeCrashReports != nil {
 		request.Poison = c.takeCrashReports()
@@ -123,14 +129,25 @@
 	return nil
 }
 
-// handleAnswer processes one answer and reports whether it confirmed the configuration. The lease starts when the renewal
-// with the same nonce was sent, so an answer without such a renewal confirms nothing. After an error the stream must be
-// closed.
-func (s *leaseSession) handleAnswer(ctx context.Context, a *controlpb.RenewAnswer) (confirmed bool, err error) {
+// acknowledgeRoutes tells the replica which parts of a route table have arrived, so that it sends further ones.
+func (s *leaseSession) acknowledgeRoutes(stream watchStream) error {
+	if err := stream.Send(&controlpb.RenewRequest{Routes: s.client.routeParts.Position()}); err != nil {
+		return fmt.Errorf("acknowledge route parts to %s: %w", s.replica.Name, err)
+	}
+	return nil
+}
+
+// handleAnswer processes one answer and reports whether the session makes progress: the answer confirmed the
+// configuration or contained a part of a route table. The lease starts when the renewal with the same nonce was sent, so
+// an answer without such a renewal confirms nothing. After an error the stream must be closed.
+func (s *leaseSession) handleAnswer(ctx context.Context, a *controlpb.RenewAnswer) (progress bool, err error) {
 	s.client.replicas.setMembers(a.GetReplicas())
 	if a.GetNonce() == 0 && !s.client.Current().isConfigured() && s.client.replicas.hasNearer(s.replica, time.Now()) {
 		return false, &NearerReplicaError{} // fetch the whole catalogue from the nearer replica
 	}
+	if a.GetRoutePart() != nil {
+		return true, s.client.acceptRoutePart(a.GetRoutePart())
+	}
 	if a.GetNonce() == 0 {
 		return false, s.client.acceptPush(a)
 	}
@@ -143,6 +160,9 @@
 	if err != nil || !accepted {
 		return false, err
 	}
+	if err := s.client.checkRoutesFollow(a); err != nil {
+		return false, err
+	}
 	s.client.notifyIfListed(ctx, sentAt, a.GetGatewaysComplete())
 	return true, nil
 }
--- /dev/null
+++ b/gateway/routeparts.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/telemetry"
+)
+
+// pendingConfirmation is a confirmed renewal that takes effect once the gateway has the route table that the replica had.
+type pendingConfirmation struct {
+	routesVersion uint64
+	sentAt        time.Duration
+}
+
+// acceptRoutePart adds a part of a newer route table. After the last part it puts the table in use, together with the
+// renewals that were confirmed meanwhile. The error is a *transfer.PartError or a *routes.InvalidError.
+func (c *leaseClient) acceptRoutePart(part *controlpb.RoutePart) error {
+	table, err := c.routeParts.Accept(part)
+	if err != nil {
+		return err
+	}
+	c.counters.UnlabeledCounter("route_parts").Inc(1)
+	next := *c.Current()
+	next.catalogue.newestRoutes = max(next.catalogue.newestRoutes, part.GetVersion())
+	if table == nil {
+		c.current.Store(&next)
+		return nil
+	}
+	if next.catalogue, err = c.useRoutes(next.catalogue, table); err != nil {
+		return err
+	}
+	c.confirmPending(&next)
+	c.publish(&next)
+	return nil
+}
+
+// confirm extends the lease for a confirmed renewal if the gateway has the route table that the replica had, and otherwise
+// remembers the renewal until it has it.
+func (c *leaseClient) confirm(next *lease, p pendingConfirmation) {
+	if next.catalogue.routes != nil && next.catalogue.routes.Version < p.routesVersion {
+		c.log.Log(eventRoutesOutdated, telemetry.F("version", next.catalogue.routes.Version), telemetry.F("newest", p.routesVersion))
+	}
+	c.pending = append(c.pending, p)
+	c.confirmPending(next)
+}
+
+// confirmPending extends the lease for all confirmed renewals whose route table is in use.
+func (c *leaseClient) confirmPending(next *lease) {
+	kept := c.pending[:0]
+	for _, p := range c.pending {
+		if p.routesVersion > 0 && (next.catalogue.routes == nil || next.catalogue.routes.Version < p.routesVersion) {
+			kept = append(kept, p)
+			continue
+		}
+		next.expires = max(next.expires, p.sentAt+leaseDuration)
+		next.catalogue.routesConfirmedAt = max(next.catalogue.routesConfirmedAt, p.sentAt)
+	}
+	c.pending = kept[max(0, len(kept)-maxPendingConfirmations):]
+}
+
+// maxPendingConfirmations limits the renewals that wait for a route table; older ones would not extend the lease further.
+const maxPendingConfirmations = 8
+
+// RoutesMissingError reports a replica that does not send route tables in parts, while the gateway lacks a newer table of
+// which it knows.
+type RoutesMissingError struct {
+	Held, Newest uint64
+}
+
+func (e *RoutesMissingError) Error() string {
+	return fmt.Sprintf("the replica does not send parts of route tables: version %d is in use, %d is the newest", e.Held, e.Newest)
+}
+
+// checkRoutesFollow returns a *RoutesMissingError if the replica does not send the route table that the gateway lacks. The
+// next session then asks for the whole catalogue.
+func (c *leaseClient) checkRoutesFollow(a *controlpb.RenewAnswer) error {
+	view := &c.Current().catalogue
+	c.wantsWholeCatalogue = a.GetRoutesVersion() == 0 && view.newestRoutes > 0 && !view.hasCurrentRoutes()
+	if !c.wantsWholeCatalogue {
+		return nil
+	}
+	return &RoutesMissingError{Held: view.table.GetVersion(), Newest: view.newestRoutes}
+}
+
+// catalogueIndex returns the index that the next renewal names: that of the catalogue in use, or 0 to get all of it.
+func (c *leaseClient) catalogueIndex() uint64 {
+	if c.wantsWholeCatalogue {
+		return 0
+	}
+	return c.Current().catalogue.index
+}
--- /dev/null
+++ b/gateway/routeparts_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/routes/transfer"
+)
+
+// largeTable returns a table whose transfer has several parts.
+func largeTable(version uint64, routes int) *controlpb.RouteTable {
+	t := routeTable(version)
+	for i := range routes {
+		name := fmt.Sprintf("r-%d", i)
+		t.Routes = append(t.Routes, &controlpb.Route{Name: name, Host: "a.example", PathPrefix: "/" + name + "/", TimeoutMs: 1000, Shares: t.Routes[0].GetShares()})
+	}
+	return t
+}
+
+// partsOf returns the parts that turn one table into another.
+func partsOf(t *testing.T, from, to *controlpb.RouteTable) []*controlpb.RoutePart {
+	t.Helper()
+	s, err := transfer.NewStep(from.GetVersion(), transfer.FingerprintsOf(from.GetRoutes()), to, transfer.FingerprintsOf(to.GetRoutes()))
+	must(t, err)
+	if len(s.Parts) < 3 {
+		t.Fatalf("%d parts; want some", len(s.Parts))
+	}
+	return s.Parts
+}
+
+// Guards against a session that is given up while a large route table arrives, and against parts that are not acknowledged.
+func TestSessionLastsWhileRoutePartsArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestLease(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		stream := &fakeStream{ctx: ctx, answers: make(chan *controlpb.RenewAnswer)}
+		s := &leaseSession{client: c, sent: map[uint64]time.Duration{}, answers: make(chan *controlpb.RenewAnswer), streamErrors: make(chan error, 1)}
+		go s.receive(ctx, stream)
+		ended := make(chan error, 1)
+		go func() { ended <- s.run(ctx, stream) }()
+		for _, p := range partsOf(t, nil, largeTable(4, 3000)) {
+			time.Sleep(replicaTimeout - time.Millisecond)
+			stream.answers <- &controlpb.RenewAnswer{RoutePart: p}
+			synctest.Wait()
+			last := stream.renewals()[len(stream.renewals())-1]
+			if got := last.GetRoutes(); last.GetNonce() != 0 || got.GetVersion() < 4 && got.GetEdits() == 0 {
+				t.Fatalf("no acknowledgement after a part: %v", last)
+			}
+		}
+		if v := c.Current().catalogue.routes; v == nil || v.Version != 4 {
+			t.Fatal("the table is not in use after its last part")
+		}
+		if _, ok := c.Valid(); ok {
+			t.Error("parts of a route table extended the lease")
+		}
+		var timeout *ReplicaTimeoutError
+		if err := <-ended; !errors.As(err, &timeout) {
+			t.Errorf("ended with %v; want *ReplicaTimeoutError once nothing arrives", err)
+		}
+	})
+}
+
+// Guards against a lease that is extended for a newer route table than the one in use, and against confirmations that are
+// lost when the table arrives.
+func TestLeaseWaitsForNewerRouteTable(t *testing.T) {
+	c := newTestLease(t)
+	confirm := func(version uint64, expires time.Duration) {
+		a := catalogueAnswer(0, 10, nil, "a")
+		a.RoutesVersion = version
+		if _, err := c.applyAnswer(a, expires); err != nil {
+			t.Fatal(err)
+		}
+	}
+	table := largeTable(4, 3000)
+	for _, p := range partsOf(t, nil, table) {
+		confirm(4, time.Hour)
+		if l, ok := c.Valid(); ok || l.expires != 0 {
+			t.Fatal("the lease was extended before the table was complete")
+		}
+		must(t, c.acceptRoutePart(p))
+	}
+	if l, ok := c.Valid(); !ok || l.expires != time.Hour || len(l.catalogue.servers) != 1 {
+		t.Fatalf("the lease ends at %s with %d servers; want an hour, confirmed before the table was complete", l.expires, len(l.catalogue.servers))
+	}
+	confirm(5, 2*time.Hour)
+	if l := c.Current(); l.expires != time.Hour || l.catalogue.hasCurrentRoutes() {
+		t.Error("a confirmation of a newer table extended the lease, or the table in use counts as current")
+	}
+	must(t, c.acceptPush(catalogueAnswer(10, 11, nil, "b")))
+	if l := c.Current(); len(l.catalogue.servers) != 2 || l.catalogue.routes.Version != 4 {
+		t.Error("a change of servers does not pass a route table in transfer")
+	}
+}
+
+// Guards against a gateway that never gets a newer table because its new replica does not send parts.
+func TestGatewayAsksForWholeCatalogueOfReplicaWithoutParts(t *testing.T) {
+	c := newTestLease(t)
+	a := catalogueAnswer(0, 10, routeTable(3), "a")
+	if _, err := c.applyAnswer(a, time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	must(t, c.acceptRoutePart(partsOf(t, routeTable(3), largeTable(4, 3000))[0]))
+	s := &leaseSession{client: c, sent: map[uint64]time.Duration{1: 0}}
+	var missing *RoutesMissingError
+	if _, err := s.handleAnswer(t.Context(), &controlpb.RenewAnswer{ClusterId: 7, Nonce: 1}); !errors.As(err, &missing) || c.catalogueIndex() != 0 {
+		t.Errorf("%v, asks from index %d; want *RoutesMissingError and 0", err, c.catalogueIndex())
+	}
+	s.sent[2] = 0
+	whole := catalogueAnswer(0, 11, largeTable(4, 3000), "a")
+	whole.Nonce = 2
+	if _, err := s.handleAnswer(t.Context(), whole); err != nil || c.Current().catalogue.routes.Version != 4 || c.catalogueIndex() != 11 {
+		t.Errorf("%v after the whole catalogue; asks from index %d", err, c.catalogueIndex())
+	}
+}
