--- a/gateway/routeparts.go
+++ b/gateway/routeparts.go
@@ -8,6 +8,10 @@
 	"heatherwall.example/telemetry"
 )
 
+// maxRouteConfirmationAge is the age of the last confirmation of the route table up to which a missing route means that
+// the request is not allowed. It exceeds the interval of renewals, so that one late answer changes nothing.
+const maxRouteConfirmationAge = 1500 * time.Millisecond
+
 // pendingConfirmation is a confirmed renewal that takes effect once the gateway has the route table that the replica had.
 type pendingConfirmation struct {
 	routesVersion uint64
@@ -63,6 +67,12 @@
 // maxPendingConfirmations limits the renewals that wait for a route table; older ones would not extend the lease further.
 const maxPendingConfirmations = 8
 
+// mayBeUnknownRoute reports whether a request that no route covers may have one: a replica has named a newer table, or the
+// table in use has not been confirmed for a while.
+func (l *lease) mayBeUnknownRoute(now time.Duration) bool {
+	return !l.catalogue.hasCurrentRoutes() || now-l.catalogue.routesConfirmedAt > maxRouteConfirmationAge
+}
+
 // RoutesMissingError reports a replica that does not send route tables in parts, while the gateway lacks a newer table of
 // which it knows.
 type RoutesMissingError struct {
--- a/gateway/routeparts_test.go
+++ b/gateway/routeparts_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/routes/transfer"
+	"heatherwall.example/telemetry"
 )
 
 // largeTable returns a table whose transfer has several parts.
@@ -89,7 +92,7 @@
 		t.Fatalf("the lease ends at %s with %d servers; want an hour, confirmed before the table was complete", l.expires, len(l.catalogue.servers))
 	}
 	confirm(5, 2*time.Hour)
-	if l := c.Current(); l.expires != time.Hour || l.catalogue.hasCurrentRoutes() {
+	if l := c.Current(); l.expires != time.Hour || !l.mayBeUnknownRoute(c.clock.now()) {
 		t.Error("a confirmation of a newer table extended the lease, or the table in use counts as current")
 	}
 	must(t, c.acceptPush(catalogueAnswer(10, 11, nil, "b")))
@@ -118,3 +121,51 @@
 		t.Errorf("%v after the whole catalogue; asks from index %d", err, c.catalogueIndex())
 	}
 }
+
+// Guards against 404 for a request whose route may be in force already, and against 503 for one that no route covers.
+func TestUnknownRouteIsRefusedByConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestLease(t)
+		c.serveStale = time.Hour
+		p := &requestPath{dialect: nativeDialect, configuration: c, clock: c.clock, log: c.log, counters: c.counters, logLimiter: telemetry.NewLineLimiter(maxRequestLogLines, c.counters), maxRequests: 1, steps: []step{(*requestPath).admit, (*requestPath).matchRoute}}
+		status := func() int {
+			r := httptest.NewRequest("GET", "/r-1/x", nil)
+			r.Host = "b.example"
+			w := httptest.NewRecorder()
+			p.ServeHTTP(w, r)
+			return w.Code
+		}
+		confirm := func(version uint64) {
+			a := catalogueAnswer(0, 10, nil)
+			a.RoutesVersion = version
+			if _, err := c.applyAnswer(a, c.clock.now()+leaseDuration); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		if _, err := c.applyAnswer(catalogueAnswer(0, 10, routeTable(3)), c.clock.now()+leaseDuration); err != nil {
+			t.Fatal(err)
+		}
+		if got := status(); got != http.StatusNotFound {
+			t.Errorf("status %d with a confirmed table; want 404", got)
+		}
+		time.Sleep(maxRouteConfirmationAge + time.Millisecond)
+		if got := status(); got != http.StatusServiceUnavailable {
+			t.Errorf("status %d without a recent confirmation; want 503", got)
+		}
+		confirm(4)
+		if got := status(); got != http.StatusServiceUnavailable {
+			t.Errorf("status %d although a newer table is known; want 503", got)
+		}
+		confirm(3)
+		if got := status(); got != http.StatusServiceUnavailable {
+			t.Errorf("status %d after an older confirmation; want 503", got)
+		}
+		for _, part := range partsOf(t, routeTable(3), largeTable(4, 3000)) {
+			must(t, c.acceptRoutePart(part))
+		}
+		if got := status(); got != http.StatusNotFound {
+			t.Errorf("status %d once the table is in use; want 404", got)
+		}
+	})
+}
--- a/gateway/routing.go
+++ b/gateway/routing.go
@@ -25,7 +25,10 @@
 // restrict where the request runs. They do not restrict the gateway, because the caller chose this one.
 func (p *requestPath) matchRoute(c *call) *Refusal {
 	route, ok := c.lease.catalogue.routes.Match(c.r.Host, c.r.URL.Path)
-	if !ok {
+	switch {
+	case !ok && c.lease.mayBeUnknownRoute(p.clock.now()):
+		return refuse(ReasonConfigurationStale, "no route covers this host and path, but there may be newer routes").withRetryAfter(retryAfterLong)
+	case !ok:
 		return refuse(ReasonNoRule, "no route covers this host and path")
 	}
 	c.caller = anyCaller
