--- a/gateway/leasesession.go
+++ b/gateway/leasesession.go
@@ -21,7 +21,7 @@
 	defer conn.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &leaseSession{client: c, replica: replica, sent: map[uint64]time.Duration{}, answers: make(chan *controlpb.RenewAnswer), streamErrors: make(chan error, 1)}
+	s := &leaseSession{client: c, replica: replica, sent: map[uint64]time.Duration{}, answers: make(chan *controlpb.RenewAnswer), streamErrors: make(chan error, 1), receivedBytes: c.meter.received.Load()}
 	// An instance without power does not even refuse the connection. The timeout lets another replica be tried.
 	opening := time.AfterFunc(api.ConnectTimeout, cancel)
 	stream, err := controlpb.NewConfigurationsClient(conn).Watch(ctx)
@@ -42,6 +42,30 @@
 	sent         map[uint64]time.Duration // when each unanswered renewal of this stream was sent, by nonce
 	answers      chan *controlpb.RenewAnswer
 	streamErrors chan error
+	// receivedBytes is the number of bytes received at the last answer or check of isReceiving, and partialSince the time of
+	// the first check since the last answer; 0 if there was none.
+	receivedBytes uint64
+	partialSince  time.Duration
+}
+
+const (
+	// minPartialBytes is the least number of bytes that must arrive within replicaTimeout while an answer is incomplete.
+	// Acknowledgements and pings of the connection are far smaller.
+	minPartialBytes = 4 << 10
+	// maxPartialTime limits the time in which an answer may arrive.
+	maxPartialTime = 30 * time.Second
+)
+
+// isReceiving reports whether a part of an answer has arrived since the last check. A large answer, such as a whole
+// document, may take longer than replicaTimeout on a slow link; giving it up would only start it over.
+func (s *leaseSession) isReceiving() bool {
+	received, now := s.client.meter.received.Load(), s.client.clock.now()
+	enough := received-s.receivedBytes >= minPartialBytes
+	s.receivedBytes = received
+	if s.partialSince == 0 {
+		s.partialSince = now
+	}
+	return enough && now-s.partialSince < maxPartialTime
 }
 
 type watchStream interface {
@@ -79,7 +103,10 @@
 		case err := <-s.streamErrors:
 			return fmt.Errorf("stream of %s: %w", s.replica.Name, err)
 		case <-silence.C:
-			return &ReplicaTimeoutError{Replica: s.replica.Name}
+			if !s.isReceiving() {
+				return &ReplicaTimeoutError{Replica: s.replica.Name}
+			}
+			silence.Reset(replicaTimeout)
 		case <-renew.C:
 			if s.client.replicas.hasNearer(s.replica, time.Now()) {
 				return &NearerReplicaError{}
@@ -95,6 +122,7 @@
 				return err
 			}
 			if progress {
+				s.receivedBytes, s.partialSince = s.client.meter.received.Load(), 0
 				silence.Reset(replicaTimeout)
 			}
 			if a.GetRoutePart() != nil {
--- a/gateway/routeparts_test.go
+++ b/gateway/routeparts_test.go
@@ -169,3 +169,38 @@
 		}
 	})
 }
+
+// Guards against a large answer that never arrives because its session is given up, and against a session that lasts
+// although the replica only acknowledges the connection.
+func TestSessionLastsWhileLargeAnswerArrives(t *testing.T) {
+	for name, test := range map[string]struct {
+		bytesPerSecond uint64
+		ends           time.Duration
+	}{
+		"slow answer": {2 * minPartialBytes, maxPartialTime},
+		"pings only":  {minPartialBytes / 10, replicaTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestLease(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				stream := &fakeStream{ctx: ctx, answers: make(chan *controlpb.RenewAnswer)}
+				s := &leaseSession{client: c, sent: map[uint64]time.Duration{}, answers: make(chan *controlpb.RenewAnswer), streamErrors: make(chan error, 1)}
+				go func() {
+					for ctx.Err() == nil {
+						c.meter.received.Add(test.bytesPerSecond / 10)
+						time.Sleep(time.Second / 10)
+					}
+				}()
+				err := s.run(ctx, stream)
+				cancel()
+				var timeout *ReplicaTimeoutError
+				if now := c.clock.now(); !errors.As(err, &timeout) || now < test.ends || now > test.ends+2*replicaTimeout {
+					t.Errorf("ended after %s with %v; want *ReplicaTimeoutError after about %s", now, err, test.ends)
+				}
+				time.Sleep(time.Second) // ends the goroutine that counts bytes
+			})
+		})
+	}
+}
