Give the TLS handshake between daemons its own limit

cause: api.ConnectTimeout (250 ms) limited a whole attempt to open a connection, TLS handshake included. On a busy machine a handshake takes longer, and each new attempt had the same limit, so a gateway could stay without a lease. ruled out: a longer ConnectTimeout for all, because an instance without power does not even refuse and would be left late; waiting between the attempts of a gateway, which tries another replica each time. change: api.DialDaemon (lease sessions, claims, gossip, control peers, load queries) limits TCP to ConnectTimeout, 250 ms, and the attempt as a whole to the new OpenTimeout, 1 s. The opening of a lease stream has OpenTimeout. Attempts of a replica at one peer that acknowledges nothing stay 50 ms apart for the first 20, then the interval grows to 400 ms, with a jitter of a fifth. The operators' client has its own limit of 1 s and is unchanged.

--- a/api/dial.go
+++ b/api/dial.go
@@ -1,9 +1,13 @@
 package api
 
 import (
+	"context"
 	"crypto/tls"
+	"net"
+	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 )
@@ -35,10 +39,29 @@
 	return credentials.NewTLS(c)
 }
 
-// DialDaemon is Dial for connections between daemons, with fixed flow-control windows.
-func DialDaemon(address string, c *tls.Config, extra ...grpc.DialOption) (*grpc.ClientConn, error) {
-	windows := []grpc.DialOption{grpc.WithStaticStreamWindowSize(flowControlWindowBytes), grpc.WithStaticConnWindowSize(flowControlWindowBytes)}
-	return Dial(address, c, append(windows, extra...)...)
+// maxReconnectDelay bounds the backoff between two attempts of one client connection, so that the end of a network partition
+// is noticed soon.
+const maxReconnectDelay = time.Second
+
+// DialDaemon is Dial for connections between daemons, with fixed flow-control windows. Each attempt to connect is limited by
+// ConnectTimeout for TCP and by OpenTimeout as a whole. reconnectDelay is the delay after the first failed attempt; it doubles
+// with each further one.
+func DialDaemon(address string, c *tls.Config, reconnectDelay time.Duration, extra ...grpc.DialOption) (*grpc.ClientConn, error) {
+	options := []grpc.DialOption{
+		grpc.WithStaticStreamWindowSize(flowControlWindowBytes),
+		grpc.WithStaticConnWindowSize(flowControlWindowBytes),
+		grpc.WithContextDialer(connectTCP),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: reconnectDelay, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnectDelay},
+			MinConnectTimeout: OpenTimeout,
+		}),
+	}
+	return Dial(address, c, append(options, extra...)...)
+}
+
+func connectTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: ConnectTimeout}
+	return d.DialContext(ctx, "tcp", address)
 }
 
 // NewServer returns the gRPC server of a daemon, in plain text if c is nil. It accepts messages of at most maxMessageBytes.
--- a/control/acks.go
+++ b/control/acks.go
@@ -77,6 +77,8 @@
 	// under mu, because a timer that is stopped while a batch is unacknowledged would hide a network partition.
 	unacknowledged int64
 	timer          *time.Timer
+	// received is set once the peer has acknowledged a batch.
+	received atomic.Bool
 	// reportVersion is the version of the newest report that the peer has acknowledged; 0 requires a full report.
 	reportVersion atomic.Uint64
 }
@@ -102,6 +104,7 @@
 			cancel(err)
 			return
 		}
+		a.received.Store(true)
 		a.reportVersion.Store(ack.ReportVersion)
 		a.adjustUnacknowledged(-int64(ack.Batches))
 	}
--- a/control/noidentity_test.go
+++ b/control/noidentity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"testing"
@@ -15,22 +16,32 @@
 	"heatherwall.example/telemetry"
 )
 
-// Guards against a replica that lost its data folder and crashes because its group still sends to its address while it
-// asks for the cluster ID.
-func TestReplicaWithoutIdentityAnswersPeers(t *testing.T) {
+// startWithoutIdentity starts a replica named c1 that has no data folder and answers probes until the test ends. It returns
+// the replica and its address.
+func startWithoutIdentity(t *testing.T, config *tls.Config) (*replica, string) {
+	t.Helper()
 	s := &settings.Control{DataFolder: t.TempDir(), Discovery: &settings.Discovery{Seeds: []string{"127.0.0.1:1"}}}
 	s.Name = "c1"
-	r := newReplica(s, nil, telemetry.NewLogger(io.Discard, telemetry.Error))
+	r := newReplica(s, config, telemetry.NewLogger(io.Discard, telemetry.Error))
 	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
 	stop := r.serveProbes(listener)
-	defer stop()
+	t.Cleanup(func() {
+		stop()
+		listener.Close()
+	})
+	return r, listener.Addr().String()
+}
+
+// Guards against a replica that lost its data folder and crashes because its group still sends to its address while it
+// asks for the cluster ID.
+func TestReplicaWithoutIdentityAnswersPeers(t *testing.T) {
+	_, address := startWithoutIdentity(t, nil)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	conn, err := dialer{name: "c2", address: "127.0.0.1:2"}.dial(listener.Addr().String())
+	conn, err := dialer{name: "c2", address: "127.0.0.1:2"}.dial(address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/control/transport.go
+++ b/control/transport.go
@@ -13,9 +13,6 @@
 const (
 	// peerQueueLength bounds the payloads that wait for one peer; raft sends again what is dropped.
 	peerQueueLength = 1024
-	// reconnectInterval is the time between two attempts to reach a peer. It is short, because after a restart of all
-	// replicas each of them waits until a majority has opened its listeners.
-	reconnectInterval = 50 * time.Millisecond
 	// maxBatchMessages is the number of messages at which a batch is full. The last payload added to it may exceed the
 	// number.
 	maxBatchMessages = 64
@@ -74,6 +71,8 @@
 type sender struct {
 	address string
 	queue   chan peerPayload
+	// failures counts the attempts in a row in which the peer acknowledged nothing.
+	failures int
 }
 
 func (s *sender) run(t *transport) {
@@ -88,7 +87,7 @@
 		}
 		t.log.Log(eventPeerConnectionClosed, telemetry.F("address", s.address), telemetry.F("error", err))
 		t.dropped[droppedConnectionFailed].Inc(s.discardQueue())
-		sleep(t.ctx, reconnectInterval)
+		s.waitToReconnect(t)
 	}
 }
 
@@ -132,6 +131,11 @@
 	}
 	clusterID := t.clusterID
 	acks := &ackTracker{timer: ackTimer}
+	defer func() {
+		if acks.received.Load() {
+			s.failures = 0
+		}
+	}()
 	t.wg.Go(func() { acks.receiveAcks(client, cancel) })
 	for p := first; ; {
 		acks.adjustUnacknowledged(1)
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -76,13 +76,13 @@
 	return fmt.Sprintf("control replica %s did not confirm the configuration for %s", e.Replica, replicaTimeout)
 }
 
-// ReplicaUnreachableError reports a control replica to which no connection could be opened in time.
+// ReplicaUnreachableError reports a control replica to which no stream could be opened in time.
 type ReplicaUnreachableError struct {
 	Replica string
 }
 
 func (e *ReplicaUnreachableError) Error() string {
-	return fmt.Sprintf("no connection to control replica %s within %s", e.Replica, api.ConnectTimeout)
+	return fmt.Sprintf("no stream to control replica %s within %s", e.Replica, api.OpenTimeout)
 }
 
 // leaseClient keeps the configuration lease alive. Run is called once; Current and Valid may be called from any
--- a/gateway/leasesession.go
+++ b/gateway/leasesession.go
@@ -22,8 +22,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &leaseSession{client: c, replica: replica, sent: map[uint64]time.Duration{}, answers: make(chan *controlpb.RenewAnswer), streamErrors: make(chan error, 1)}
-	// An instance without power does not even refuse the connection. The timeout lets another replica be tried.
-	opening := time.AfterFunc(api.ConnectTimeout, cancel)
+	// A suspended process accepts the connection and never answers. The timeout lets another replica be tried.
+	opening := time.AfterFunc(api.OpenTimeout, cancel)
 	stream, err := controlpb.NewConfigurationsClient(conn).Watch(ctx)
 	if !opening.Stop() {
 		return &ReplicaUnreachableError{Replica: replica.Name}
--- a/gateway/peertls.go
+++ b/gateway/peertls.go
@@ -3,10 +3,8 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 
 	"heatherwall.example/api"
 	"heatherwall.example/settings"
@@ -48,12 +46,6 @@
 // dialFunc returns a connection to the peer listener of an instance, without waiting until it is established.
 type dialFunc func(name, address string) (*grpc.ClientConn, error)
 
-// connectParams has a short base delay, because gRPC waits at least that long between two attempts to connect.
-var connectParams = grpc.ConnectParams{
-	Backoff:           backoff.Config{BaseDelay: replicaBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: time.Second},
-	MinConnectTimeout: api.ConnectTimeout,
-}
-
 // dialPeers returns a dialFunc that uses mutual TLS, or plaintext if the identity has no certificate.
 func dialPeers(i *identity) dialFunc {
 	return func(name, address string) (*grpc.ClientConn, error) {
@@ -61,8 +53,8 @@
 		if !i.plaintext {
 			c = api.PeerTLS([]tls.Certificate{i.certificate}, i.roots, name)
 		}
-		return api.DialDaemon(address, c, api.WithCallerIdentity(i.name, ""), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessageBytes)),
-			grpc.WithConnectParams(connectParams))
+		return api.DialDaemon(address, c, replicaBackoff, api.WithCallerIdentity(i.name, ""),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessageBytes)))
 	}
 }
 
