--- a/balance/pick.go
+++ b/balance/pick.go
@@ -226,8 +226,6 @@
 		return s.config.Switches.NoRetryBudget || v.load.retries.spend()
 	case AttemptHedge:
 		return q.Idempotent && !s.config.Switches.NoHedging && v.load.hedges.spend()
-	case AttemptFreeRetry:
-		return true
 	}
 	v.load.retries.deposit(s.config.RetryShare, s.config.RetryBurst)
 	v.load.hedges.deposit(s.config.HedgeShare, hedgeBurst)
--- a/balance/query.go
+++ b/balance/query.go
@@ -13,8 +13,6 @@
 	AttemptFirst AttemptKind = iota
 	AttemptRetry
 	AttemptHedge
-	// AttemptFreeRetry follows an attempt that reached no server; it neither spends nor adds to a budget.
-	AttemptFreeRetry
 )
 
 // Query describes one attempt to send a request.
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -39,8 +39,6 @@
 	// hedge is set for a second, parallel attempt; retry for an attempt after a failure.
 	hedge bool
 	retry bool
-	// freeRetry is set for an attempt after one that reached no server; it is not charged to the retry budget.
-	freeRetry bool
 }
 
 // selector selects a backend server.
--- a/gateway/selector.go
+++ b/gateway/selector.go
@@ -26,7 +26,7 @@
 // is ordered by deadline; Pick then tries once more.
 func (e *engineSelector) Pick(ctx context.Context, q *query) (selection, *Refusal) {
 	s, refusal := e.pick(ctx, q)
-	if refusal.Reason != balance.ReasonOverloaded || q.hedge || q.retry || q.freeRetry {
+	if refusal.Reason != balance.ReasonOverloaded || q.hedge || q.retry {
 		return s, refusalFromEngine(refusal)
 	}
 	queue := e.queues.get(q.service)
@@ -84,8 +84,6 @@
 		return balance.AttemptHedge
 	case q.retry:
 		return balance.AttemptRetry
-	case q.freeRetry:
-		return balance.AttemptFreeRetry
 	}
 	return balance.AttemptFirst
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,8 +24,6 @@
 type streamResult struct {
 	// complete is set if the backend server's response was read to its end and written to the caller.
 	complete bool
-	// delivered is set if all of the response was written to the caller's connection.
-	delivered bool
 	// bodyPrefix holds the first maxKeptBodyBytes+1 bytes of the body; it is the whole body if it is shorter than that.
 	bodyPrefix []byte
 }
@@ -87,7 +85,7 @@
 			}
 		}
 		if err == io.EOF {
-			s.complete, s.delivered = true, true
+			s.complete = true
 			return s
 		}
 		if err != nil {
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -12,7 +12,6 @@
 	n.role = Leader
 	n.hasSeenLeader = true
 	n.leaderSince = n.ticks
-	n.leaderSince = n.ticks
 	n.leader = n.config.ID
 	n.votes = nil
 	n.progress = map[uint64]*progress{}
--- a/routes/table.go
+++ b/routes/table.go
@@ -42,8 +42,6 @@
 	HealthPath string
 	// MaxConnections is the number of connections that a backend server accepts from all gateways together; 0 for no limit.
 	MaxConnections int
-	// ColdStartTime is the duration of a cold start.
-	ColdStartTime time.Duration
 	// ColdRate is the number of requests per second that a backend server in cold start can handle; 0 for no limit.
 	ColdRate float64
 }
@@ -74,8 +72,7 @@
 	c := &Table{Version: t.GetVersion(), Services: map[string]*Service{}, Limits: compileLimits(t.GetLimits()), byHost: map[string][]*Route{}}
 	for _, s := range t.GetServices() {
 		c.Services[s.GetName()] = &Service{
-			Name: s.GetName(), HealthPath: s.GetHealthPath(), MaxConnections: int(s.GetMaxConnections()),
-			ColdStartTime: time.Duration(s.GetColdMs()) * time.Millisecond, ColdRate: s.GetColdRate(),
+			Name: s.GetName(), HealthPath: s.GetHealthPath(), MaxConnections: int(s.GetMaxConnections()), ColdRate: s.GetColdRate(),
 		}
 	}
 	for _, r := range t.GetRoutes() {
