Say that numbers of the settings may be 0

cause: "expected a positive number" was the text of a check that takes 0, which selects the default. ruled out: refusing 0, because a missing field cannot be told from it and files that work would be refused. change: the text is "expected 0 or a positive number". Factors that are infinite or not a number, which the comparison with 0 let pass, are refused with the same text. before: the text named a value that is accepted as wrong; .nan and .inf were accepted. after: TestZeroSelectsTheDefault, TestInvalidCatalogueSettings with the two values, and the text in TestParseGatewayReportsEveryMistake pass. conclusion: check and text agree.

--- a/settings/catalogue.go
+++ b/settings/catalogue.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -150,10 +151,10 @@
 	s.Cold.Slack = c.floatOrDefault("catalogue.cold.slack", s.Cold.Slack, 0)
 }
 
-// floatOrDefault returns fallback for 0, and reports negative values.
+// floatOrDefault returns fallback for 0, and reports negative values, infinity and values that are not a number.
 func (c *checker) floatOrDefault(path string, value, fallback float64) float64 {
-	if value < 0 {
-		c.addProblem(path, "expected a positive number")
+	if value < 0 || math.IsNaN(value) || math.IsInf(value, 0) {
+		c.addProblem(path, expectedNumber)
 	}
 	if value == 0 {
 		return fallback
--- a/settings/catalogue_test.go
+++ b/settings/catalogue_test.go
@@ -62,6 +62,8 @@
 		"TLS by default":    {validControl, `, plaintext: true`, ``, "peer.tls"},
 		"negative time":     {validCatalogueGateway, `serve_stale_seconds: 30`, `serve_stale_seconds: -1`, "catalogue.serve_stale_seconds"},
 		"negative ratio":    {validCatalogueGateway, `serve_stale_seconds: 30`, `retry: {ratio: -0.1}`, "catalogue.retry.ratio"},
+		"ratio no number":   {validCatalogueGateway, `serve_stale_seconds: 30`, `retry: {ratio: .nan}`, "catalogue.retry.ratio"},
+		"infinite ratio":    {validCatalogueGateway, `serve_stale_seconds: 30`, `retry: {ratio: .inf}`, "catalogue.retry.ratio"},
 		"unknown field":     {validCatalogueGateway, `serve_stale_seconds: 30`, `serve_stale: 30`, "catalogue.serve_stale"},
 		"document gateways": {validCatalogueGateway, `catalogue: {serve_stale_seconds: 30}`, ``, "announce.address"},
 	} {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -214,10 +214,13 @@
 	}
 }
 
+// expectedNumber describes the values of a numeric field; 0 selects the default.
+const expectedNumber = "expected 0 or a positive number"
+
 // intOrDefault returns fallback for 0, and reports negative values.
 func (c *checker) intOrDefault(path string, value, fallback int) int {
 	if value < 0 {
-		c.addProblem(path, "expected a positive number")
+		c.addProblem(path, expectedNumber)
 	}
 	if value == 0 {
 		return fallback
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// Guards against a number that is accepted although the text of the check refuses it.
+func TestZeroSelectsTheDefault(t *testing.T) {
+	s, err := ParseGateway("gw.yaml", []byte(validGateway+"max_requests: 0\n"))
+	if err != nil || s.MaxRequests != DefaultMaxRequests {
+		t.Fatalf("settings %+v, %v; want the default", s, err)
+	}
+}
+
 // Guards against a check that stops at the first mistake or reports a wrong position.
 func TestParseGatewayReportsEveryMistake(t *testing.T) {
 	text := strings.NewReplacer(
@@ -45,7 +53,7 @@
 		"gw.yaml:2:1: regoin: unknown field",
 		`gw.yaml:4:20: callers.address: expected an IP address with a port, got "localhost:8080"`,
 		"gw.yaml:9:5: control[0].name: expected a value",
-		"gw.yaml:10:15: max_requests: expected a positive number",
+		"gw.yaml:10:15: max_requests: expected 0 or a positive number",
 	}
 	if got := invalid.Error(); got != strings.Join(want, "\n") {
 		t.Fatalf("got:\n%s\nwant:\n%s", got, strings.Join(want, "\n"))
