--- a/gateway/bytemeter.go
+++ b/gateway/bytemeter.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"sync/atomic"
+
+	"heatherwall.example/api"
 )
 
 // byteMeter counts the bytes that arrive on the connections it opens, also those of messages that are never completed.
@@ -13,8 +15,7 @@
 
 // dialContext opens a TCP connection whose received bytes are counted.
 func (m *byteMeter) dialContext(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := api.ConnectTCP(ctx, address)
 	if err != nil {
 		return nil, err
 	}
