--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -135,11 +135,11 @@
 // Configured returns a channel that is closed once there is a configuration.
 func (c *leaseClient) Configured() <-chan struct{} { return c.configuredLatch.channel() }
 
-// Valid returns the current lease and whether the gateway may serve with it: it has a configuration, and neither the lease
-// nor the serveStale period after it has ended.
+// Valid returns the current lease and whether the gateway may serve with it: it has a configuration that was confirmed at
+// least once, and neither the lease nor the serveStale period after it has ended.
 func (c *leaseClient) Valid() (*lease, bool) {
 	l := c.Current()
-	return l, l.isConfigured() && c.clock.now() < l.expires+c.serveStale
+	return l, l.isConfigured() && l.expires > 0 && c.clock.now() < l.expires+c.serveStale
 }
 
 // Run renews the lease at the nearest replica that answers, until ctx ends.
--- a/gateway/leasesession.go
+++ b/gateway/leasesession.go
@@ -184,11 +184,11 @@
 		return false, nil
 	}
 	maps.DeleteFunc(s.sent, func(_ uint64, at time.Duration) bool { return at <= sentAt })
-	accepted, err := s.client.applyAnswer(a, sentAt+leaseDuration)
-	if err != nil || !accepted {
+	if err := s.client.checkRoutesFollow(a); err != nil {
 		return false, err
 	}
-	if err := s.client.checkRoutesFollow(a); err != nil {
+	accepted, err := s.client.applyAnswer(a, sentAt+leaseDuration)
+	if err != nil || !accepted {
 		return false, err
 	}
 	s.client.notifyIfListed(ctx, sentAt, a.GetGatewaysComplete())
--- a/gateway/routeparts.go
+++ b/gateway/routeparts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"heatherwall.example/api/controlpb"
@@ -46,26 +47,35 @@
 	if next.catalogue.routes != nil && next.catalogue.routes.Version < p.routesVersion {
 		c.log.Log(eventRoutesOutdated, telemetry.F("version", next.catalogue.routes.Version), telemetry.F("newest", p.routesVersion))
 	}
-	c.pending = append(c.pending, p)
+	c.addPending(p)
 	c.confirmPending(next)
 }
 
+// addPending adds a confirmed renewal. Of those that named the same version only the newest is kept. The lowest version is
+// never dropped, because its table arrives first.
+func (c *leaseClient) addPending(p pendingConfirmation) {
+	if n := len(c.pending); n > 0 && c.pending[n-1].routesVersion == p.routesVersion {
+		c.pending = c.pending[:n-1]
+	}
+	if c.pending = append(c.pending, p); len(c.pending) > maxPendingConfirmations {
+		c.pending = slices.Delete(c.pending, 1, 2)
+	}
+}
+
 // confirmPending extends the lease for all confirmed renewals whose route table is in use.
 func (c *leaseClient) confirmPending(next *lease) {
-	kept := c.pending[:0]
-	for _, p := range c.pending {
+	c.pending = slices.DeleteFunc(c.pending, func(p pendingConfirmation) bool {
 		if p.routesVersion > 0 && (next.catalogue.routes == nil || next.catalogue.routes.Version < p.routesVersion) {
-			kept = append(kept, p)
-			continue
+			return false
 		}
 		next.expires = max(next.expires, p.sentAt+leaseDuration)
 		next.catalogue.routesConfirmedAt = max(next.catalogue.routesConfirmedAt, p.sentAt)
-	}
-	c.pending = kept[max(0, len(kept)-maxPendingConfirmations):]
+		return true
+	})
 }
 
-// maxPendingConfirmations limits the renewals that wait for a route table; older ones would not extend the lease further.
-const maxPendingConfirmations = 8
+// maxPendingConfirmations limits the versions of route tables for which a confirmed renewal waits.
+const maxPendingConfirmations = 64
 
 // mayBeUnknownRoute reports whether a request that no route covers may have one: a replica has named a newer table, or the
 // table in use has not been confirmed for a while.
@@ -87,11 +97,12 @@
 // next session then asks for the whole catalogue.
 func (c *leaseClient) checkRoutesFollow(a *controlpb.RenewAnswer) error {
 	view := &c.Current().catalogue
-	c.wantsWholeCatalogue = a.GetRoutesVersion() == 0 && view.newestRoutes > 0 && !view.hasCurrentRoutes()
+	held := max(view.table.GetVersion(), a.GetCatalogue().GetRoutes().GetVersion())
+	c.wantsWholeCatalogue = a.GetRoutesVersion() == 0 && held < view.newestRoutes
 	if !c.wantsWholeCatalogue {
 		return nil
 	}
-	return &RoutesMissingError{Held: view.table.GetVersion(), Newest: view.newestRoutes}
+	return &RoutesMissingError{Held: held, Newest: view.newestRoutes}
 }
 
 // catalogueIndex returns the index that the next renewal names: that of the catalogue in use, or 0 to get all of it.
--- a/gateway/routeparts_test.go
+++ b/gateway/routeparts_test.go
@@ -109,12 +109,15 @@
 		t.Fatal(err)
 	}
 	must(t, c.acceptRoutePart(partsOf(t, routeTable(3), largeTable(4, 3000))[0]))
-	s := &leaseSession{client: c, sent: map[uint64]time.Duration{1: 0}}
+	s := &leaseSession{client: c, sent: map[uint64]time.Duration{1: 2 * time.Hour}}
 	var missing *RoutesMissingError
 	if _, err := s.handleAnswer(t.Context(), &controlpb.RenewAnswer{ClusterId: 7, Nonce: 1}); !errors.As(err, &missing) || c.catalogueIndex() != 0 {
 		t.Errorf("%v, asks from index %d; want *RoutesMissingError and 0", err, c.catalogueIndex())
 	}
-	s.sent[2] = 0
+	if c.Current().expires != time.Hour {
+		t.Errorf("a replica that does not send the newest table extended the lease to %s", c.Current().expires)
+	}
+	s.sent[2] = 2 * time.Hour
 	whole := catalogueAnswer(0, 11, largeTable(4, 3000), "a")
 	whole.Nonce = 2
 	if _, err := s.handleAnswer(t.Context(), whole); err != nil || c.Current().catalogue.routes.Version != 4 || c.catalogueIndex() != 11 {
@@ -204,3 +207,43 @@
 		})
 	}
 }
+
+// Guards against a gateway that serves after its start with a table that no valid confirmation covers.
+func TestTableWithoutConfirmationIsNotServed(t *testing.T) {
+	c := newTestLease(t)
+	c.serveStale = time.Hour
+	for _, p := range partsOf(t, nil, largeTable(4, 3000)) {
+		a := catalogueAnswer(0, 10, nil, "a")
+		a.RoutesVersion = 5
+		if _, err := c.applyAnswer(a, time.Hour); err != nil {
+			t.Fatal(err)
+		}
+		must(t, c.acceptRoutePart(p))
+	}
+	if l, ok := c.Valid(); ok || l.catalogue.routes == nil {
+		t.Error("the gateway serves version 4, although every confirmation named version 5")
+	}
+}
+
+// Guards against a lease that is never extended because newer versions are named before each table has arrived.
+func TestLeaseFollowsTablesUnderConstantChange(t *testing.T) {
+	c := newTestLease(t)
+	held := (*controlpb.RouteTable)(nil)
+	for version := uint64(1); version <= 9; version++ {
+		table := largeTable(version, int(1000+version*1000))
+		for renewal := range 20 {
+			a := catalogueAnswer(0, 10, nil, "a")
+			a.RoutesVersion = version + uint64(renewal)/10
+			if _, err := c.applyAnswer(a, time.Duration(version)*time.Minute+time.Duration(renewal)*time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, p := range partsOf(t, held, table) {
+			must(t, c.acceptRoutePart(p))
+		}
+		held = table
+		if want := time.Duration(version)*time.Minute + 9*time.Second; c.Current().expires != want {
+			t.Fatalf("the lease ends at %s with version %d; want %s, the last confirmation that named it", c.Current().expires, version, want)
+		}
+	}
+}
