--- a/gateway/leasesession.go
+++ b/gateway/leasesession.go
@@ -6,9 +6,12 @@
 	"maps"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/settings"
+	"heatherwall.example/telemetry"
 )
 
 // runSession renews the lease at one replica until the replica times out, the stream fails, a nearer replica is available or
@@ -21,7 +24,7 @@
 	defer conn.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &leaseSession{client: c, replica: replica, sent: map[uint64]time.Duration{}, answers: make(chan *controlpb.RenewAnswer), streamErrors: make(chan error, 1), receivedBytes: c.meter.received.Load()}
+	s := &leaseSession{client: c, replica: replica, sent: map[uint64]time.Duration{}, answers: make(chan *controlpb.RenewAnswer), streamErrors: make(chan error, 1), receivedBytes: c.meter.received.Load(), confirmedAt: c.clock.now()}
 	// A suspended process accepts the connection and never answers. The timeout lets another replica be tried.
 	opening := time.AfterFunc(api.OpenTimeout, cancel)
 	stream, err := controlpb.NewConfigurationsClient(conn).Watch(ctx)
@@ -46,6 +49,8 @@
 	// the first check since the last answer; 0 if there was none.
 	receivedBytes uint64
 	partialSince  time.Duration
+	// confirmedAt is the time of the last answer that confirmed the configuration, or of the start of the session.
+	confirmedAt time.Duration
 }
 
 const (
@@ -157,6 +162,17 @@
 	return nil
 }
 
+// acceptRoutePart reports whether the part advanced the transfer, at most maxPartialTime after the last confirmation. After
+// that, the replica is given up, because it no longer confirms anything.
+func (s *leaseSession) acceptRoutePart(part *controlpb.RoutePart) (progress bool, err error) {
+	c := s.client
+	before := c.routeParts.Position()
+	if err := c.acceptRoutePart(part); err != nil {
+		return false, err
+	}
+	return !proto.Equal(before, c.routeParts.Position()) && c.clock.now()-s.confirmedAt < maxPartialTime, nil
+}
+
 // acknowledgeRoutes tells the replica which parts of a route table have arrived, so that it sends further ones.
 func (s *leaseSession) acknowledgeRoutes(stream watchStream) error {
 	if err := stream.Send(&controlpb.RenewRequest{Routes: s.client.routeParts.Position()}); err != nil {
@@ -170,11 +186,16 @@
 // an answer without such a renewal confirms nothing. After an error the stream must be closed.
 func (s *leaseSession) handleAnswer(ctx context.Context, a *controlpb.RenewAnswer) (progress bool, err error) {
 	s.client.replicas.setMembers(a.GetReplicas())
+	isChange := a.GetNonce() == 0 && (a.GetCatalogue() != nil || a.GetRoutePart() != nil)
+	if isChange && a.GetClusterId() != s.client.Current().clusterID {
+		s.client.log.Log(eventClusterRefused, telemetry.F("cluster_id", a.GetClusterId()))
+		return false, nil
+	}
 	if a.GetNonce() == 0 && !s.client.Current().isConfigured() && s.client.replicas.hasNearer(s.replica, time.Now()) {
 		return false, &NearerReplicaError{} // fetch the whole catalogue from the nearer replica
 	}
 	if a.GetRoutePart() != nil {
-		return true, s.client.acceptRoutePart(a.GetRoutePart())
+		return s.acceptRoutePart(a.GetRoutePart())
 	}
 	if a.GetNonce() == 0 {
 		return false, s.client.acceptPush(a)
@@ -191,6 +212,7 @@
 	if err != nil || !accepted {
 		return false, err
 	}
+	s.confirmedAt = s.client.clock.now()
 	s.client.notifyIfListed(ctx, sentAt, a.GetGatewaysComplete())
 	return true, nil
 }
--- a/gateway/routeparts_test.go
+++ b/gateway/routeparts_test.go
@@ -247,3 +247,32 @@
 		}
 	}
 }
+
+// Guards against parts and pushes of another cluster, and against a replica that keeps a session alive with parts that do
+// not advance.
+func TestSessionRefusesForeignAndRepeatedParts(t *testing.T) {
+	c := newTestLease(t)
+	if _, err := c.applyAnswer(catalogueAnswer(0, 10, routeTable(3), "a"), time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	s := &leaseSession{client: c, sent: map[uint64]time.Duration{}}
+	part := partsOf(t, routeTable(3), largeTable(50, 3000))[0]
+	foreign := catalogueAnswer(10, 11, nil, "foreign")
+	foreign.ClusterId = 99
+	for name, a := range map[string]*controlpb.RenewAnswer{"part": {ClusterId: 99, RoutePart: part}, "push": foreign} {
+		progress, err := s.handleAnswer(t.Context(), a)
+		if l := c.Current(); progress || err != nil || len(l.catalogue.servers) != 1 || l.catalogue.newestRoutes > 3 {
+			t.Errorf("a %s of another cluster was accepted: progress %t, %v", name, progress, err)
+		}
+	}
+	for want := range 2 {
+		progress, err := s.handleAnswer(t.Context(), &controlpb.RenewAnswer{ClusterId: 7, RoutePart: part})
+		if err != nil || progress != (want == 0) {
+			t.Errorf("part received %d times: progress %t, %v", want+1, progress, err)
+		}
+	}
+	s.confirmedAt = -maxPartialTime
+	if progress, err := s.handleAnswer(t.Context(), &controlpb.RenewAnswer{ClusterId: 7, RoutePart: partsOf(t, routeTable(3), largeTable(50, 3000))[1]}); err != nil || progress {
+		t.Errorf("a replica that has confirmed nothing for %s keeps its session: progress %t, %v", maxPartialTime, progress, err)
+	}
+}
