--- a/routes/transfer/fingerprint.go
+++ b/routes/transfer/fingerprint.go
@@ -15,13 +15,20 @@
 
 // FingerprintsOf returns the fingerprints of routes.
 func FingerprintsOf(routes []*controlpb.Route) Fingerprints {
-	list := make(Fingerprints, len(routes))
+	list, _ := measure(routes)
+	return list
+}
+
+// measure returns the fingerprints of routes and the size of all encoded routes in bytes.
+func measure(routes []*controlpb.Route) (list Fingerprints, size int) {
+	list = make(Fingerprints, len(routes))
 	var buffer []byte
 	for i, r := range routes {
 		buffer = appendMessage(buffer[:0], r)
+		size += len(buffer)
 		list[i] = xxhash.Sum64(buffer)
 	}
-	return list
+	return list, size
 }
 
 // Digest returns a hash over all fingerprints.
--- a/routes/transfer/transfer_test.go
+++ b/routes/transfer/transfer_test.go
@@ -143,6 +143,37 @@
 	}
 }
 
+// Guards against whole tables that start over when a gateway without one moves between replicas while versions change.
+func TestWholeTableContinuesAtAnotherReplica(t *testing.T) {
+	replicas, r := []*History{{}, {}}, &Receiver{}
+	routes := manyRoutes(4000, 1)
+	sessions := 0
+	for version := uint64(1); r.held == nil; version++ {
+		changed := append(append([]*controlpb.Route(nil), routes...), route(fmt.Sprint(version)))
+		for _, h := range replicas {
+			put(t, h, table(version, changed))
+		}
+		for range 2 {
+			sessions++
+			deliver(t, replicas[sessions%2], r, 8)
+		}
+		if sessions > 20 {
+			t.Fatalf("no table after %d sessions with 8 parts each", sessions)
+		}
+	}
+}
+
+// Guards against tables that are kept for gateways and take the memory of all their routes again.
+func TestVersionsShareEqualRoutes(t *testing.T) {
+	h := &History{}
+	put(t, h, table(1, manyRoutes(10, 1)), table(2, manyRoutes(10, 1)))
+	for i, r := range h.versions[0].table.GetRoutes() {
+		if h.versions[1].table.GetRoutes()[i] != r {
+			t.Fatalf("route %d is held twice", i)
+		}
+	}
+}
+
 // Guards against sending the whole table for a small change, and unchanged content uncompressed.
 func TestSmallChangeIsSmall(t *testing.T) {
 	h, r := &History{}, &Receiver{}
