--- a/control/catalogue.go
+++ b/control/catalogue.go
@@ -49,11 +49,26 @@
 	if err := routes.Validate(t); err != nil {
 		return err
 	}
-	err := c.commitEntry(ctx, controlstate.EncodePutRoutesEntry(t))
+	err := c.commitRoutes(ctx, t)
 	c.r.log.Log(eventRoutesPut, telemetry.F("version", t.GetVersion()), telemetry.F("routes", len(t.GetRoutes())), telemetry.ErrorField(err))
 	return err
 }
 
+// commitRoutes commits a route table unless this replica has applied the version or a higher one, which is then committed.
+// Operators send a table again until it is acknowledged, and each entry takes the whole table to all replicas.
+func (c *Catalogue) commitRoutes(ctx context.Context, t *controlpb.RouteTable) error {
+	held, err := runInLoop(ctx, c.r.loop, func(finish func(*controlpb.RouteTable, error)) {
+		finish(c.r.configuration.state.RouteTable(), nil)
+	})
+	if err != nil {
+		return wrapUnavailable(err)
+	}
+	if held != nil && held.GetVersion() >= t.GetVersion() {
+		return nil
+	}
+	return c.commitEntry(ctx, controlstate.EncodePutRoutesEntry(t))
+}
+
 // Routes returns the newest route table, after a quorum has confirmed, since the call began, that it is current.
 // Errors: *NoRoutesError, *UnavailableError.
 func (c *Catalogue) Routes(ctx context.Context) (*controlpb.RouteTable, error) {
