--- a/gateway/routeparts_test.go
+++ b/gateway/routeparts_test.go
@@ -152,7 +152,8 @@
 		if got := status(); got != http.StatusNotFound {
 			t.Errorf("status %d with a confirmed table; want 404", got)
 		}
-		time.Sleep(maxRouteConfirmationAge + time.Millisecond)
+		// A configuration is expected to be in force 2 s after its acknowledgement.
+		time.Sleep(2 * time.Second)
 		if got := status(); got != http.StatusServiceUnavailable {
 			t.Errorf("status %d without a recent confirmation; want 503", got)
 		}
