--- a/control/catalogue.go
+++ b/control/catalogue.go
@@ -49,8 +49,10 @@
 	if err := routes.Validate(t); err != nil {
 		return err
 	}
+	started := time.Now()
 	err := c.commitRoutes(ctx, t)
-	c.r.log.Log(eventRoutesPut, telemetry.F("version", t.GetVersion()), telemetry.F("routes", len(t.GetRoutes())), telemetry.ErrorField(err))
+	c.r.log.Log(eventRoutesPut, telemetry.F("version", t.GetVersion()), telemetry.F("routes", len(t.GetRoutes())), telemetry.F("took", time.Since(started)),
+		telemetry.ErrorField(err))
 	return err
 }
 
