Do not take bytes that are no answer for a crash of the server

cause: an attempt whose connection the gateway closed, because the header was too long or no HTTP or the body malformed, counted as a connection that broke under the request.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -110,7 +110,7 @@
 		a.result.kind = resultTimeout
 	}
 	if a.result.kind == resultBroken {
-		p.recordCrash(c)
+		p.recordCrash(c, a)
 	}
 	p.logAttempt(c, a)
 }
@@ -126,8 +126,12 @@
 	a.result.kind = classifyError(c.ctx, a.ctx, err, wrote)
 }
 
-// recordCrash adds a crash mark to a request that was in flight on a connection that broke.
-func (p *requestPath) recordCrash(c *call) {
+// recordCrash adds a crash mark to a request if it was in flight on a connection that broke. A connection that the
+// gateway closed because of what the server sent did not break.
+func (p *requestPath) recordCrash(c *call, a *attempt) {
+	if !a.gate.connectionBroke() {
+		return
+	}
 	if p.crashMarks.RecordCrash(p.clock.now(), c.fingerprint, c.placement.Home.Names) {
 		p.log.Log(eventPoisonMarked, telemetry.F("service", c.rule.Service.Name))
 	}
--- a/gateway/backendconn.go
+++ b/gateway/backendconn.go
@@ -109,6 +109,14 @@
 	return g.wrote.Load(), g.denied
 }
 
+// connectionBroke reports whether the connection of the attempt ended before the gateway closed it.
+func (g *sendGate) connectionBroke() bool {
+	g.mu.Lock()
+	conn := g.conn
+	g.mu.Unlock()
+	return conn != nil && conn.isBroken()
+}
+
 // backendConn is a connection to a backend server whose writes are controlled by the sendGate of the current attempt.
 //
 // A server may send more bytes than the Content-Length of its response. If the next request is assigned to the
@@ -123,6 +131,7 @@
 	changed *sync.Cond
 	reading bool // a Read is pending
 	closed  bool
+	broken  bool // see isBroken
 }
 
 func newBackendConn(c net.Conn) *backendConn {
@@ -134,7 +143,24 @@
 func (c *backendConn) Read(p []byte) (int, error) {
 	c.setReading(true)
 	defer c.setReading(false)
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	c.recordError(err)
+	return n, err
+}
+
+// recordError marks the connection as broken if it failed before the gateway closed it.
+func (c *backendConn) recordError(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken = c.broken || (err != nil && !c.closed)
+}
+
+// isBroken reports whether the connection ended before the gateway closed it. Bytes that the gateway cannot use make it
+// close the connection; they do not show that the server crashed.
+func (c *backendConn) isBroken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
 }
 
 func (c *backendConn) setReading(reading bool) {
@@ -179,6 +205,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
+	c.recordError(err)
 	if first && n == 0 && err != nil {
 		g.undoFirstWrite()
 	}
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if a.result.kind = interruptionResult(c); a.result.kind == resultBroken {
-		p.recordCrash(c)
+		p.recordCrash(c, a)
 		p.publishCrashMarks()
 	}
 	p.completeClaim(c, outcomeUnknown, nil)
