Bound the header of a response to a state probe

cause: the client of the state probes had no limit of its own, so each probe read up to the 10 MiB of net/http from a server that never ends its header; a gateway probes many servers at once. ruled out: load probes (they use the connections of requests, with 256 KiB), bodies of probes (1 KiB, then the connection is closed) and probes that take longer than their timeout. change: at most 16 KiB of the header, including interim responses. before: TestEndlessProbes failed in its four cases of a state probe at full speed: the server could send 10.5 to 10.9 MB. after: it passes, with a bound of 4 MiB that includes the buffers of the kernel. conclusion: no probe reads without a small bound.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -20,7 +20,7 @@
 	endlessTimeLimit = 3 * time.Second
 	// maxUnreadBytes bounds what the server of a rejected head or of a refusal sends: what the gateway reads, and the
 	// buffers of the kernel.
-	maxUnreadBytes = 16 << 20
+	maxUnreadBytes = 4 << 20
 )
 
 // endlessServer answers each request with start and then repeats part until the gateway closes the connection.
@@ -34,6 +34,7 @@
 func newEndlessServer(t testing.TB, start, part string, pause time.Duration) *endlessServer {
 	s := &endlessServer{ended: make(chan struct{}, 16)}
 	s.address, s.requests = rawServer(t, func(c net.Conn, _ *http.Request) {
+		_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10)
 		defer func() { _ = c.Close(); s.ended <- struct{}{} }()
 		for text := start; ; text = part {
 			n, err := c.Write([]byte(text))
--- a/gateway/probeclient.go
+++ b/gateway/probeclient.go
@@ -7,12 +7,19 @@
 	"time"
 )
 
-// maxProbeBodyBytes is how much of the body of a response to a probe is read; the report is in its header.
-const maxProbeBodyBytes = 1 << 10
+// The report of a response to a probe is in its header. At most maxProbeHeaderBytes of the header, including interim
+// responses, and maxProbeBodyBytes of the body are read.
+const (
+	maxProbeHeaderBytes = 16 << 10
+	maxProbeBodyBytes   = 1 << 10
+)
 
 // newProbeClient returns a client with its own connections, so that probes do not queue behind requests.
 func newProbeClient(connectionsPerServer int, idleTimeout time.Duration) *http.Client {
-	transport := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: connectionsPerServer, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	transport := &http.Transport{
+		Proxy: nil, MaxIdleConnsPerHost: connectionsPerServer, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxProbeHeaderBytes,
+	}
 	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
 }
 
