End an attempt at the first bytes that are not HTTP

cause: net/http reads a status line to its end before it looks at it, so dribbled bytes that are no answer held a request until its deadline; an idempotent one was then too late for another server. ruled out: a limit on the time between the first byte and the end of the header: interim responses may precede the answer by any time. change: the connection compares the first bytes after the request with the beginning of every response; the log names the cause instead of the error of net/http. before: TestDribbledGarbageEndsAtTheFirstBytes failed: 504 at the deadline instead of the answer of the spare server. after: it passes. conclusion: dribbled headers that begin like HTTP still end at the deadline only, as unknown.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -118,9 +118,9 @@
 // recordFailure records a round trip without a valid response. It stops the gate first: after that no byte can be
 // written, so a result that says "nothing was written" stays true.
 func (a *attempt) recordFailure(c *call, err error) {
-	wrote, denied := a.gate.stop()
-	if denied != nil {
-		err = denied
+	wrote, cause := a.gate.stop()
+	if cause != nil {
+		err = cause
 	}
 	a.err = err
 	a.result.kind = classifyError(c.ctx, a.ctx, err, wrote)
--- a/gateway/backendconn.go
+++ b/gateway/backendconn.go
@@ -54,7 +54,10 @@
 	conn            *backendConn
 	stopped         bool
 	denied          error // why the check forbade the first byte
-	wrote           atomic.Bool
+	// prefixSeen is the number of bytes of httpPrefix that have arrived; refused is the error if others arrived.
+	prefixSeen int
+	refused    error
+	wrote      atomic.Bool
 }
 
 // permitWrite is called before every write of the attempt. Only the first connection that was permitted to write may
@@ -75,7 +78,7 @@
 		g.stopped = true
 		return g.denied
 	}
-	g.conn = c
+	g.conn, g.prefixSeen = c, 0
 	g.wrote.Store(true)
 	return nil
 }
@@ -90,6 +93,31 @@
 	}
 }
 
+// httpPrefix begins every response.
+const httpPrefix = "HTTP/1."
+
+// NotHTTPError reports bytes in place of a response that do not begin like one.
+type NotHTTPError struct{}
+
+func (e *NotHTTPError) Error() string { return "the backend server sent bytes that are not HTTP" }
+
+// checkPrefix checks the first bytes that arrive after the request was written. Bytes that begin no response end the
+// attempt at once, because more of them may dribble in until the deadline.
+func (g *sendGate) checkPrefix(c *backendConn, p []byte) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conn != c || g.prefixSeen == len(httpPrefix) || g.refused != nil {
+		return g.refused
+	}
+	n := min(len(p), len(httpPrefix)-g.prefixSeen)
+	if string(p[:n]) != httpPrefix[g.prefixSeen:g.prefixSeen+n] {
+		g.refused = &NotHTTPError{}
+		return g.refused
+	}
+	g.prefixSeen += n
+	return nil
+}
+
 // undoFirstWrite resets the gate after a first write that failed before the kernel accepted a byte. The request then
 // cannot have run. Writes of this attempt to other connections stay forbidden.
 func (g *sendGate) undoFirstWrite() {
@@ -101,11 +129,14 @@
 }
 
 // stop forbids the first byte from now on. It reports whether one was written before, and returns the error of
-// the check if it failed.
-func (g *sendGate) stop() (wrote bool, denied error) {
+// the check of the first byte or of the response if it failed. Both explain more than the error of net/http.
+func (g *sendGate) stop() (wrote bool, cause error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopped = true
+	if g.refused != nil {
+		return g.wrote.Load(), g.refused
+	}
 	return g.wrote.Load(), g.denied
 }
 
@@ -145,6 +176,11 @@
 	defer c.setReading(false)
 	n, err := c.Conn.Read(p)
 	c.recordError(err)
+	if g := c.gate.Load(); g != nil && n > 0 {
+		if err := g.checkPrefix(c, p[:n]); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
