End calls to control replicas whose bytes dribble without end

cause: the listener for backend servers and operators, and the admin listener, bounded only the time to read a header. A body that dribbles kept its connection and goroutine for ever, also after the handler had answered without reading it, as net/http reads the rest first. ruled out: memory (bodies end at 64 KiB and 8 MiB), the internal listeners of gateways (they bound both), gRPC messages. change: a whole request has 10 s, request and response together 20 s, a header at most 16 KiB. before: TestDribbledCallsEnd failed for a body and for an unread body: the connection was open for the whole hour. after: it passes. conclusion: every listener for reports and operators bounds the time of a request.

--- a/control/catalogue.go
+++ b/control/catalogue.go
@@ -17,10 +17,14 @@
 const (
 	// leaderPollInterval is the time between two attempts of a command while no leader accepts it.
 	leaderPollInterval = 50 * time.Millisecond
-	// catalogueHeaderTimeout bounds the time to read the header of a request at the catalogue listener.
-	catalogueHeaderTimeout = 5 * time.Second
-	// catalogueIdleTimeout closes idle connections of backend servers and operators.
-	catalogueIdleTimeout = 30 * time.Second
+	// Limits of requests at the catalogue listener and at the admin listener. callReadTimeout bounds the time to read a whole
+	// request, callWriteTimeout the time from its header to the end of the response; they leave time for a configuration of
+	// several megabytes.
+	callHeaderTimeout  = 5 * time.Second
+	callReadTimeout    = 10 * time.Second
+	callWriteTimeout   = 20 * time.Second
+	callIdleTimeout    = 30 * time.Second
+	maxCallHeaderBytes = 16 << 10
 )
 
 // UnavailableError reports a command or read that no quorum committed or confirmed in time. A command may still take
@@ -150,10 +154,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{
-		Handler:           r.options.Catalogue(&Catalogue{r: r}),
-		ReadHeaderTimeout: catalogueHeaderTimeout, IdleTimeout: catalogueIdleTimeout,
-	}
+	server := newCallServer(r.options.Catalogue(&Catalogue{r: r}))
 	wg.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			r.log.Log(eventListenerFailed, telemetry.F("listener", "catalogue"), telemetry.F("error", err))
@@ -167,3 +168,12 @@
 		}
 	}, nil
 }
+
+// newCallServer returns the server for the calls of backend servers and operators. A request that dribbles in ends after
+// callReadTimeout.
+func newCallServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, MaxHeaderBytes: maxCallHeaderBytes, ReadHeaderTimeout: callHeaderTimeout,
+		ReadTimeout: callReadTimeout, WriteTimeout: callWriteTimeout, IdleTimeout: callIdleTimeout,
+	}
+}
--- a/control/replica.go
+++ b/control/replica.go
@@ -36,8 +36,6 @@
 	leadershipTransferTimeout = 2 * time.Second
 	// stopTimeout bounds how long a stopping replica waits for in-flight calls.
 	stopTimeout = 5 * time.Second
-
-	adminHeaderTimeout = 5 * time.Second
 )
 
 // replica holds the components of one control replica.
@@ -132,7 +130,7 @@
 
 func (r *replica) run(ctx context.Context, peers *net.TCPListener, admin net.Listener) error {
 	var wg sync.WaitGroup
-	adminServer := &http.Server{Handler: r.adminMux(), ReadHeaderTimeout: adminHeaderTimeout}
+	adminServer := newCallServer(r.adminMux())
 	wg.Go(func() { _ = adminServer.Serve(admin) })
 	defer wg.Wait()
 	defer adminServer.Close()
