Refuse odd reports of backend servers before they reach the log

cause: the identifier of a heartbeat or a deregistration comes from the query, where it may be invalid UTF-8. It cannot be encoded as an entry of the log, and the encoding panics in the loop of the replica: one such call ended the process, and the caller then sent it to the next. Besides, reports with odd values became servers: 4 billion slots, a start at the end of time (never superseded at its address while it reports), a cold start of 49 days, addresses that name no host or a process of the system, identifiers that fit no header, so that no request ever reached the server.

--- a/control/catalogue.go
+++ b/control/catalogue.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -88,14 +89,20 @@
 
 // ReportServer processes a report of a backend server. It returns once the changes in the report are committed. A report
 // without changes only updates the time of the last report on this replica, and a report older than the known one is
-// ignored. The error is an *UnavailableError.
+// ignored. Errors: *routes.InvalidServerError, *OwnAddressError, *UnavailableError.
 func (c *Catalogue) ReportServer(ctx context.Context, s *controlpb.BackendServer) error {
+	if err := routes.ValidateServer(s); err != nil {
+		return err
+	}
 	return c.retryUntilLeader(ctx, func(done func(error)) { c.r.handleReport(s, done) })
 }
 
-// RemoveServer removes an incarnation of a backend server permanently. Incarnation 0 stands for the known one. The
-// error is an *UnavailableError.
+// RemoveServer removes an incarnation of a backend server permanently. Incarnation 0 stands for the known one. Errors:
+// *routes.InvalidServerError, *UnavailableError.
 func (c *Catalogue) RemoveServer(ctx context.Context, id string, incarnation uint64) error {
+	if err := cmp.Or(routes.ValidateServerID(id), routes.ValidateIncarnation(incarnation)); err != nil {
+		return err
+	}
 	err := c.retryUntilLeader(ctx, func(done func(error)) { c.r.handleLeave(id, incarnation, done) })
 	c.r.log.Log(eventServerLeft, telemetry.F("server", id), telemetry.F("incarnation", incarnation), telemetry.ErrorField(err))
 	return err
@@ -136,9 +143,11 @@
 	}
 }
 
+// wrapUnavailable wraps the error of a command that was not decided.
 func wrapUnavailable(err error) error {
-	if err == nil {
-		return nil
+	var own *OwnAddressError
+	if err == nil || errors.As(err, &own) {
+		return err
 	}
 	return &UnavailableError{Cause: err}
 }
--- a/control/serverreports.go
+++ b/control/serverreports.go
@@ -44,7 +44,7 @@
 }
 
 // handleReport records a report and proposes its changes. It calls done once they are committed, or immediately if there
-// are none.
+// are none or if the report names an address of the system itself.
 func (r *replica) handleReport(s *controlpb.BackendServer, done func(error)) {
 	state := r.configuration.state
 	if state.IsReportOutdated(s) {
@@ -54,6 +54,12 @@
 	}
 	now := time.Now()
 	known := state.BackendServer(s.GetId())
+	if known.GetAddress() != s.GetAddress() {
+		if err := r.checkOwnAddress(s, r.directory.gatewayStatuses(now)); err != nil {
+			done(err)
+			return
+		}
+	}
 	before := r.servers.received[s.GetId()]
 	r.servers.received[s.GetId()] = receivedReport{receivedAt: now, coldUntil: before.coldUntil}
 	s.Holder = r.loop.self.Id
