Skip entries of the log that cannot be read

cause: a committed entry without the header of a proposal ended every replica that applied it, and again at each start; an entry that cannot be decoded was skipped without a word. ruled out: the state machine: TestOddEntriesLeaveAUsableState applies 20,000 odd and damaged entries (fixed seed) and encodes, saves and restores the state; TestHighestStartEndsWithItsReports shows that a server with the highest start bars neither its address nor its identifier once it is silent. Both go red on a mutation (domain set twice; tombstone with the incarnation of a lost server). change: both kinds of entries are skipped with the log line entry_skipped (1057). before: TestUnreadableEntriesAreSkipped failed: "entry 1 has no proposal number" and no log line. after: it passes. conclusion: no entry of the log ends a replica.

--- a/control/errors.go
+++ b/control/errors.go
@@ -58,7 +58,7 @@
 	return fmt.Sprintf("bootstrap refused: %s: %s", e.Peer, e.Reason)
 }
 
-// ShortEntryError reports a committed entry that is too short to carry its proposal number; the log is damaged.
+// ShortEntryError reports a committed entry that is too short to carry its proposal number.
 type ShortEntryError struct {
 	Group uint64
 	Index uint64
--- a/control/events.go
+++ b/control/events.go
@@ -48,6 +48,8 @@
 		"A report of a backend server is older than a known one and was ignored.")
 	eventPoisonReportLost = telemetry.Define(1056, "poison_report_lost", telemetry.Warn,
 		"Crash counts of requests may not have been recorded; gateways continue to count.")
+	eventEntrySkipped = telemetry.Define(1057, "entry_skipped", telemetry.Error,
+		"A committed entry of a log cannot be read and was skipped; every replica skips it.")
 	eventConfirmationRefused = telemetry.Define(1041, "confirmation_refused", telemetry.Warn,
 		"A renewal or read was refused because no quorum confirmed that the state is current.")
 )
--- a/control/group.go
+++ b/control/group.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherwall.example/api/raftpb"
+	"heatherwall.example/controlstate"
 	"heatherwall.example/raft"
 	"heatherwall.example/telemetry"
 )
@@ -53,8 +54,9 @@
 	machine stateMachine
 	policy  snapshotPolicy
 	self    uint64
-	// counters is set by addGroup.
+	// counters and events are set by addGroup.
 	counters *counters
+	events   *telemetry.Logger
 
 	applied              uint64
 	entriesSinceSnapshot int
@@ -175,32 +177,56 @@
 		g.applied = rd.Snapshot.Index
 	}
 	for _, e := range rd.CommittedEntries {
-		if err := g.applyEntry(e); err != nil {
-			return err
-		}
+		g.applyEntry(e)
 	}
 	return nil
 }
 
-func (g *group) applyEntry(e *raftpb.Entry) error {
+// applyEntry applies a committed entry. An entry that cannot be read is skipped: every replica reads it alike, and would
+// otherwise fail at each start.
+func (g *group) applyEntry(e *raftpb.Entry) {
 	g.applied = e.Index
 	g.entriesSinceSnapshot++
 	g.bytesSinceSnapshot += len(e.Data)
 	if e.Type != raftpb.EntryType_ENTRY_DATA || len(e.Data) == 0 {
-		return nil
+		return
 	}
 	if len(e.Data) < proposalHeaderBytes {
-		return &ShortEntryError{Group: g.id, Index: e.Index}
+		g.logSkipped(e, &ShortEntryError{Group: g.id, Index: e.Index})
+		return
 	}
 	result := g.machine.Apply(e.Index, e.Data[proposalHeaderBytes:])
+	g.logSkipped(e, entryError(result))
 	if binary.LittleEndian.Uint64(e.Data) != g.self {
-		return nil
+		return
 	}
 	number := binary.LittleEndian.Uint64(e.Data[8:])
 	if p, ok := g.proposals[number]; ok {
 		delete(g.proposals, number)
 		p.done(result, nil)
 	}
+}
+
+// logSkipped logs an entry that was not applied; err is nil for the others.
+func (g *group) logSkipped(e *raftpb.Entry, err error) {
+	if err != nil {
+		g.events.Log(eventEntrySkipped, telemetry.F("group", g.id), telemetry.F("index", e.Index), telemetry.F("bytes", len(e.Data)), telemetry.F("error", err))
+	}
+}
+
+// entryError returns the *controlstate.EntryError in the result of a state machine, or nil.
+func entryError(result any) error {
+	var err error
+	switch r := result.(type) {
+	case controlstate.ConfigurationResult:
+		err = r.Err
+	case controlstate.BatchResult:
+		err = r.Err
+	}
+	var unreadable *controlstate.EntryError
+	if errors.As(err, &unreadable) {
+		return unreadable
+	}
 	return nil
 }
 
--- a/control/loop.go
+++ b/control/loop.go
@@ -191,7 +191,7 @@
 
 // addGroup adds a group to the loop.
 func (l *loop) addGroup(g *group) {
-	g.counters = l.counters
+	g.counters, g.events = l.counters, l.log
 	l.groups[g.id] = g
 	l.ordered = slices.SortedFunc(maps.Values(l.groups), func(a, b *group) int { return cmp.Compare(a.id, b.id) })
 }
