Skip odd records and invalid route tables at the gateway

cause: records that are in the log already reached the balance engine as they are: 4 billion slots draw every request, an identifier with a line end can be sent to no server, a cold start of 49 days. A route table that does not compile ended the stream of every gateway, which then reopened it and met the same table again, for ever. ruled out: a panic; the engine takes any record. change: the gateway checks each changed record like the control replicas, ignores odd ones and logs them (event 2029); an invalid table is logged (2014) and the table in use stays, with the other changes of the delta. before: TestOddRecordsNameNoServer (requests went to 7 addresses instead of 1) and TestInvalidRouteTableKeepsTheStream ("the stream ends") failed. after: both pass. conclusion: one entry costs no other.

--- a/gateway/backends.go
+++ b/gateway/backends.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/balance"
+	"heatherwall.example/routes"
 	"heatherwall.example/settings"
 	"heatherwall.example/telemetry"
 )
@@ -37,6 +39,8 @@
 
 	// The fields below belong to the owner goroutine.
 	records map[string]*backendRecord
+	// skipped holds the log index of the last change of each record that names no server to use.
+	skipped map[string]uint64
 	// pending batches events until flush passes them to the engine.
 	pending  []balance.Event
 	view     catalogueView
@@ -83,6 +87,7 @@
 		gatewaysChanged := gatewayNamesInRegion(b.gateways, b.region) != gatewayNamesInRegion(l.gateways, b.region)
 		routesChanged := b.view.routes != l.catalogue.routes
 		b.view, b.gateways = l.catalogue, l.gateways
+		b.view.servers = b.withoutOdd(l.catalogue.servers)
 		b.pending = append(b.pending, balance.ConfigChanged{DomainsOut: l.catalogue.domainsOut, RetryBurst: retryBurst(b.retry, len(b.gateways))})
 		b.removeStaleRecords()
 		first := len(b.records) == 0
@@ -96,6 +101,31 @@
 	})
 }
 
+// withoutOdd returns the servers without the records that name no server to use. Control replicas refuse such reports, but
+// the log may hold some from before. Records that have not changed are not checked again.
+func (b *catalogueBackends) withoutOdd(servers map[string]*controlpb.BackendServer) map[string]*controlpb.BackendServer {
+	usable, skipped := servers, map[string]uint64{}
+	for id, s := range servers {
+		if r := b.records[id]; r != nil && r.server.GetChanged() == s.GetChanged() {
+			continue
+		}
+		err := routes.ValidateServer(s)
+		if err == nil {
+			continue
+		}
+		if len(skipped) == 0 {
+			usable = maps.Clone(servers)
+		}
+		delete(usable, id)
+		skipped[id] = s.GetChanged()
+		if b.skipped[id] != s.GetChanged() {
+			b.log.Log(eventBackendSkipped, telemetry.F("server", id), telemetry.F("address", s.GetAddress()), telemetry.F("error", err), telemetry.F("index", b.view.index))
+		}
+	}
+	b.skipped = skipped
+	return usable
+}
+
 // flush passes the pending events to the engine in one batch.
 func (b *catalogueBackends) flush() {
 	b.engine.ApplyAll(b.pending)
--- a/gateway/backends_test.go
+++ b/gateway/backends_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -58,3 +59,55 @@
 		t.Errorf("%d lines after a server left and one changed; want 3", n)
 	}
 }
+
+// Guards against an odd record of the catalogue that draws all requests, can be reached by none, or removes the records
+// of others; such records may be in the log already.
+func TestOddRecordsNameNoServer(t *testing.T) {
+	var lines bytes.Buffer
+	b := &catalogueBackends{name: "gw-1", region: "north", engine: balance.New(balance.Config{Region: "north", FailureDomain: "north-a", EvidenceLifetime: noExpiry}),
+		log: telemetry.NewLogger(&lines, telemetry.Info), counters: telemetry.NewMetrics(), clock: newClock(),
+		commands: make(chan func(time.Duration)), stopped: make(chan struct{}), records: map[string]*backendRecord{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	go b.run(ctx)
+	defer func() { cancel(); <-b.stopped }()
+	record := func(id, address string, slots, cold uint32) *controlpb.BackendServer {
+		return &controlpb.BackendServer{Id: id, Address: address, Service: "s", Region: "north", FailureDomain: "north-a", Slots: slots, ColdMs: cold, Changed: 1}
+	}
+	good := record("good", "10.0.0.1:80", 2, 0)
+	servers := map[string]*controlpb.BackendServer{
+		"good": good, "slots": record("slots", "10.0.0.2:80", 4294967295, 0), "line\r\n": record("line\r\n", "10.0.0.3:80", 2, 0),
+		"zone": record("zone", "[fe80::1%eth0]:80", 2, 0), "port": record("port", "10.0.0.4:70000", 2, 0), "cold": record("cold", "10.0.0.5:80", 2, 4294967295),
+		"": record("", "10.0.0.6:80", 2, 0), "none": record("none", "", 2, 0),
+	}
+	picks := func() []string {
+		seen := map[string]bool{}
+		for i := range uint64(50) {
+			a, refusal := b.engine.Current().Pick(balance.Query{Now: b.clock.now(), Service: "s", AnyRegion: true, Remaining: time.Second, Random: i})
+			if !refusal.Refused() {
+				seen[a.Address] = true
+				a.Done(balance.Outcome{Kind: balance.OutcomeOK, Latency: time.Millisecond})
+			}
+		}
+		return slices.Sorted(maps.Keys(seen))
+	}
+	for range 2 {
+		b.configure(&lease{catalogue: catalogueView{index: 1, servers: servers}})
+	}
+	if got := picks(); !slices.Equal(got, []string{"10.0.0.1:80"}) {
+		t.Errorf("requests go to %v", got)
+	}
+	if n := strings.Count(lines.String(), `"backend_skipped"`); n != len(servers)-1 {
+		t.Errorf("%d log lines for skipped records, want %d", n, len(servers)-1)
+	}
+	odd := record("good", "10.0.0.1:80", 4294967295, 0)
+	odd.Changed = 2
+	b.configure(&lease{catalogue: catalogueView{index: 2, servers: map[string]*controlpb.BackendServer{"good": odd}}})
+	if got := picks(); len(got) != 0 {
+		t.Errorf("requests go to %v, whose record has become odd", got)
+	}
+	good.Changed = 3
+	b.configure(&lease{catalogue: catalogueView{index: 3, servers: map[string]*controlpb.BackendServer{"good": good}}})
+	if got := picks(); len(got) != 1 {
+		t.Errorf("requests go to %v after the record was corrected", got)
+	}
+}
--- a/gateway/catalogue_test.go
+++ b/gateway/catalogue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -139,3 +140,22 @@
 		t.Errorf("%v; want no error: a gateway with a configuration changes replicas only at a renewal", err)
 	}
 }
+
+// Guards against a route table in the log that does not compile and stops the stream of every gateway for ever.
+func TestInvalidRouteTableKeepsTheStream(t *testing.T) {
+	c := newTestLease(t)
+	if _, err := c.applyAnswer(catalogueAnswer(0, 1, routeTable(3), "a"), time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	invalid := routeTable(4)
+	invalid.Routes[0].Shares[0].Weight = math.NaN()
+	if _, err := c.applyAnswer(catalogueAnswer(1, 2, invalid, "b"), time.Hour); err != nil {
+		t.Errorf("the stream ends: %v", err)
+	}
+	if v := c.Current().catalogue; v.index != 2 || len(v.servers) != 2 || v.routes.Version != 3 {
+		t.Errorf("index %d, %d servers, routes of version %d; want the change of the servers and the routes of before", v.index, len(v.servers), v.routes.Version)
+	}
+	if err := c.acceptPush(catalogueAnswer(2, 3, routeTable(5))); err != nil || c.Current().catalogue.routes.Version != 5 {
+		t.Errorf("routes of version %d, %v; want 5", c.Current().catalogue.routes.Version, err)
+	}
+}
--- a/gateway/cataloguelease.go
+++ b/gateway/cataloguelease.go
@@ -56,12 +56,7 @@
 		delete(next.servers, id)
 	}
 	if t := d.GetRoutes(); t != nil && (view.routes == nil || t.GetVersion() >= view.routes.Version) {
-		compiled, err := routes.Compile(t)
-		if err != nil {
-			return view, err
-		}
-		next.routes = compiled
-		c.log.Log(eventRoutesInUse, telemetry.F("version", t.GetVersion()), telemetry.F("index", next.index))
+		next.routes = c.compileRoutes(t, view.routes, next.index)
 	}
 	if c.onCrashTotals != nil && len(d.GetPoison()) > 0 {
 		c.onCrashTotals(d.GetPoison())
@@ -69,6 +64,18 @@
 	return next, nil
 }
 
+// compileRoutes returns the compiled table, or the current one if the table is invalid. Without the rest of its delta the
+// gateway would reopen the stream again and again.
+func (c *leaseClient) compileRoutes(t *controlpb.RouteTable, current *routes.Table, index uint64) *routes.Table {
+	compiled, err := routes.Compile(t)
+	if err != nil {
+		c.log.Log(eventRevisionRefused, telemetry.F("version", t.GetVersion()), telemetry.F("index", index), telemetry.F("error", err))
+		return current
+	}
+	c.log.Log(eventRoutesInUse, telemetry.F("version", t.GetVersion()), telemetry.F("index", index))
+	return compiled
+}
+
 // acceptPush applies a change that a replica pushes between renewals. It does not extend the lease.
 func (c *leaseClient) acceptPush(a *controlpb.RenewAnswer) error {
 	old := c.Current()
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -26,6 +26,7 @@
 	eventBackendChanged  = telemetry.Define(2026, "backend_changed", telemetry.Info, "The catalogue has a new record of a backend server.")
 	eventBackendGone     = telemetry.Define(2027, "backend_gone", telemetry.Info, "A backend server is no longer in the catalogue and gets no more requests.")
 	eventBackendsLoaded  = telemetry.Define(2028, "backends_loaded", telemetry.Info, "The gateway has the first catalogue since its start; the number of backend servers is in the fields.")
+	eventBackendSkipped  = telemetry.Define(2029, "backend_skipped", telemetry.Warn, "A record of the catalogue names no backend server to use and is ignored.")
 	eventReloaded        = telemetry.Define(2004, "settings_reloaded", telemetry.Info, "The settings file has changed; the seed addresses are in the fields.")
 	eventGossipFailed    = telemetry.Define(2030, "gossip_failed", telemetry.Debug, "An exchange with another gateway failed.")
 	eventClaimFailed     = telemetry.Define(2040, "claim_failed", telemetry.Warn, "A claim received no answer; the request was refused.")
