--- a/control/catalogue.go
+++ b/control/catalogue.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -17,10 +18,14 @@
 const (
 	// leaderPollInterval is the time between two attempts of a command while no leader accepts it.
 	leaderPollInterval = 50 * time.Millisecond
-	// catalogueHeaderTimeout bounds the time to read the header of a request at the catalogue listener.
-	catalogueHeaderTimeout = 5 * time.Second
-	// catalogueIdleTimeout closes idle connections of backend servers and operators.
-	catalogueIdleTimeout = 30 * time.Second
+	// Limits of requests at the catalogue listener and at the admin listener. callReadTimeout bounds the time to read a whole
+	// request, callWriteTimeout the time from its header to the end of the response; they leave time for a configuration of
+	// several megabytes.
+	callHeaderTimeout  = 5 * time.Second
+	callReadTimeout    = 10 * time.Second
+	callWriteTimeout   = 20 * time.Second
+	callIdleTimeout    = 30 * time.Second
+	maxCallHeaderBytes = 16 << 10
 )
 
 // UnavailableError reports a command or read that no quorum committed or confirmed in time. A command may still take
@@ -101,14 +106,20 @@
 
 // ReportServer processes a report of a backend server. It returns once the changes in the report are committed. A report
 // without changes only updates the time of the last report on this replica, and a report older than the known one is
-// ignored. The error is an *UnavailableError.
+// ignored. Errors: *routes.InvalidServerError, *OwnAddressError, *UnavailableError.
 func (c *Catalogue) ReportServer(ctx context.Context, s *controlpb.BackendServer) error {
+	if err := routes.ValidateServer(s); err != nil {
+		return err
+	}
 	return c.retryUntilLeader(ctx, func(done func(error)) { c.r.handleReport(s, done) })
 }
 
-// RemoveServer removes an incarnation of a backend server permanently. Incarnation 0 stands for the known one. The
-// error is an *UnavailableError.
+// RemoveServer removes an incarnation of a backend server permanently. Incarnation 0 stands for the known one. Errors:
+// *routes.InvalidServerError, *UnavailableError.
 func (c *Catalogue) RemoveServer(ctx context.Context, id string, incarnation uint64) error {
+	if err := cmp.Or(routes.ValidateServerID(id), routes.ValidateIncarnation(incarnation)); err != nil {
+		return err
+	}
 	err := c.retryUntilLeader(ctx, func(done func(error)) { c.r.handleLeave(id, incarnation, done) })
 	c.r.log.Log(eventServerLeft, telemetry.F("server", id), telemetry.F("incarnation", incarnation), telemetry.ErrorField(err))
 	return err
@@ -149,9 +160,11 @@
 	}
 }
 
+// wrapUnavailable wraps the error of a command that was not decided.
 func wrapUnavailable(err error) error {
-	if err == nil {
-		return nil
+	var own *OwnAddressError
+	if err == nil || errors.As(err, &own) {
+		return err
 	}
 	return &UnavailableError{Cause: err}
 }
@@ -167,10 +180,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{
-		Handler:           r.options.Catalogue(&Catalogue{r: r}),
-		ReadHeaderTimeout: catalogueHeaderTimeout, IdleTimeout: catalogueIdleTimeout,
-	}
+	server := newCallServer(r.options.Catalogue(&Catalogue{r: r}))
 	wg.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			r.log.Log(eventListenerFailed, telemetry.F("listener", "catalogue"), telemetry.F("error", err))
@@ -184,3 +194,12 @@
 		}
 	}, nil
 }
+
+// newCallServer returns the server for the calls of backend servers and operators. A request that dribbles in ends after
+// callReadTimeout.
+func newCallServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, MaxHeaderBytes: maxCallHeaderBytes, ReadHeaderTimeout: callHeaderTimeout,
+		ReadTimeout: callReadTimeout, WriteTimeout: callWriteTimeout, IdleTimeout: callIdleTimeout,
+	}
+}
--- a/control/events.go
+++ b/control/events.go
@@ -52,6 +52,8 @@
 		"Changes could not be sent to a gateway, in most cases because its session has ended; its next renewal opens a new one.")
 	eventPoisonReportLost = telemetry.Define(1056, "poison_report_lost", telemetry.Warn,
 		"Crash counts of requests may not have been recorded; gateways continue to count.")
+	eventEntrySkipped = telemetry.Define(1059, "entry_skipped", telemetry.Error,
+		"A committed entry of a log cannot be read and was skipped; every replica skips it.")
 	eventConfirmationRefused = telemetry.Define(1041, "confirmation_refused", telemetry.Warn,
 		"A renewal or read was refused because no quorum confirmed that the state is current.")
 )
--- a/gateway/backendconn.go
+++ b/gateway/backendconn.go
@@ -54,7 +54,10 @@
 	conn            *backendConn
 	stopped         bool
 	denied          error // why the check forbade the first byte
-	wrote           atomic.Bool
+	// prefixSeen is the number of bytes of httpPrefix that have arrived; refused is the error if others arrived.
+	prefixSeen int
+	refused    error
+	wrote      atomic.Bool
 }
 
 // permitWrite is called before every write of the attempt. Only the first connection that was permitted to write may
@@ -75,7 +78,7 @@
 		g.stopped = true
 		return g.denied
 	}
-	g.conn = c
+	g.conn, g.prefixSeen = c, 0
 	g.wrote.Store(true)
 	return nil
 }
@@ -90,6 +93,31 @@
 	}
 }
 
+// httpPrefix begins every response.
+const httpPrefix = "HTTP/1."
+
+// NotHTTPError reports bytes in place of a response that do not begin like one.
+type NotHTTPError struct{}
+
+func (e *NotHTTPError) Error() string { return "the backend server sent bytes that are not HTTP" }
+
+// checkPrefix checks the first bytes that arrive after the request was written. Bytes that begin no response end the
+// attempt at once, because more of them may dribble in until the deadline.
+func (g *sendGate) checkPrefix(c *backendConn, p []byte) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conn != c || g.prefixSeen == len(httpPrefix) || g.refused != nil {
+		return g.refused
+	}
+	n := min(len(p), len(httpPrefix)-g.prefixSeen)
+	if string(p[:n]) != httpPrefix[g.prefixSeen:g.prefixSeen+n] {
+		g.refused = &NotHTTPError{}
+		return g.refused
+	}
+	g.prefixSeen += n
+	return nil
+}
+
 // undoFirstWrite resets the gate after a first write that failed before the kernel accepted a byte. The request then
 // cannot have run. Writes of this attempt to other connections stay forbidden.
 func (g *sendGate) undoFirstWrite() {
@@ -101,14 +129,25 @@
 }
 
 // stop forbids the first byte from now on. It reports whether one was written before, and returns the error of
-// the check if it failed.
-func (g *sendGate) stop() (wrote bool, denied error) {
+// the check of the first byte or of the response if it failed. Both explain more than the error of net/http.
+func (g *sendGate) stop() (wrote bool, cause error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopped = true
+	if g.refused != nil {
+		return g.wrote.Load(), g.refused
+	}
 	return g.wrote.Load(), g.denied
 }
 
+// connectionBroke reports whether the connection of the attempt ended before the gateway closed it.
+func (g *sendGate) connectionBroke() bool {
+	g.mu.Lock()
+	conn := g.conn
+	g.mu.Unlock()
+	return conn != nil && conn.isBroken()
+}
+
 // backendConn is a connection to a backend server whose writes are controlled by the sendGate of the current attempt.
 //
 // A server may send more bytes than the Content-Length of its response. If the next request is assigned to the
@@ -123,6 +162,7 @@
 	changed *sync.Cond
 	reading bool // a Read is pending
 	closed  bool
+	broken  bool // see isBroken
 }
 
 func newBackendConn(c net.Conn) *backendConn {
@@ -134,7 +174,29 @@
 func (c *backendConn) Read(p []byte) (int, error) {
 	c.setReading(true)
 	defer c.setReading(false)
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	c.recordError(err)
+	if g := c.gate.Load(); g != nil && n > 0 {
+		if err := g.checkPrefix(c, p[:n]); err != nil {
+			return 0, err
+		}
+	}
+	return n, err
+}
+
+// recordError marks the connection as broken if it failed before the gateway closed it.
+func (c *backendConn) recordError(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken = c.broken || (err != nil && !c.closed)
+}
+
+// isBroken reports whether the connection ended before the gateway closed it. Bytes that the gateway cannot use make it
+// close the connection; they do not show that the server crashed.
+func (c *backendConn) isBroken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
 }
 
 func (c *backendConn) setReading(reading bool) {
@@ -179,6 +241,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
+	c.recordError(err)
 	if first && n == 0 && err != nil {
 		g.undoFirstWrite()
 	}
--- a/gateway/cataloguelease.go
+++ b/gateway/cataloguelease.go
@@ -64,10 +64,7 @@
 		delete(next.servers, id)
 	}
 	if t := d.GetRoutes(); t != nil && (view.routes == nil || t.GetVersion() >= view.routes.Version) {
-		var err error
-		if next, err = c.useRoutes(next, t); err != nil {
-			return view, err
-		}
+		next = c.useRoutes(next, t)
 	}
 	if c.onCrashTotals != nil && len(d.GetPoison()) > 0 {
 		c.onCrashTotals(d.GetPoison())
@@ -75,17 +72,20 @@
 	return next, nil
 }
 
-// useRoutes returns the view with a new route table. The error is an *routes.InvalidError.
-func (c *leaseClient) useRoutes(view catalogueView, t *controlpb.RouteTable) (catalogueView, error) {
+// useRoutes returns the view with a new route table. An invalid one is skipped, because the stream would otherwise be
+// reopened again and again; the gateway then counts as outdated until a later version.
+func (c *leaseClient) useRoutes(view catalogueView, t *controlpb.RouteTable) catalogueView {
+	c.routeParts.Hold(t)
+	view.newestRoutes = max(view.newestRoutes, t.GetVersion())
 	compiled, err := routes.Compile(t)
 	if err != nil {
-		return view, err
+		c.log.Log(eventRevisionRefused, telemetry.F("version", t.GetVersion()), telemetry.F("index", view.index), telemetry.F("error", err))
+		return view
 	}
 	view.routes, view.table = compiled, t
-	c.routeParts.Hold(t)
 	c.log.Log(eventRoutesInUse, telemetry.F("version", t.GetVersion()), telemetry.F("index", view.index),
 		telemetry.F("routes", len(t.GetRoutes())), telemetry.F("bytes", proto.Size(t)))
-	return view, nil
+	return view
 }
 
 // acceptPush applies a change that a replica pushes between renewals. It does not extend the lease.
--- a/gateway/routeparts.go
+++ b/gateway/routeparts.go
@@ -20,7 +20,7 @@
 }
 
 // acceptRoutePart adds a part of a newer route table. After the last part it puts the table in use, together with the
-// renewals that were confirmed meanwhile. The error is a *transfer.PartError or a *routes.InvalidError.
+// renewals that were confirmed meanwhile. The error is a *transfer.PartError.
 func (c *leaseClient) acceptRoutePart(part *controlpb.RoutePart) error {
 	table, err := c.routeParts.Accept(part)
 	if err != nil {
@@ -33,9 +33,7 @@
 		c.current.Store(&next)
 		return nil
 	}
-	if next.catalogue, err = c.useRoutes(next.catalogue, table); err != nil {
-		return err
-	}
+	next.catalogue = c.useRoutes(next.catalogue, table)
 	c.confirmPending(&next)
 	c.publish(&next)
 	return nil
@@ -97,7 +95,7 @@
 // next session then asks for the whole catalogue.
 func (c *leaseClient) checkRoutesFollow(a *controlpb.RenewAnswer) error {
 	view := &c.Current().catalogue
-	held := max(view.table.GetVersion(), a.GetCatalogue().GetRoutes().GetVersion())
+	held := max(c.routeParts.Position().GetVersion(), a.GetCatalogue().GetRoutes().GetVersion())
 	c.wantsWholeCatalogue = a.GetRoutesVersion() == 0 && held < view.newestRoutes
 	if !c.wantsWholeCatalogue {
 		return nil
