--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -24,6 +24,9 @@
 	}
 	a.candidate.load.requestEnded(a.start)
 	a.snapshot.releaseLimits(a.view, a.member)
+	if o.Kind == OutcomeDiscarded {
+		return
+	}
 	now := a.start + o.Latency
 	if o.Kind == OutcomeNotConnected {
 		a.recordConnectFailure(now)
--- a/balance/query.go
+++ b/balance/query.go
@@ -125,6 +125,8 @@
 	OutcomeCanceled
 	// OutcomeCrashed: the connection broke while the request was in flight.
 	OutcomeCrashed
+	// OutcomeDiscarded: the outcome says nothing about the server.
+	OutcomeDiscarded
 )
 
 // Outcome describes how an attempt ended.
--- /dev/null
+++ b/balance/reachability.go
@@ -0,0 +1,237 @@
+package balance
+
+import (
+	"sync"
+	"time"
+)
+
+// Constants of Reachability.
+const (
+	// answerPatience is the time after which a probe counts as unanswered. Servers of another region answer within 30 ms.
+	answerPatience = 120 * time.Millisecond
+	// suspicionPatience is the same for the suspicion, which costs little if it is wrong.
+	suspicionPatience = 75 * time.Millisecond
+	// cutOffServers and suspicionServers are the numbers of distinct servers that must have failed since the last answer.
+	cutOffServers    = 4
+	suspicionServers = 3
+	// verifyServers is the number of failed servers from which on further servers are probed.
+	verifyServers = 2
+	// cutOffSilence is the shortest time without any answer before the gateway counts as cut off.
+	cutOffSilence = 250 * time.Millisecond
+	// maxTickGap is the longest time between two ticks; after a longer one the process was stopped, and what seems
+	// unanswered may have been answered.
+	maxTickGap = 200 * time.Millisecond
+	// maxUnanswered bounds the number of servers whose failures are remembered.
+	maxUnanswered = 64
+
+	verifyInterval = 150 * time.Millisecond
+	verifyProbes   = 4
+	// cutOffProbeInterval is the time between two rounds of probes while cut off, returnProbeInterval that after an answer.
+	cutOffProbeInterval = 250 * time.Millisecond
+	returnProbeInterval = 100 * time.Millisecond
+	cutOffProbes        = 2
+
+	// returnAnswers is the number of answers after which a gateway returns, unless minReturnTime or a multiple has not
+	// passed since the first one. A gap longer than maxAnswerGap starts the count anew.
+	returnAnswers   = 4
+	minReturnTime   = 400 * time.Millisecond
+	maxReturnTime   = 3200 * time.Millisecond
+	maxAnswerGap    = 600 * time.Millisecond
+	relapseWindow   = 10 * time.Second
+	pathReturnRamp  = time.Second
+	pathReturnShare = 0.2
+)
+
+// ReachState is the state of the path from this gateway to all backend servers together.
+type ReachState uint8
+
+// States of the path to backend servers.
+const (
+	// Reached: at least some servers answer.
+	Reached ReachState = iota
+	// CutOff: no server answers, though several were asked.
+	CutOff
+	// Returning: servers answer again and receive a growing share of the requests.
+	Returning
+)
+
+// String returns the name of the state in logs.
+func (s ReachState) String() string { return [...]string{"reached", "cut_off", "returning"}[s] }
+
+// unanswered is a server that has not answered since the last answer of any server.
+type unanswered struct {
+	since time.Duration
+	// failed is set if a connection failed, so that there is nothing left to wait for.
+	failed bool
+}
+
+// Reachability decides whether this gateway reaches backend servers at all. A single server that fails proves nothing;
+// several that fail while no other answers do. It is safe for concurrent use.
+type Reachability struct {
+	mu         sync.Mutex
+	state      ReachState
+	lastTick   time.Duration
+	unanswered map[string]unanswered
+	// verifiedAt is when further servers were first probed since the last answer; 0 for never.
+	verifiedAt  time.Duration
+	nextProbeAt time.Duration
+
+	// answers counts the answers while cut off, from firstAnswerAt on.
+	answers                     int
+	firstAnswerAt, lastAnswerAt time.Duration
+	returnTime                  time.Duration
+	returnedAt                  time.Duration
+}
+
+// NewReachability returns a Reachability in the state Reached.
+func NewReachability() *Reachability {
+	return &Reachability{unanswered: map[string]unanswered{}, returnTime: minReturnTime}
+}
+
+// Asked records that a probe was sent to a server.
+func (r *Reachability) Asked(server string, now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.unanswered[server]; !known && len(r.unanswered) < maxUnanswered {
+		r.unanswered[server] = unanswered{since: now}
+	}
+}
+
+// Failed records that a connection to a server could not be opened, or broke.
+func (r *Reachability) Failed(server string, now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u, known := r.unanswered[server]
+	if !known && len(r.unanswered) >= maxUnanswered {
+		return
+	}
+	if !known {
+		u.since = now
+	}
+	u.failed = true
+	r.unanswered[server] = u
+}
+
+// Answered records an answer of any server, which proves that the path works.
+func (r *Reachability) Answered(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forgetLocked()
+	if r.state != CutOff {
+		return
+	}
+	if r.answers == 0 || now-r.lastAnswerAt > maxAnswerGap {
+		r.answers, r.firstAnswerAt = 0, now
+	}
+	r.answers++
+	r.lastAnswerAt = now
+}
+
+func (r *Reachability) forgetLocked() {
+	clear(r.unanswered)
+	r.verifiedAt = 0
+}
+
+// IsSuspect reports whether the gateway may be cut off, before that is certain.
+func (r *Reachability) IsSuspect(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state == CutOff || r.countLocked(now, suspicionPatience) >= suspicionServers
+}
+
+// State returns the state as of the last tick.
+func (r *Reachability) State() ReachState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+// DirectShare returns the share of requests that may be sent to servers.
+func (r *Reachability) DirectShare(now time.Duration) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch r.state {
+	case CutOff:
+		return 0
+	case Returning:
+		return min(1, pathReturnShare+(1-pathReturnShare)*float64(now-r.returnedAt)/float64(pathReturnRamp))
+	}
+	return 1
+}
+
+// Tick advances the state. servers is the number of servers that can be probed. It returns the state and the number of
+// servers to probe now.
+func (r *Reachability) Tick(now time.Duration, servers int) (ReachState, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now-r.lastTick > maxTickGap {
+		r.forgetLocked()
+	}
+	r.lastTick = now
+	switch {
+	case r.state == CutOff && r.mayReturnLocked(now):
+		r.state, r.returnedAt = Returning, now
+		r.forgetLocked()
+	case r.state != CutOff && r.isCutOffLocked(now, servers):
+		r.startCutOffLocked(now)
+	case r.state == Returning && now-r.returnedAt >= pathReturnRamp:
+		r.state = Reached
+	}
+	return r.state, r.probesLocked(now)
+}
+
+func (r *Reachability) mayReturnLocked(now time.Duration) bool {
+	return r.answers >= returnAnswers && now-r.firstAnswerAt >= r.returnTime && now-r.lastAnswerAt <= maxAnswerGap
+}
+
+// startCutOffLocked doubles the time that a return takes if the last one was not long ago.
+func (r *Reachability) startCutOffLocked(now time.Duration) {
+	r.returnTime = min(2*r.returnTime, maxReturnTime)
+	if r.returnedAt == 0 || now-r.returnedAt > relapseWindow {
+		r.returnTime = minReturnTime
+	}
+	r.state, r.answers, r.nextProbeAt = CutOff, 0, now
+}
+
+func (r *Reachability) isCutOffLocked(now time.Duration, servers int) bool {
+	if servers == 0 || r.verifiedAt == 0 || now-r.verifiedAt < answerPatience {
+		return false
+	}
+	oldest := now
+	for _, u := range r.unanswered {
+		oldest = min(oldest, u.since)
+	}
+	return now-oldest >= cutOffSilence && r.countLocked(now, answerPatience) >= min(cutOffServers, servers)
+}
+
+// countLocked returns the number of servers that failed or did not answer within the patience.
+func (r *Reachability) countLocked(now, patience time.Duration) int {
+	n := 0
+	for _, u := range r.unanswered {
+		if u.failed || now-u.since >= patience {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *Reachability) probesLocked(now time.Duration) int {
+	if now < r.nextProbeAt {
+		return 0
+	}
+	switch {
+	case r.state == CutOff && r.answers > 0 && now-r.lastAnswerAt <= maxAnswerGap:
+		r.nextProbeAt = now + returnProbeInterval
+		return cutOffProbes
+	case r.state == CutOff:
+		r.nextProbeAt = now + cutOffProbeInterval
+		return cutOffProbes
+	case r.countLocked(now, suspicionPatience) < verifyServers:
+		return 0
+	}
+	if r.verifiedAt == 0 {
+		r.verifiedAt = now
+	}
+	r.nextProbeAt = now + verifyInterval
+	return verifyProbes
+}
--- a/control/gatewaydirectory.go
+++ b/control/gatewaydirectory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -331,14 +332,17 @@
 	return complete && len(waiting) == 0, waiting
 }
 
-// gatewayListDigest returns a hash of the fields of the gateways that gossip needs.
+// gatewayListDigest returns a hash of the fields of the gateways that gossip and relays need.
 func gatewayListDigest(list []gatewayState) uint64 {
 	h := fnv.New64a()
 	for _, g := range list {
-		for _, part := range []string{g.status.Name, g.status.Region, g.status.FailureDomain, g.status.PeerAddress} {
+		for _, part := range []string{g.status.Name, g.status.Region, g.status.FailureDomain, g.status.PeerAddress, g.status.RelayAddress} {
 			h.Write([]byte(part))
 			h.Write([]byte{0})
 		}
+		if g.status.RelayAddress != "" {
+			fmt.Fprint(h, g.status.Draining, g.status.ServersUnreachable)
+		}
 	}
 	return h.Sum64()
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"heatherwall.example/telemetry"
@@ -25,6 +26,12 @@
 	response *http.Response
 	err      error
 	result   result
+	// relayRefusal is the refusal of the gateway that the request was passed on to; nil otherwise.
+	relayRefusal *Refusal
+	// settled is set by the first of two: the end of the round trip, or its end because this gateway is cut off from all
+	// servers; abandoned is set in the second case.
+	settled   atomic.Bool
+	abandoned bool
 }
 
 // done ends the attempt, releases its slot and reports its result to the selector. It must be called exactly once.
@@ -94,7 +101,14 @@
 // send sends the request and waits for the response header.
 func (p *requestPath) send(c *call, a *attempt, retriesLeft int) {
 	started := time.Now()
+	stop := p.serverPath().abandonWhenCutOff(a, c.rule.Idempotent)
 	response, err := p.transport.RoundTrip(p.newBackendRequest(c, a, retriesLeft))
+	stop()
+	if a.abandoned = !a.settled.CompareAndSwap(false, true); a.abandoned && err == nil {
+		_ = response.Body.Close()
+		err = context.Canceled
+	}
+	p.serverPath().attemptEnded(a, err)
 	if err == nil {
 		err = p.checkResponse(c, a, response)
 	}
@@ -109,12 +123,29 @@
 	if a.result.kind == resultBroken && time.Until(c.deadline) < deadlineSlack {
 		a.result.kind = resultTimeout
 	}
-	if a.result.kind == resultBroken {
+	if a.abandoned && a.result.kind == resultCanceled {
+		a.result.kind = resultBroken
+	}
+	if a.result.kind == resultBroken && p.provesCrash(a) {
 		p.recordCrash(c)
 	}
 	p.logAttempt(c, a)
 }
 
+// provesCrash reports whether a broken connection shows that a server has crashed: it does not if the connection led to
+// another gateway, or if this gateway may have lost the connections to all servers.
+func (p *requestPath) provesCrash(a *attempt) bool {
+	return !a.isRelay() && !p.serverPath().isDoubtful()
+}
+
+// serverPath returns the watch over the path to servers; nil if there is none.
+func (p *requestPath) serverPath() *serverPath {
+	if p.relay == nil {
+		return nil
+	}
+	return p.relay.path
+}
+
 // recordFailure records a round trip without a valid response. It stops the gate first: after that no byte can be
 // written, so a result that says "nothing was written" stays true.
 func (a *attempt) recordFailure(c *call, err error) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -56,7 +56,9 @@
 	body        []byte
 	bodyReader  *budgetedBody // holds the body's share of the memory budget; nil before the body is read
 	fingerprint fingerprint
-	claim       *requestClaim // nil if the request is idempotent or has no key
+	// relayed is what the gateway that passed the request on says about it; nil for a request of a caller.
+	relayed *relayedCall
+	claim   *requestClaim // nil if the request is idempotent or has no key
 }
 
 // step is one stage of the request path. A refusal ends the request.
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"heatherwall.example/telemetry"
@@ -18,10 +19,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.DrainSeconds)*time.Second)
 	defer cancel()
 	d.path.draining.Store(true)
-	if err := d.servers["callers"].Shutdown(ctx); err != nil {
-		d.log.Log(eventDrainTimeout, telemetry.F("in_flight", int(d.path.inFlight.Load())))
-		_ = d.servers["callers"].Close()
-	}
+	d.shutdown(ctx, "callers", "relay")
 	finished := make(chan struct{})
 	go func() {
 		d.path.background.Wait()
@@ -33,6 +31,24 @@
 	}
 }
 
+// shutdown closes the listeners of the named servers and waits for their requests in flight until ctx ends.
+func (d *daemon) shutdown(ctx context.Context, names ...string) {
+	var ended sync.WaitGroup
+	for _, name := range names {
+		s := d.servers[name]
+		if s == nil {
+			continue
+		}
+		ended.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				d.log.Log(eventDrainTimeout, telemetry.F("listener", name), telemetry.F("in_flight", int(d.path.inFlight.Load())))
+				_ = s.Close()
+			}
+		})
+	}
+	ended.Wait()
+}
+
 // close shuts down everything else and waits for the daemon's goroutines.
 func (d *daemon) close() {
 	for _, s := range d.servers {
@@ -47,6 +63,9 @@
 	if t, ok := d.path.transport.(*http.Transport); ok {
 		t.CloseIdleConnections()
 	}
+	if d.path.relay != nil {
+		d.path.relay.transport.CloseIdleConnections()
+	}
 	d.goroutines.Wait()
 	d.log.Log(eventStopped)
 }
--- a/gateway/header.go
+++ b/gateway/header.go
@@ -45,6 +45,7 @@
 	trailers := acceptsTrailers(in)
 	removeHopByHopHeaders(h)
 	d.removeInternalHeaders(h)
+	removeRelayHeaders(h)
 	h.Del("Authorization")
 	h.Del("Expect") // the body is complete before it is sent
 	if trailers {
@@ -76,5 +77,6 @@
 	}
 	removeHopByHopHeaders(to)
 	d.removeInternalHeaders(to)
+	removeRelayHeaders(to)
 	to.Add("Via", viaValue)
 }
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -92,6 +92,8 @@
 	resultCanceled
 	// resultNotSent: the gateway ended the attempt before a byte was written.
 	resultNotSent
+	// resultDiscarded: the selection was not used, or the result says nothing about the server.
+	resultDiscarded
 )
 
 // result is the result of an attempt, for the selector.
--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"heatherwall.example/api/controlpb"
 	"heatherwall.example/balance"
 	"heatherwall.example/telemetry"
 )
@@ -37,6 +38,7 @@
 	clock      clock
 	healthPath func(service string) string
 	counters   *telemetry.Metrics
+	path       *serverPath
 
 	// probeSlots is a semaphore that limits the concurrent selections that probe.
 	probeSlots chan struct{}
@@ -123,6 +125,18 @@
 	return p.clock.now() < p.mutedUntil[service]
 }
 
+// pathTargets returns the servers that can be probed to learn whether any can be reached: those whose health checks answer
+// at once.
+func (p *loadProber) pathTargets(servers map[string]*controlpb.BackendServer) []pathTarget {
+	var list []pathTarget
+	for _, s := range servers {
+		if path := p.healthPath(s.GetService()); path != "" && !p.isMuted(s.GetService()) && s.GetState() != controlpb.BackendState_BACKEND_DRAINING {
+			list = append(list, pathTarget{address: s.GetAddress(), path: path})
+		}
+	}
+	return list
+}
+
 func (p *loadProber) mute(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -135,7 +149,9 @@
 	defer cancel()
 	sent := p.clock.now()
 	p.counters.UnlabeledCounter("probes").Inc(1)
+	p.path.asked(t.Address)
 	response, err := getProbe(ctx, p.client, t.Address, path)
+	p.path.ended(t.Address, err)
 	if err != nil {
 		p.counters.UnlabeledCounter("probes_unanswered").Inc(1)
 		return false
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -51,6 +51,7 @@
 	ReasonDeadlineExceeded   Reason = "deadline_exceeded"
 	ReasonBackendFailed      Reason = "backend_failed"
 	ReasonPoison             Reason = "poison"
+	ReasonServersUnreachable Reason = "servers_unreachable"
 )
 
 // reasonInfo is the status and the default value of Ran of the refusals with one reason.
@@ -86,6 +87,7 @@
 	ReasonDeadlineExceeded:   {http.StatusGatewayTimeout, RanNo},
 	ReasonBackendFailed:      {http.StatusBadGateway, RanUnknown},
 	ReasonPoison:             {http.StatusServiceUnavailable, RanNo},
+	ReasonServersUnreachable: {http.StatusServiceUnavailable, RanNo},
 }
 
 // Refusal is the error for a request to which the gateway responds itself, without a response of a backend server.
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,256 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"heatherwall.example/api/controlpb"
+	"heatherwall.example/balance"
+	"heatherwall.example/telemetry"
+)
+
+const (
+	// relayDialTimeout bounds the opening of a connection to another gateway, of another region at most.
+	relayDialTimeout = 200 * time.Millisecond
+	// maxRelays is the number of relays that are tried for one request while this gateway reaches no server, and
+	// maxRelaysReached while it does and only the service of the request has none.
+	maxRelays        = 5
+	maxRelaysReached = 1
+)
+
+// relayClient passes requests on to other gateways.
+type relayClient struct {
+	relays    *balance.Relays
+	transport *http.Transport
+	path      *serverPath
+	clock     clock
+}
+
+// newRelayTransport returns the transport for requests to other gateways. Every request must carry a gate, see withGate.
+func newRelayTransport() *http.Transport {
+	t := newTransport(defaultConnectionLimits)
+	dialer := &net.Dialer{Timeout: relayDialTimeout, KeepAlive: backendKeepAliveInterval}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, &UnreachableError{Address: address, Err: err}
+		}
+		return newBackendConn(conn), nil
+	}
+	return t
+}
+
+// update applies the list of gateways.
+func (r *relayClient) update(self string, gateways []*controlpb.GatewayStatus) {
+	var list []balance.Relay
+	for _, g := range gateways {
+		if g.GetName() != self && g.GetRelayAddress() != "" {
+			list = append(list, balance.Relay{
+				Name: g.GetName(), Address: g.GetRelayAddress(), Region: g.GetRegion(), FailureDomain: g.GetFailureDomain(),
+				Unavailable: g.GetDraining() || g.GetServersUnreachable(),
+			})
+		}
+	}
+	r.relays.Update(list)
+}
+
+// relaySelection implements selection with another gateway.
+type relaySelection struct {
+	client  *relayClient
+	relay   balance.Relay
+	service string
+	// refused is set if the relay refused because it cannot serve.
+	refused bool
+}
+
+// Server implements selection. The failure domain is empty, because taking out a domain concerns its servers only.
+func (s *relaySelection) Server() backendServer {
+	return backendServer{service: s.service, address: s.relay.Address, region: s.relay.Region}
+}
+
+// Done implements selection.
+func (s *relaySelection) Done(r result) {
+	outcome := balance.RelayOK
+	switch {
+	case r.kind == resultUnreachable || r.kind == resultBroken && !s.refused:
+		outcome = balance.RelayFailed
+	case s.refused:
+		outcome = balance.RelayRefused
+	}
+	s.client.relays.Done(s.relay.Name, s.client.clock.now(), outcome)
+}
+
+// pickRelay selects another gateway for the request; it returns nil if there is none.
+func (r *runner) pickRelay() selection {
+	client := r.p.relay
+	limit := maxRelaysReached
+	if client.path.isDoubtful() || client.path.isCutOff() {
+		limit = maxRelays
+	}
+	if len(r.relays) >= limit {
+		return nil
+	}
+	relay, ok := client.relays.Pick(balance.RelayQuery{
+		Now: client.clock.now(), Regions: r.c.placement.RunIn.Names, AnyRegion: r.c.placement.RunIn.Any, Tried: r.relays, Random: rand.Uint64(),
+	})
+	if !ok {
+		return nil
+	}
+	r.relays = append(r.relays, relay.Name)
+	return &relaySelection{client: client, relay: relay, service: r.c.rule.Service.Name}
+}
+
+// pickServerOrRelay selects a server or, while this gateway reaches none, another gateway. A request that was passed on to
+// this gateway is refused instead, so that the other gateway can choose another relay.
+func (r *runner) pickServerOrRelay(q *query) (selection, *Refusal) {
+	path := r.p.relay.path
+	if r.c.relayed == nil && path.avoidsServers() {
+		if s := r.pickRelay(); s != nil {
+			return s, nil
+		}
+	}
+	if path.isCutOff() {
+		return nil, r.refuseUnreachable()
+	}
+	s, refusal := r.pickServer(q)
+	doubtful := path.isDoubtful()
+	if !doubtful && (refusal == nil || refusal.Reason != ReasonNoServer) {
+		return s, refusal
+	}
+	var relay selection
+	switch {
+	case r.c.relayed == nil:
+		relay = r.pickRelay()
+	case doubtful:
+		refusal = r.refuseUnreachable()
+	}
+	if relay == nil && refusal == nil {
+		return s, nil
+	}
+	if s != nil {
+		s.Done(result{kind: resultDiscarded})
+	}
+	if relay != nil {
+		return relay, nil
+	}
+	return nil, refusal
+}
+
+func (r *runner) refuseUnreachable() *Refusal {
+	r.refusal = refuse(ReasonServersUnreachable, "this gateway reaches no backend server").withRetryAfter(retryAfterLong)
+	return r.refusal
+}
+
+// relayInstead selects another gateway after an attempt that reached no server and wrote nothing, although no further
+// attempts at servers are permitted.
+func (r *runner) relayInstead(a *attempt) (selection, bool) {
+	written := r.mayHaveRun || a.result.kind != resultUnreachable && a.result.kind != resultNotSent
+	if r.p.relay == nil || r.c.relayed != nil || written {
+		return nil, false
+	}
+	s := r.pickRelay()
+	return s, s != nil
+}
+
+// isRelay reports whether the attempt passes the request on to another gateway.
+func (a *attempt) isRelay() bool {
+	_, ok := a.selection.(*relaySelection)
+	return ok
+}
+
+// sendToRelay passes the request on to another gateway and waits for the response header.
+func (p *requestPath) sendToRelay(c *call, a *attempt, left, used int) {
+	started := time.Now()
+	request := p.newBackendRequest(c, a, left)
+	relayed := &relayedCall{
+		requestID: c.requestID, deadline: time.Until(c.deadline), held: p.clock.now() - c.arrived, patience: c.callerTimeout,
+		likelyRetry: c.likelyRetry, used: used, left: left, service: c.rule.Service.Name,
+	}
+	relayed.write(request.Header)
+	response, err := p.relay.transport.RoundTrip(request)
+	if err == nil {
+		err = p.readRelayResponse(c, a, response)
+	}
+	if err != nil {
+		a.recordFailure(c, err)
+	}
+	a.result.latency = time.Since(started)
+	if a.result.kind == resultBroken && time.Until(c.deadline) < deadlineSlack {
+		a.result.kind = resultTimeout
+	}
+	p.logRelay(c, a)
+}
+
+// readRelayResponse takes over the response of a server, or the refusal of the relay.
+func (p *requestPath) readRelayResponse(c *call, a *attempt, response *http.Response) error {
+	outcome := response.Header.Get(headerRelayOutcome)
+	if outcome == relayAnswered {
+		if err := p.checkResponse(c, a, response); err != nil {
+			return err
+		}
+		a.response, a.result.kind = response, resultAnswered
+		if response.StatusCode >= http.StatusInternalServerError {
+			a.result.kind = resultFailed
+		}
+		return nil
+	}
+	_ = response.Body.Close() // the response is discarded, so an error of Close does not matter
+	if outcome != relayNotRun && outcome != relayUnknown || !a.gate.wrote.Load() {
+		return &MismatchedResponseError{Address: a.server.address}
+	}
+	refusal := readRelayRefusal(response.Header)
+	a.relayRefusal, a.err = refusal, refusal
+	a.selection.(*relaySelection).refused = true
+	switch {
+	case refusal.Ran == RanNo:
+		a.result.kind = resultNotRun
+	case refusal.Reason == ReasonDeadlineExceeded:
+		a.result.kind = resultTimeout
+	default:
+		a.result.kind = resultBroken
+	}
+	return nil
+}
+
+// relayRetryReason returns the reason for which a request is passed on once more after an attempt at a relay, or "".
+func (r *runner) relayRetryReason(a *attempt) string {
+	switch a.result.kind {
+	case resultUnreachable, resultNotSent:
+		return "relay_unreachable"
+	case resultBroken:
+		if r.c.rule.Idempotent {
+			return "relay_broken"
+		}
+	case resultNotRun:
+		r.refusal = a.relayRefusal
+		switch a.relayRefusal.Reason {
+		case ReasonOverloaded:
+			if r.mayHaveRun { // the retry budget of that gateway is spent, that of another one may not be
+				return "relay_refused"
+			}
+		case ReasonServersUnreachable, ReasonNoServer, ReasonNotReady, ReasonDraining, ReasonConfigurationStale:
+			return "relay_refused"
+		}
+	}
+	return ""
+}
+
+// logRelay counts and logs an attempt at a relay.
+func (p *requestPath) logRelay(c *call, a *attempt) {
+	p.counters.Counter("relayed_requests", "outcome", a.result.kind.String()).Inc(1)
+	reason := ""
+	if a.relayRefusal != nil {
+		reason = string(a.relayRefusal.Reason)
+		p.counters.Counter("relay_refusals", "reason", reason).Inc(1)
+	}
+	p.recordLatency("relay", a.result.kind.String(), c.rule.Service.Name, a.result.latency)
+	if !p.logLimiter.Allow(time.Now()) {
+		return
+	}
+	p.log.Log(eventRequestRelayed, telemetry.F("request", c.requestID), telemetry.F("rule", c.rule.Name), telemetry.F("service", c.rule.Service.Name),
+		telemetry.F("gateway", a.selection.(*relaySelection).relay.Name), telemetry.F("result", a.result.kind.String()), telemetry.F("reason", reason),
+		telemetry.F("latency", a.result.latency), telemetry.F("left", time.Until(c.deadline)), telemetry.ErrorField(a.err))
+}
--- a/gateway/relay_harness_test.go
+++ b/gateway/relay_harness_test.go
@@ -40,8 +40,10 @@
 // pathCut stands between one gateway and all backend servers.
 type pathCut struct {
 	mode atomic.Int32
-	mu   sync.Mutex
-	open map[*cutConn]bool
+	// stopped is closed when the gateway has ended.
+	stopped chan struct{}
+	mu      sync.Mutex
+	open    map[*cutConn]bool
 }
 
 func (c *pathCut) set(m cutMode) {
@@ -62,8 +64,11 @@
 	case cutSilent, cutReset:
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
-		<-ctx.Done()
-		return nil, &UnreachableError{Address: address, Err: ctx.Err()}
+		select {
+		case <-ctx.Done():
+		case <-c.stopped:
+		}
+		return nil, &UnreachableError{Address: address, Err: context.DeadlineExceeded}
 	}
 	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 	if err != nil {
@@ -244,7 +249,7 @@
 	region, _, _ := strings.Cut(domain, "-")
 	d, err := newDaemon(relayGatewaySettings(control, name, region, domain), telemetry.NewLogger(io.Discard, telemetry.Info), Options{})
 	must(t, err)
-	g := &relayGateway{daemon: d, cut: &pathCut{open: map[*cutConn]bool{}}, client: &http.Client{Transport: &http.Transport{}}}
+	g := &relayGateway{daemon: d, cut: &pathCut{open: map[*cutConn]bool{}, stopped: make(chan struct{})}, client: &http.Client{Transport: &http.Transport{}}}
 	d.path.transport.(*http.Transport).DialContext = g.cut.dial
 	must(t, d.listen())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -255,6 +260,7 @@
 		g.client.CloseIdleConnections()
 		cancel()
 		must(t, <-ended)
+		close(g.cut.stopped)
 	})
 	eventually(t, name+" has a catalogue", func() bool { return d.lease.Current().isConfigured() })
 	return g
@@ -266,7 +272,7 @@
 		Instance: settings.Instance{Name: name, Region: region, FailureDomain: domain, LogLevel: "info"},
 		Callers:  local, Admin: local, Peer: settings.Listener{Plaintext: true},
 		Control:     []settings.Replica{{Name: "control-1", Address: control.address, Region: region, FailureDomain: domain}},
-		Catalogue:   &settings.GatewayCatalogue{ServeStaleSeconds: 30, Retry: settings.RetryBudget{Ratio: 0.1, Slack: 20, WindowSeconds: 10}},
+		Catalogue:   &settings.GatewayCatalogue{Relay: local, ServeStaleSeconds: 30, Retry: settings.RetryBudget{Ratio: 0.1, Slack: 20, WindowSeconds: 10}},
 		MaxRequests: 100, DrainNoticeMs: 1, DrainSeconds: 20,
 	}
 }
--- /dev/null
+++ b/gateway/relaywire.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Headers between two gateways of which one passes a request on to the other. They are never taken from callers or servers.
+const (
+	relayHeaderPrefix      = "Heatherwall-Relay-"
+	headerRelayRequestID   = relayHeaderPrefix + "Request-Id"
+	headerRelayDeadline    = relayHeaderPrefix + "Deadline-Ms"
+	headerRelayHeld        = relayHeaderPrefix + "Held-Ms"
+	headerRelayPatience    = relayHeaderPrefix + "Patience-Ms"
+	headerRelayLikelyRetry = relayHeaderPrefix + "Likely-Retry"
+	headerRelayUsed        = relayHeaderPrefix + "Attempts-Used"
+	headerRelayLeft        = relayHeaderPrefix + "Attempts-Left"
+	headerRelayService     = relayHeaderPrefix + "Service"
+	headerRelayOutcome     = relayHeaderPrefix + "Outcome"
+	headerRelayReason      = relayHeaderPrefix + "Reason"
+	headerRelayRetryAfter  = relayHeaderPrefix + "Retry-After-Ms"
+)
+
+// Values of headerRelayOutcome.
+const (
+	// relayAnswered: the response is that of a backend server.
+	relayAnswered = "answered"
+	// relayNotRun: the relay refused the request; it has not run and will not.
+	relayNotRun = "not_run"
+	// relayUnknown: the relay failed to get an answer; the request may have run.
+	relayUnknown = "unknown"
+)
+
+// relayedCall is what a gateway that passes a request on says about it.
+type relayedCall struct {
+	requestID string
+	// deadline is the remaining time, held the time since the request arrived at the other gateway.
+	deadline, held time.Duration
+	patience       time.Duration
+	likelyRetry    bool
+	// used is the number of attempts that may have run the request, left that of further attempts after the next one.
+	used, left int
+	// service is the service that the other gateway chose for the request.
+	service string
+}
+
+func removeRelayHeaders(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, relayHeaderPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+func (c *relayedCall) write(h http.Header) {
+	if c.requestID != "" {
+		h.Set(headerRelayRequestID, c.requestID)
+	}
+	for name, d := range map[string]time.Duration{headerRelayDeadline: c.deadline, headerRelayHeld: c.held, headerRelayPatience: c.patience} {
+		h.Set(name, strconv.FormatInt(max(d.Milliseconds(), 0), 10))
+	}
+	h.Set(headerRelayUsed, strconv.Itoa(c.used))
+	h.Set(headerRelayLeft, strconv.Itoa(c.left))
+	h.Set(headerRelayService, c.service)
+	if c.likelyRetry {
+		h.Set(headerRelayLikelyRetry, "true")
+	}
+}
+
+// readRelayedCall reads what another gateway says about a request; ok is false if it is incomplete or invalid.
+func readRelayedCall(h http.Header) (c *relayedCall, ok bool) {
+	c = &relayedCall{requestID: h.Get(headerRelayRequestID), service: h.Get(headerRelayService), likelyRetry: h.Get(headerRelayLikelyRetry) == "true"}
+	milliseconds := func(name string) time.Duration {
+		n, valid := parseHeaderNumber(h, name, -1)
+		ok = ok && valid && n >= 0
+		return time.Duration(n) * time.Millisecond
+	}
+	ok = true
+	c.deadline, c.held, c.patience = milliseconds(headerRelayDeadline), milliseconds(headerRelayHeld), milliseconds(headerRelayPatience)
+	var usedOK, leftOK bool
+	c.used, usedOK = parseHeaderNumber(h, headerRelayUsed, 0)
+	c.left, leftOK = parseHeaderNumber(h, headerRelayLeft, 0)
+	return c, ok && usedOK && leftOK
+}
+
+// writeRelayRefusal adds the outcome of a refusal for the gateway that passed the request on.
+func writeRelayRefusal(h http.Header, r *Refusal) {
+	outcome := relayUnknown
+	if r.Ran == RanNo {
+		outcome = relayNotRun
+	}
+	h.Set(headerRelayOutcome, outcome)
+	h.Set(headerRelayReason, string(r.Reason))
+	h.Set(headerRelayRetryAfter, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+}
+
+// readRelayRefusal returns the refusal of a relay as one of this gateway. A reason that this gateway would not give, for
+// example because the relay has another configuration, becomes ReasonNoServer.
+func readRelayRefusal(h http.Header) *Refusal {
+	reason := Reason(h.Get(headerRelayReason))
+	if reasons[reason].status != http.StatusServiceUnavailable && reason != ReasonDeadlineExceeded && reason != ReasonBackendFailed {
+		reason = ReasonNoServer
+	}
+	r := refuse(reason, "refused by the gateway that the request was passed on to").withRan(RanUnknown)
+	if h.Get(headerRelayOutcome) == relayNotRun {
+		r.Ran = RanNo
+	}
+	if ms, ok := parseHeaderNumber(h, headerRelayRetryAfter, 0); ok {
+		r.RetryAfter = time.Duration(ms) * time.Millisecond
+	}
+	return r
+}
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -12,7 +12,7 @@
 
 // String returns the name of the result kind in logs and metrics.
 func (k resultKind) String() string {
-	return [...]string{"answered", "failed", "not_run", "unreachable", "broken", "timeout", "canceled", "not_sent"}[k]
+	return [...]string{"answered", "failed", "not_run", "unreachable", "broken", "timeout", "canceled", "not_sent", "discarded"}[k]
 }
 
 // logAttempt logs the result of an attempt and the data on which the selection of its server was based, and records its
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -39,8 +39,10 @@
 	// publishCrashMarks sends new crash marks to the other gateways. It may block for a short time.
 	publishCrashMarks func()
 	transport         http.RoundTripper
-	log               *telemetry.Logger
-	counters          *telemetry.Metrics
+	// relay passes requests on to other gateways; nil without a relay listener.
+	relay    *relayClient
+	log      *telemetry.Logger
+	counters *telemetry.Metrics
 	// logLimiter limits the rate of log lines about requests.
 	logLimiter *telemetry.LineLimiter
 
@@ -85,8 +87,10 @@
 	}
 }
 
-func (p *requestPath) serve(c *call) {
-	for _, s := range p.steps {
+func (p *requestPath) serve(c *call) { p.serveSteps(c, p.steps) }
+
+func (p *requestPath) serveSteps(c *call, steps []step) {
+	for _, s := range steps {
 		if refusal := s(p, c); refusal != nil {
 			p.sendRefusal(c, refusal)
 			return
@@ -128,7 +132,7 @@
 		a.done()
 		return
 	}
-	if a.result.kind = interruptionResult(c); a.result.kind == resultBroken {
+	if a.result.kind = interruptionResult(c); a.result.kind == resultBroken && p.provesCrash(a) {
 		p.recordCrash(c)
 		p.publishCrashMarks()
 	}
@@ -156,6 +160,9 @@
 	}
 	p.counters.Counter("refusals", "reason", string(refusal.Reason)).Inc(1)
 	p.logRefusal(c, refusal)
+	if c.relayed != nil {
+		writeRelayRefusal(c.w.Header(), refusal)
+	}
 	refusal.write(c.w, p.dialect)
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -25,6 +25,7 @@
 	Announce string
 	Peer     string
 	Admin    string
+	Relay    string
 }
 
 // ListenError reports a listener that could not be opened.
@@ -136,6 +137,9 @@
 
 // configure passes a confirmed configuration to the goroutine that owns the balance engine.
 func (d *daemon) configure(l *lease) {
+	if d.path.relay != nil {
+		d.path.relay.update(d.settings.Name, l.gateways)
+	}
 	if d.backends != nil {
 		d.backends.configure(l)
 		return
@@ -148,6 +152,7 @@
 	s := &controlpb.GatewayStatus{
 		Name: d.settings.Name, Incarnation: incarnation, Region: d.settings.Region, FailureDomain: d.settings.FailureDomain,
 		PeerAddress: d.peerAddress(), Draining: d.path.stopping.Load(), InFlight: map[string]uint32{},
+		RelayAddress: d.relayAddress(), ServersUnreachable: d.path.serverPath().isCutOff(),
 	}
 	for _, domain := range configDomainsOut(d.lease.Current().config) {
 		s.InFlight[domain] = uint32(d.path.inFlightByDomain.get(domain))
@@ -175,6 +180,10 @@
 		d.servers["metrics"] = d.metricsServer()
 		open["metrics"] = d.settings.Metrics
 	}
+	if d.path.relay != nil {
+		d.servers["relay"] = d.relayServer()
+		open["relay"] = d.settings.Catalogue.Relay
+	}
 	if d.state != nil {
 		d.servers["announce"] = d.announceServer()
 		open["announce"], open["peer"] = d.settings.Announce, d.settings.Peer
@@ -226,7 +235,7 @@
 		}
 		return ""
 	}
-	return Addresses{Callers: of("callers"), Announce: of("announce"), Peer: of("peer"), Admin: of("admin")}
+	return Addresses{Callers: of("callers"), Announce: of("announce"), Peer: of("peer"), Admin: of("admin"), Relay: of("relay")}
 }
 
 func (d *daemon) run(ctx context.Context, ready func(Addresses)) error {
@@ -239,12 +248,15 @@
 		d.goroutines.Go(func() { d.state.run(background) })
 		d.goroutines.Go(func() { _ = d.peerServer.Serve(d.listeners["peer"]) })
 	}
+	if d.path.relay != nil {
+		d.goroutines.Go(func() { d.path.relay.path.run(background) })
+	}
 	d.goroutines.Go(func() { d.lease.Run(background) })
 	for name, server := range d.servers {
 		d.goroutines.Go(func() { serveHTTP(server, d.listeners[name]) })
 	}
 	a := d.addresses()
-	d.log.Log(eventStarted, telemetry.F("callers", a.Callers), telemetry.F("announce", a.Announce), telemetry.F("peer", a.Peer), telemetry.F("admin", a.Admin))
+	d.log.Log(eventStarted, telemetry.F("callers", a.Callers), telemetry.F("announce", a.Announce), telemetry.F("peer", a.Peer), telemetry.F("admin", a.Admin), telemetry.F("relay", a.Relay))
 	if ready != nil {
 		ready(a)
 	}
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -27,6 +27,10 @@
 	// tried lists the addresses of all attempts so far.
 	tried       []string
 	retriesLeft int
+	// relays lists the names of the gateways that the request was passed on to, and used counts the attempts that may have
+	// run it.
+	relays []string
+	used   int
 	// mayHaveRun is set if any attempt so far may have run the request.
 	mayHaveRun bool
 	// refusal is the last refusal of the selector.
@@ -36,13 +40,20 @@
 // run returns an attempt with a response for the caller, or a refusal. The caller of run must call done on the attempt.
 func (r *runner) run() (*attempt, *Refusal) {
 	r.retriesLeft = r.c.retriesLeft
-	s, refusal := r.pick(&query{})
+	first := &query{}
+	if r.c.relayed != nil {
+		r.used, first.retry = r.c.relayed.used, r.c.relayed.used > 0
+	}
+	s, refusal := r.pick(first)
 	if refusal != nil {
 		return nil, refusal
 	}
 	for {
 		a := r.runAttempt(s)
-		r.mayHaveRun = r.mayHaveRun || a.mayHaveRun()
+		if a.mayHaveRun() {
+			r.mayHaveRun = true
+			r.used++
+		}
 		next, ok := r.selectRetry(a)
 		if !ok {
 			return r.finish(a)
@@ -52,8 +63,17 @@
 	}
 }
 
-// pick selects a server that was not tried before. The caller sets the flags hedge and retry of q; pick sets the rest.
+// pick selects a server that was not tried before, or another gateway while this one reaches no server. The caller sets
+// the flags hedge and retry of q; pick sets the rest.
 func (r *runner) pick(q *query) (selection, *Refusal) {
+	if r.p.relay == nil || q.hedge {
+		return r.pickServer(q)
+	}
+	return r.pickServerOrRelay(q)
+}
+
+// pickServer selects a server that was not tried before.
+func (r *runner) pickServer(q *query) (selection, *Refusal) {
 	c := r.c
 	q.service, q.member, q.idempotent = c.rule.Service.Name, c.caller.Tenant.Member.Name, c.rule.Idempotent
 	q.regions, q.allRegions = c.placement.RunIn.Names, c.placement.RunIn.Any
@@ -76,6 +96,10 @@
 // runAttempt sends the request to the selected server, and hedges it if the rule permits that.
 func (r *runner) runAttempt(s selection) *attempt {
 	a := r.p.startAttempt(r.c, s)
+	if a.isRelay() {
+		r.p.sendToRelay(r.c, a, r.retriesLeft, r.used)
+		return a
+	}
 	if r.c.rule.Idempotent && r.c.rule.Hedge {
 		if delay, ok := r.p.selector.HedgeAfter(r.c.rule.Service.Name); ok {
 			return r.runHedged(a, delay)
@@ -143,18 +167,37 @@
 // be selected.
 func (r *runner) selectRetry(a *attempt) (selection, bool) {
 	reason := r.retryReason(a)
-	if reason == "" || r.retriesLeft == 0 || r.c.ctx.Err() != nil || r.isPoison() {
+	if reason == "" || r.c.ctx.Err() != nil || r.isPoison() {
 		return nil, false
 	}
-	s, refusal := r.pick(&query{retry: true})
-	if refusal != nil {
+	s, ok := r.selectFurther(a)
+	if !ok {
 		return nil, false
 	}
-	r.retriesLeft--
 	r.p.counters.Counter("retries", "reason", reason).Inc(1)
 	return s, true
 }
 
+// selectFurther selects a server or another gateway for another attempt after a. Passing on a request of which nothing was
+// written yet is not charged, because no server has got it.
+func (r *runner) selectFurther(a *attempt) (selection, bool) {
+	if a.isRelay() && !a.mayHaveRun() {
+		s := r.pickRelay()
+		return s, s != nil
+	}
+	if r.retriesLeft == 0 {
+		return r.relayInstead(a)
+	}
+	s, refusal := r.pick(&query{retry: true})
+	if refusal != nil {
+		return r.relayInstead(a)
+	}
+	if _, isRelay := s.(*relaySelection); !isRelay || r.mayHaveRun {
+		r.retriesLeft--
+	}
+	return s, true
+}
+
 // isPoison reports whether the request has crashed enough backend servers, in this call or before, to be refused.
 func (r *runner) isPoison() bool {
 	return r.p.crashMarks.RefusedFor(r.p.clock.now(), r.c.fingerprint) > 0
@@ -166,6 +209,9 @@
 	if a.mayHaveRun() && !r.c.rule.Idempotent {
 		return ""
 	}
+	if a.isRelay() {
+		return r.relayRetryReason(a)
+	}
 	switch a.result.kind {
 	case resultNotRun:
 		return "not_run"
@@ -213,6 +259,8 @@
 		return refuse(ReasonDeadlineExceeded, "the request could not be sent within the deadline")
 	case r.mayHaveRun:
 		return refuse(ReasonBackendFailed, "the connection to the backend server broke before the answer")
+	case a.relayRefusal != nil:
+		return a.relayRefusal
 	case errors.As(a.err, &forbidden) && forbidden.Reason == forbiddenLeaseExpired:
 		return refuse(ReasonConfigurationStale, "the configuration could not be confirmed").withRetryAfter(retryAfterLong)
 	case r.refusal != nil:
--- a/gateway/selector.go
+++ b/gateway/selector.go
@@ -19,6 +19,8 @@
 	recordEvidence func(address string, sent time.Duration)
 	// prober probes the load of servers before a selection; nil for no probes.
 	prober *loadProber
+	// path tells whether failures say anything about single servers; nil if they always do.
+	path   *serverPath
 	queues queues
 }
 
@@ -128,6 +130,9 @@
 
 // Done implements selection.
 func (s *engineSelection) Done(r result) {
+	if r.kind != resultAnswered && r.kind != resultFailed && r.kind != resultNotRun && s.selector.path.isDoubtful() {
+		r.kind = resultDiscarded
+	}
 	o := balance.Outcome{Kind: outcomeKind(r.kind), Latency: r.latency, RetryAfter: r.RetryAfter, InFlight: r.InFlight, Slots: r.Slots}
 	o.State, o.HasState = parseState(r.State)
 	s.attempt.Done(o)
@@ -159,6 +164,8 @@
 		return balance.OutcomeNotConnected
 	case resultBroken:
 		return balance.OutcomeCrashed
+	case resultDiscarded:
+		return balance.OutcomeDiscarded
 	case resultCanceled, resultNotSent:
 		return balance.OutcomeCanceled
 	}
--- /dev/null
+++ b/gateway/serverpath.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"heatherwall.example/balance"
+	"heatherwall.example/telemetry"
+)
+
+const (
+	serverPathTick = 50 * time.Millisecond
+	// pathProbeTimeout bounds a probe that tells whether any server can be reached.
+	pathProbeTimeout = 300 * time.Millisecond
+)
+
+// serverPath watches whether this gateway reaches backend servers at all. A nil serverPath always reaches them.
+type serverPath struct {
+	reach    *balance.Reachability
+	clock    clock
+	client   *http.Client
+	targets  func() []pathTarget
+	log      *telemetry.Logger
+	counters *telemetry.Metrics
+	// onCutOff is called when the gateway is cut off from all servers.
+	onCutOff func()
+
+	state atomic.Uint32 // balance.ReachState as of the last tick
+	// cutOff is cancelled when the gateway is cut off, and replaced when servers answer again.
+	cutOff atomic.Pointer[cutOffSignal]
+}
+
+// cutOffSignal is a context that is cancelled when the gateway is cut off.
+type cutOffSignal struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// pathTarget is a server that can be probed, with the path of its health check.
+type pathTarget struct {
+	address string
+	path    string
+}
+
+func newServerPath(c clock, transport http.RoundTripper, log *telemetry.Logger, counters *telemetry.Metrics) *serverPath {
+	s := &serverPath{reach: balance.NewReachability(), clock: c, client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, log: log, counters: counters}
+	s.renewSignal()
+	return s
+}
+
+func (s *serverPath) renewSignal() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cutOff.Store(&cutOffSignal{ctx, cancel})
+}
+
+// run probes servers where needed and follows the state until ctx ends.
+func (s *serverPath) run(ctx context.Context) {
+	ticker := time.NewTicker(serverPathTick)
+	defer ticker.Stop()
+	defer func() { s.cutOff.Load().cancel() }()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.tick(ctx)
+		}
+	}
+}
+
+func (s *serverPath) tick(ctx context.Context) {
+	targets := s.targets()
+	state, probes := s.reach.Tick(s.clock.now(), len(targets))
+	s.enter(state, len(targets))
+	for _, i := range rand.Perm(len(targets))[:min(probes, len(targets))] {
+		go s.probe(ctx, targets[i])
+	}
+}
+
+// enter publishes the state and logs its changes.
+func (s *serverPath) enter(state balance.ReachState, servers int) {
+	before := balance.ReachState(s.state.Swap(uint32(state)))
+	if before == state {
+		return
+	}
+	s.counters.Gauge("servers_unreachable").Update(boolGauge(state == balance.CutOff))
+	switch state {
+	case balance.CutOff:
+		s.log.Log(eventServersUnreachable, telemetry.F("servers", servers))
+		s.cutOff.Load().cancel()
+		s.onCutOff()
+	case balance.Returning:
+		s.log.Log(eventServersReturning, telemetry.F("servers", servers))
+		s.renewSignal()
+	case balance.Reached:
+		s.log.Log(eventServersReached, telemetry.F("servers", servers))
+	}
+}
+
+func boolGauge(v bool) int64 {
+	if v {
+		return 1
+	}
+	return 0
+}
+
+func (s *serverPath) probe(ctx context.Context, t pathTarget) {
+	ctx, cancel := context.WithTimeout(withProbeGate(ctx), pathProbeTimeout)
+	defer cancel()
+	s.counters.UnlabeledCounter("path_probes").Inc(1)
+	s.asked(t.address)
+	_, err := getProbe(ctx, s.client, t.address, t.path)
+	s.ended(t.address, err)
+}
+
+// asked records that a probe was sent.
+func (s *serverPath) asked(address string) {
+	if s != nil {
+		s.reach.Asked(address, s.clock.now())
+	}
+}
+
+// ended records how a probe or an attempt ended. A timeout of ours proves nothing by itself; what was asked stays unanswered.
+func (s *serverPath) ended(address string, err error) {
+	switch {
+	case s == nil:
+	case err == nil:
+		s.reach.Answered(s.clock.now())
+	case !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled):
+		s.reach.Failed(address, s.clock.now())
+	}
+}
+
+// attemptEnded records how an attempt at a server ended.
+func (s *serverPath) attemptEnded(a *attempt, err error) {
+	var forbidden *SendForbiddenError
+	if s == nil || a.abandoned || errors.As(err, &forbidden) {
+		return
+	}
+	var unreachable *UnreachableError
+	if errors.As(err, &unreachable) {
+		s.reach.Failed(a.server.address, s.clock.now())
+		return
+	}
+	s.ended(a.server.address, err)
+}
+
+// isCutOff reports whether it is certain that no server can be reached.
+func (s *serverPath) isCutOff() bool {
+	return s != nil && balance.ReachState(s.state.Load()) == balance.CutOff
+}
+
+// isDoubtful reports whether this gateway is or may be cut off, so that a failure says nothing about a server.
+func (s *serverPath) isDoubtful() bool {
+	return s != nil && s.reach.IsSuspect(s.clock.now())
+}
+
+// avoidsServers reports whether a request should be passed on at once. While servers return, a part of the requests is.
+func (s *serverPath) avoidsServers() bool {
+	return rand.Float64() >= s.reach.DirectShare(s.clock.now())
+}
+
+// abandonWhenCutOff ends an attempt when the gateway is cut off: always if nothing was written, and otherwise if the
+// request may be run again. The caller must call the function that it returns.
+func (s *serverPath) abandonWhenCutOff(a *attempt, idempotent bool) (stop func() bool) {
+	if s == nil {
+		return func() bool { return true }
+	}
+	return context.AfterFunc(s.cutOff.Load().ctx, func() {
+		if wrote, _ := a.gate.stop(); (!wrote || idempotent) && a.settled.CompareAndSwap(false, true) {
+			a.cancel()
+		}
+	})
+}
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"heatherwall.example/api/controlpb"
@@ -63,7 +64,21 @@
 	d.path.transport = newTransport(catalogueConnectionLimits)
 	d.path.steps = catalogueSteps
 	d.path.publishCrashMarks = func() {}
-	d.path.selector = &engineSelector{engine: engine, clock: d.clock, prober: newLoadProber(d)}
+	prober := newLoadProber(d)
+	if s.Catalogue.Relay.Address != "" {
+		d.setUpRelay(prober)
+	}
+	d.path.selector = &engineSelector{engine: engine, clock: d.clock, prober: prober, path: d.path.serverPath()}
+}
+
+// setUpRelay creates the parts that pass requests on to other gateways.
+func (d *daemon) setUpRelay(prober *loadProber) {
+	transport := d.path.transport.(*http.Transport)
+	path := newServerPath(d.clock, transport, d.log, d.counters)
+	path.targets = func() []pathTarget { return prober.pathTargets(d.lease.Current().catalogue.servers) }
+	path.onCutOff = transport.CloseIdleConnections // they may hang, and a request must not be written on one later
+	prober.path = path
+	d.path.relay = &relayClient{relays: balance.NewRelays(d.settings.Region, d.settings.FailureDomain), transport: newRelayTransport(), path: path, clock: d.clock}
 }
 
 const (
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -34,6 +34,9 @@
 // aborted, because the caller could take the partial response for a complete one.
 func (p *requestPath) stream(c *call, a *attempt) streamResult {
 	declared := p.prepareResponseHeader(c.w.Header(), a.response)
+	if c.relayed != nil {
+		c.w.Header().Set(headerRelayOutcome, relayAnswered)
+	}
 	c.w.WriteHeader(a.response.StatusCode)
 	s := copyBody(c.w, a.response)
 	if s.complete {
--- a/gateway/yield.go
+++ b/gateway/yield.go
@@ -24,7 +24,7 @@
 	r.p.logYield(r.c, q, refusal)
 	end := time.Now().Add(min(maxYieldWait, time.Until(r.c.deadline)/yieldWaitDivisor))
 	q.late, q.polling = true, true
-	for refusal.yield != nil {
+	for refusal.yield != nil && !r.p.serverPath().isDoubtful() {
 		wait := time.Duration((0.5 + rand.Float64()) * float64(yieldPollInterval)) // jitter spreads requests that arrived together
 		if time.Now().Add(wait).After(end) || !sleep(r.c.ctx, wait) {
 			return nil, refusal
--- a/settings/catalogue.go
+++ b/settings/catalogue.go
@@ -66,6 +66,9 @@
 	// those of package balance.
 	DomainCostMs int `yaml:"domain_cost_ms"`
 	SpillCostMs  int `yaml:"spill_cost_ms"`
+	// Relay is the listener for other gateways that reach no backend server and pass requests on to this one. Without it, the
+	// gateway neither passes requests on nor takes any. It has no TLS; only gateways may be able to reach it.
+	Relay Listener `yaml:"relay"`
 	// MemoryMB is the memory available to the process in megabytes; 0 leaves the limits of the runtime unchanged.
 	MemoryMB int `yaml:"memory_mb"`
 }
@@ -147,6 +150,9 @@
 	s.Retry.Slack = c.floatOrDefault("catalogue.retry.slack", s.Retry.Slack, DefaultRetrySlack)
 	s.Retry.WindowSeconds = c.floatOrDefault("catalogue.retry.window_seconds", s.Retry.WindowSeconds, DefaultRetryWindowSeconds)
 	s.Cold.Overage = c.floatOrDefault("catalogue.cold.overage", s.Cold.Overage, DefaultColdOverage)
+	if s.Relay.Address != "" {
+		c.checkListener("catalogue.relay", s.Relay, false)
+	}
 	s.Cold.Slack = c.floatOrDefault("catalogue.cold.slack", s.Cold.Slack, 0)
 }
 
