Test the detection of a cut and the choice of relays in virtual time; watch connection attempts as well

cause: services whose servers are not asked for their load gave no early sign of a cut change: an attempt to connect counts like a probe; a suspicion that cannot be verified ends after a second; one server suffices for a verification where there is only one after: go test ./balance ./gateway -run 'Cut|Relay|Suspicion|Return|FailedServers|Discarded' passes conclusion: detection and return are covered without sockets

--- a/balance/reachability.go
+++ b/balance/reachability.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -21,6 +22,8 @@
 	// maxTickGap is the longest time between two ticks; after a longer one the process was stopped, and what seems
 	// unanswered may have been answered.
 	maxTickGap = 200 * time.Millisecond
+	// suspicionLifetime is how long a suspicion lasts if no server can be probed to verify it; requests then try again.
+	suspicionLifetime = time.Second
 	// maxUnanswered bounds the number of servers whose failures are remembered.
 	maxUnanswered = 64
 
@@ -168,6 +171,9 @@
 		r.forgetLocked()
 	}
 	r.lastTick = now
+	if servers == 0 {
+		maps.DeleteFunc(r.unanswered, func(_ string, u unanswered) bool { return now-u.since >= suspicionLifetime })
+	}
 	switch {
 	case r.state == CutOff && r.mayReturnLocked(now):
 		r.state, r.returnedAt = Returning, now
@@ -177,7 +183,7 @@
 	case r.state == Returning && now-r.returnedAt >= pathReturnRamp:
 		r.state = Reached
 	}
-	return r.state, r.probesLocked(now)
+	return r.state, r.probesLocked(now, servers)
 }
 
 func (r *Reachability) mayReturnLocked(now time.Duration) bool {
@@ -215,8 +221,9 @@
 	return n
 }
 
-func (r *Reachability) probesLocked(now time.Duration) int {
-	if now < r.nextProbeAt {
+// probesLocked returns the number of servers to probe now.
+func (r *Reachability) probesLocked(now time.Duration, servers int) int {
+	if servers == 0 || now < r.nextProbeAt {
 		return 0
 	}
 	switch {
@@ -226,7 +233,7 @@
 	case r.state == CutOff:
 		r.nextProbeAt = now + cutOffProbeInterval
 		return cutOffProbes
-	case r.countLocked(now, suspicionPatience) < verifyServers:
+	case r.countLocked(now, suspicionPatience) < min(verifyServers, servers):
 		return 0
 	}
 	if r.verifiedAt == 0 {
--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -126,15 +126,24 @@
 }
 
 // pathTargets returns the servers that can be probed to learn whether any can be reached: those whose health checks answer
-// at once.
+// at once or, if there are none, all.
 func (p *loadProber) pathTargets(servers map[string]*controlpb.BackendServer) []pathTarget {
-	var list []pathTarget
+	var quick, slow []pathTarget
 	for _, s := range servers {
-		if path := p.healthPath(s.GetService()); path != "" && !p.isMuted(s.GetService()) && s.GetState() != controlpb.BackendState_BACKEND_DRAINING {
-			list = append(list, pathTarget{address: s.GetAddress(), path: path})
+		path := p.healthPath(s.GetService())
+		if path == "" || s.GetState() == controlpb.BackendState_BACKEND_DRAINING {
+			continue
 		}
+		if t := (pathTarget{address: s.GetAddress(), path: path}); p.isMuted(s.GetService()) {
+			slow = append(slow, t)
+		} else {
+			quick = append(quick, t)
+		}
+	}
+	if len(quick) == 0 {
+		return slow
 	}
-	return list
+	return quick
 }
 
 func (p *loadProber) mute(service string) {
--- a/gateway/relay_harness_test.go
+++ b/gateway/relay_harness_test.go
@@ -236,6 +236,13 @@
 	return slices.Clone(s.in[path])
 }
 
+// relayDialect passes on all headers and request IDs, like a dialect without a prefix.
+var relayDialect = func() *Dialect {
+	d := *nativeDialect
+	d.Prefix, d.PassRequestID = "", true
+	return &d
+}()
+
 // relayGateway is a gateway that serves a catalogue, with a pathCut to the backend servers.
 type relayGateway struct {
 	Addresses
@@ -247,10 +254,10 @@
 func startRelayGateway(t *testing.T, control *catalogueControl, name, domain string) *relayGateway {
 	t.Helper()
 	region, _, _ := strings.Cut(domain, "-")
-	d, err := newDaemon(relayGatewaySettings(control, name, region, domain), telemetry.NewLogger(io.Discard, telemetry.Info), Options{})
+	d, err := newDaemon(relayGatewaySettings(control, name, region, domain), telemetry.NewLogger(io.Discard, telemetry.Info), Options{Dialect: relayDialect})
 	must(t, err)
 	g := &relayGateway{daemon: d, cut: &pathCut{open: map[*cutConn]bool{}, stopped: make(chan struct{})}, client: &http.Client{Transport: &http.Transport{}}}
-	d.path.transport.(*http.Transport).DialContext = g.cut.dial
+	d.path.transport.(*http.Transport).DialContext = d.path.serverPath().watchDials(g.cut.dial)
 	must(t, d.listen())
 	ctx, cancel := context.WithCancel(context.Background())
 	ready, ended := make(chan Addresses, 1), make(chan error, 1)
--- a/gateway/serverpath.go
+++ b/gateway/serverpath.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -117,7 +118,21 @@
 	s.ended(t.address, err)
 }
 
-// asked records that a probe was sent.
+// dialContext opens a connection, like net.Dialer.DialContext.
+type dialContext func(ctx context.Context, network, address string) (net.Conn, error)
+
+// watchDials returns a dialContext that records how attempts to connect to servers end. They show a cut also where servers
+// are not probed before a selection.
+func (s *serverPath) watchDials(dial dialContext) dialContext {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		s.asked(address)
+		conn, err := dial(ctx, network, address)
+		s.ended(address, err)
+		return conn, err
+	}
+}
+
+// asked records that a probe was sent or a connection is being opened.
 func (s *serverPath) asked(address string) {
 	if s != nil {
 		s.reach.Asked(address, s.clock.now())
