--- a/gateway/relay_harness_test.go
+++ b/gateway/relay_harness_test.go
@@ -249,6 +249,8 @@
 	*daemon
 	cut    *pathCut
 	client *http.Client
+	// stop begins the planned stop of the gateway.
+	stop context.CancelFunc
 }
 
 func startRelayGateway(t *testing.T, control *catalogueControl, name, domain string) *relayGateway {
@@ -260,6 +262,7 @@
 	d.path.transport.(*http.Transport).DialContext = d.path.serverPath().watchDials(g.cut.dial)
 	must(t, d.listen())
 	ctx, cancel := context.WithCancel(context.Background())
+	g.stop = cancel
 	ready, ended := make(chan Addresses, 1), make(chan error, 1)
 	go func() { ended <- d.run(ctx, func(a Addresses) { ready <- a }) }()
 	g.Addresses = <-ready
