--- a/balance/reachability.go
+++ b/balance/reachability.go
@@ -61,20 +61,14 @@
 // String returns the name of the state in logs.
 func (s ReachState) String() string { return [...]string{"reached", "cut_off", "returning"}[s] }
 
-// unanswered is a server that has not answered since the last answer of any server.
-type unanswered struct {
-	since time.Duration
-	// failed is set if a connection failed, so that there is nothing left to wait for.
-	failed bool
-}
-
 // Reachability decides whether this gateway reaches backend servers at all. A single server that fails proves nothing;
 // several that fail while no other answers do. It is safe for concurrent use.
 type Reachability struct {
-	mu         sync.Mutex
-	state      ReachState
-	lastTick   time.Duration
-	unanswered map[string]unanswered
+	mu       sync.Mutex
+	state    ReachState
+	lastTick time.Duration
+	// unanswered holds when each server was first asked, or failed, since the last answer of any server.
+	unanswered map[string]time.Duration
 	// verifiedAt is when further servers were first probed since the last answer; 0 for never.
 	verifiedAt  time.Duration
 	nextProbeAt time.Duration
@@ -88,31 +82,17 @@
 
 // NewReachability returns a Reachability in the state Reached.
 func NewReachability() *Reachability {
-	return &Reachability{unanswered: map[string]unanswered{}, returnTime: minReturnTime}
+	return &Reachability{unanswered: map[string]time.Duration{}, returnTime: minReturnTime}
 }
 
-// Asked records that a probe was sent to a server.
+// Asked records that a probe was sent to a server, that a connection to it is being opened, or that one has failed. A failure
+// counts no sooner than silence, because servers that ended refuse several connections at once.
 func (r *Reachability) Asked(server string, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, known := r.unanswered[server]; !known && len(r.unanswered) < maxUnanswered {
-		r.unanswered[server] = unanswered{since: now}
-	}
-}
-
-// Failed records that a connection to a server could not be opened, or broke.
-func (r *Reachability) Failed(server string, now time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	u, known := r.unanswered[server]
-	if !known && len(r.unanswered) >= maxUnanswered {
-		return
-	}
-	if !known {
-		u.since = now
+		r.unanswered[server] = now
 	}
-	u.failed = true
-	r.unanswered[server] = u
 }
 
 // Answered records an answer of any server, which proves that the path works.
@@ -172,7 +152,7 @@
 	}
 	r.lastTick = now
 	if servers == 0 {
-		maps.DeleteFunc(r.unanswered, func(_ string, u unanswered) bool { return now-u.since >= suspicionLifetime })
+		maps.DeleteFunc(r.unanswered, func(_ string, since time.Duration) bool { return now-since >= suspicionLifetime })
 	}
 	switch {
 	case r.state == CutOff && r.mayReturnLocked(now):
@@ -204,17 +184,17 @@
 		return false
 	}
 	oldest := now
-	for _, u := range r.unanswered {
-		oldest = min(oldest, u.since)
+	for _, since := range r.unanswered {
+		oldest = min(oldest, since)
 	}
 	return now-oldest >= cutOffSilence && r.countLocked(now, answerPatience) >= min(cutOffServers, servers)
 }
 
-// countLocked returns the number of servers that failed or did not answer within the patience.
+// countLocked returns the number of servers that have not answered within the patience.
 func (r *Reachability) countLocked(now, patience time.Duration) int {
 	n := 0
-	for _, u := range r.unanswered {
-		if u.failed || now-u.since >= patience {
+	for _, since := range r.unanswered {
+		if now-since >= patience {
 			n++
 		}
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -62,6 +62,8 @@
 	client  *relayClient
 	relay   balance.Relay
 	service string
+	// suspect is set if this gateway seemed cut off when the relay was selected; otherwise only the service had no server.
+	suspect bool
 	// refused is set if the relay refused because it cannot serve.
 	refused bool
 }
@@ -87,7 +89,8 @@
 func (r *runner) pickRelay() selection {
 	client := r.p.relay
 	limit := maxRelaysReached
-	if client.path.isDoubtful() || client.path.isCutOff() {
+	suspect := client.path.isDoubtful()
+	if suspect {
 		limit = maxRelays
 	}
 	if len(r.relays) >= limit {
@@ -100,7 +103,7 @@
 		return nil
 	}
 	r.relays = append(r.relays, relay.Name)
-	return &relaySelection{client: client, relay: relay, service: r.c.rule.Service.Name}
+	return &relaySelection{client: client, relay: relay, service: r.c.rule.Service.Name, suspect: suspect}
 }
 
 // pickServerOrRelay selects a server or, while this gateway reaches none, another gateway. A request that was passed on to
@@ -240,7 +243,7 @@
 // logRelay counts and logs an attempt at a relay.
 func (p *requestPath) logRelay(c *call, a *attempt) {
 	p.counters.Counter("relayed_requests", "outcome", a.result.kind.String()).Inc(1)
-	reason := ""
+	s, reason := a.selection.(*relaySelection), ""
 	if a.relayRefusal != nil {
 		reason = string(a.relayRefusal.Reason)
 		p.counters.Counter("relay_refusals", "reason", reason).Inc(1)
@@ -250,6 +253,6 @@
 		return
 	}
 	p.log.Log(eventRequestRelayed, telemetry.F("request", c.requestID), telemetry.F("rule", c.rule.Name), telemetry.F("service", c.rule.Service.Name),
-		telemetry.F("gateway", a.selection.(*relaySelection).relay.Name), telemetry.F("result", a.result.kind.String()), telemetry.F("reason", reason),
+		telemetry.F("gateway", s.relay.Name), telemetry.F("suspect", s.suspect), telemetry.F("result", a.result.kind.String()), telemetry.F("reason", reason),
 		telemetry.F("latency", a.result.latency), telemetry.F("left", time.Until(c.deadline)), telemetry.ErrorField(a.err))
 }
--- a/gateway/serverpath.go
+++ b/gateway/serverpath.go
@@ -146,7 +146,7 @@
 	case err == nil:
 		s.reach.Answered(s.clock.now())
 	case !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled):
-		s.reach.Failed(address, s.clock.now())
+		s.reach.Asked(address, s.clock.now())
 	}
 }
 
@@ -158,7 +158,7 @@
 	}
 	var unreachable *UnreachableError
 	if errors.As(err, &unreachable) {
-		s.reach.Failed(a.server.address, s.clock.now())
+		s.reach.Asked(a.server.address, s.clock.now())
 		return
 	}
 	s.ended(a.server.address, err)
