--- a/control/ownaddress.go
+++ b/control/ownaddress.go
@@ -26,7 +26,7 @@
 		owned = append(owned, r.settings.Catalogue.Listen.AdvertisedAddress())
 	}
 	for _, g := range gateways {
-		owned = append(owned, g.GetPeerAddress())
+		owned = append(owned, g.GetPeerAddress(), g.GetRelayAddress())
 	}
 	for _, o := range owned {
 		if o == address {
