Do not believe a copy of an earlier refusal on a kept connection

cause: a response without an identifier was taken for the answer to the request on its connection. A server that writes a refusal once more, right after the next request or while it runs, made the gateway send that request to a second server (TWICE) or tell the caller that it had not run (REFUSED). Copies of refusals of load probes, which have no identifier and share the connections, did the same, as did a copy with the right identifier when a caller sends it again on the connection. A probe rejects a response with an identifier. Refusals on new connections need no identifier. The stand-in echoes it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -55,7 +55,7 @@
 		p.inFlightByDomain.add(a.server.domain, -1)
 		p.load.add(load, -1, p.clock.now())
 	}
-	a.gate = &sendGate{check: func() error { return p.checkSend(a.server, selected) }}
+	a.gate = &sendGate{requestID: c.requestID, check: func() error { return p.checkSend(a.server, selected) }}
 	return a
 }
 
@@ -138,7 +138,7 @@
 }
 
 // MismatchedResponseError reports a response that does not belong to the request: it arrived before the request was
-// written, echoes another request ID, or switches protocols.
+// written, echoes another request ID, switches protocols, or may be a copy of a response to an earlier request.
 type MismatchedResponseError struct {
 	Address string
 }
@@ -161,7 +161,8 @@
 func (p *requestPath) checkResponse(c *call, a *attempt, r *http.Response) error {
 	var err error
 	switch {
-	case !p.belongsToAttempt(r, c.requestID, a.gate.wrote.Load()):
+	case !p.belongsToAttempt(r, c.requestID, a.gate.wrote.Load()) || p.mayBeCopy(r, c.requestID, a.gate.connectionHistory()):
+		a.gate.closeConnection()
 		err = &MismatchedResponseError{Address: a.server.address}
 	case p.dialect.Signature != "" && r.StatusCode < http.StatusMultipleChoices && r.Header.Get(p.dialect.Signature) == "":
 		err = &UnsignedResponseError{Address: a.server.address}
@@ -179,6 +180,29 @@
 	return wrote && r.StatusCode != http.StatusSwitchingProtocols && (echoed == "" || echoed == requestID)
 }
 
+// mayBeCopy reports whether a response may have been sent once more after an earlier request or probe on the connection. A
+// response that echoes the ID of the request, which no earlier one had, is none. Of the others, none is believed that says
+// or implies that the request did not run; if servers sign their responses, an unsigned one is not believed either, because
+// those to probes have no ID and no signature.
+func (p *requestPath) mayBeCopy(r *http.Response, requestID string, before connHistory) bool {
+	d := p.dialect
+	echoed := r.Header.Get(d.RequestID) != "" && r.Header.Get(d.RequestID) == requestID
+	if !before.used || (echoed && !before.sameID) {
+		return false
+	}
+	signs := d.Signature != ""
+	return d.NotRun(r) || signs && (impliesNotRun(r.StatusCode) || !echoed && r.Header.Get(d.Signature) == "")
+}
+
+// impliesNotRun reports whether callers conclude from a status that the request did not run.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func (p *requestPath) classifyResponse(r *http.Response) resultKind {
 	switch {
 	case p.dialect.NotRun(r):
--- a/gateway/backendconn.go
+++ b/gateway/backendconn.go
@@ -6,9 +6,12 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Limits of connections to backend servers.
@@ -49,6 +52,10 @@
 type sendGate struct {
 	mu    sync.Mutex
 	check func() error // called before the first byte; an error forbids it
+	// requestID is the identifier that the server echoes; empty for probes.
+	requestID string
+	// history is what the connection had carried before the request.
+	history connHistory
 	// allowsReconnect permits writes to another connection after the first one; it is set for probes only.
 	allowsReconnect bool
 	conn            *backendConn
@@ -79,6 +86,7 @@
 		return g.denied
 	}
 	g.conn, g.prefixSeen = c, 0
+	g.history = c.recordRequest(g.requestID)
 	g.wrote.Store(true)
 	return nil
 }
@@ -140,6 +148,33 @@
 	return g.wrote.Load(), g.denied
 }
 
+// connHistory is what a connection had carried before a request. A server that sends a response once more sends it on the
+// same connection, so a response on a new one belongs to its request.
+type connHistory struct {
+	// used is set if the connection had carried another request or a probe.
+	used bool
+	// sameID is set if one of the newest requests before had the same identifier.
+	sameID bool
+}
+
+// connectionHistory returns what the connection of the attempt had carried before.
+func (g *sendGate) connectionHistory() connHistory {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.history
+}
+
+// closeConnection closes the connection of the attempt after a response that does not belong to it. Later responses on
+// the connection would be those to earlier requests.
+func (g *sendGate) closeConnection() {
+	g.mu.Lock()
+	conn := g.conn
+	g.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close() // net/http notices that it is closed
+	}
+}
+
 // connectionBroke reports whether the connection of the attempt ended before the gateway closed it.
 func (g *sendGate) connectionBroke() bool {
 	g.mu.Lock()
@@ -163,6 +198,30 @@
 	reading bool // a Read is pending
 	closed  bool
 	broken  bool // see isBroken
+	used    bool // see connHistory
+	// newestIDs holds hashes of the identifiers of the newest requests.
+	newestIDs []uint64
+}
+
+// maxNewestIDs is the number of requests whose identifiers a connection remembers.
+const maxNewestIDs = 16
+
+// recordRequest records a request with an identifier, or a probe without, and returns what the connection carried before.
+func (c *backendConn) recordRequest(id string) connHistory {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := connHistory{used: c.used}
+	c.used = true
+	if id == "" {
+		return before
+	}
+	hash := xxhash.Sum64String(id)
+	before.sameID = slices.Contains(c.newestIDs, hash)
+	if len(c.newestIDs) == maxNewestIDs {
+		c.newestIDs = slices.Delete(c.newestIDs, 0, 1)
+	}
+	c.newestIDs = append(c.newestIDs, hash)
+	return before
 }
 
 func newBackendConn(c net.Conn) *backendConn {
@@ -280,8 +339,9 @@
 
 // withProbeGate permits a probe to use the connections of requests. The request that follows the probe then gets a
 // connection that was used recently, which the server has neither closed nor dropped.
-func withProbeGate(ctx context.Context) context.Context {
-	return withGate(ctx, &sendGate{check: func() error { return nil }, allowsReconnect: true})
+func withProbeGate(ctx context.Context) (context.Context, *sendGate) {
+	g := &sendGate{check: func() error { return nil }, allowsReconnect: true}
+	return withGate(ctx, g), g
 }
 
 // withGate assigns the gate to the connection that the transport chooses for the request.
--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -131,7 +131,8 @@
 
 // probe probes one server and records its reading. It reports whether the response contained a usable load report.
 func (p *loadProber) probe(service, path string, t balance.ProbeTarget) bool {
-	ctx, cancel := context.WithTimeout(withProbeGate(context.Background()), loadProbeTimeout)
+	ctx, gate := withProbeGate(context.Background())
+	ctx, cancel := context.WithTimeout(ctx, loadProbeTimeout)
 	defer cancel()
 	sent := p.clock.now()
 	p.counters.UnlabeledCounter("probes").Inc(1)
@@ -140,6 +141,11 @@
 		p.counters.UnlabeledCounter("probes_unanswered").Inc(1)
 		return false
 	}
+	if response.Header.Get(p.dialect.RequestID) != "" { // a probe has no identifier: the response is to an earlier request
+		gate.closeConnection()
+		p.counters.UnlabeledCounter("probes_mismatched").Inc(1)
+		return false
+	}
 	report := p.dialect.ParseReport(response.Header)
 	if report.Slots == 0 {
 		p.mute(service)
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -340,6 +340,7 @@
 	_ = closed.Close()
 	shed := startBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(headerNotRun, "true")
+		w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 		w.WriteHeader(503)
 	})
 	var ran atomic.Int64
--- a/testbed/backend/request.go
+++ b/testbed/backend/request.go
@@ -19,6 +19,8 @@
 	NotRunHeader   = "Heatherwall-Not-Run"
 	DeadlineHeader = "Heatherwall-Deadline-Ms"
 	KeyHeader      = "Idempotency-Key"
+	// RequestIDHeader holds the identifier of a request, which the server echoes.
+	RequestIDHeader = "Heatherwall-Request-Id"
 )
 
 const (
@@ -28,6 +30,9 @@
 )
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(RequestIDHeader); id != "" {
+		w.Header().Set(RequestIDHeader, id)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBody))
 	if err != nil {
 		http.Error(w, "incomplete body", http.StatusBadRequest)
