Convert the numbers of a configuration without overflow

Two weights whose sum is infinite sent all requests to the last service. A body limit above 2^63 refused every body.

--- a/balance/coldinterval.go
+++ b/balance/coldinterval.go
@@ -13,6 +13,9 @@
 	coldUtilization = 0.8
 	// coldIntervalMargin lengthens the interval so that no second contains one request more than the gateway's share.
 	coldIntervalMargin = 1.05
+	// maxColdRequests bounds the requests per second, because the conversion of a float out of range to an integer differs
+	// between processors.
+	maxColdRequests = 1e6
 )
 
 // ColdSendInterval divides the capacity of a server in cold start among gateways by rendezvous hashing and returns the
@@ -21,7 +24,7 @@
 // to a cold server at once, because it seems idle. capacity is the number of requests that the server can take in any
 // second.
 func ColdSendInterval(server, self string, gateways []string, capacity float64) (interval time.Duration, permitted bool) {
-	requests := int(capacity * coldUtilization)
+	requests := int(min(capacity*coldUtilization, maxColdRequests))
 	if requests < 1 {
 		return 0, false
 	}
--- a/balance/reading_test.go
+++ b/balance/reading_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"fmt"
 	"testing"
 	"time"
@@ -179,3 +180,17 @@
 		t.Errorf("%d of %d servers are probed first by any of %d gateways", len(probedBy), servers, gateways)
 	}
 }
+
+// Guards against a capacity out of the range of integers, which stopped all requests to a cold server on some processors.
+func TestColdIntervalOfAHugeCapacity(t *testing.T) {
+	for _, capacity := range []float64{1e300, math.Inf(1), 9.3e18} {
+		if interval, permitted := ColdSendInterval("server", "gw-1", []string{"gw-1"}, capacity); !permitted || interval < 0 || interval > time.Millisecond {
+			t.Errorf("capacity %g: %s, %t", capacity, interval, permitted)
+		}
+	}
+	for _, capacity := range []float64{math.NaN(), math.Inf(-1), -1e300, 0} {
+		if _, permitted := ColdSendInterval("server", "gw-1", []string{"gw-1"}, capacity); permitted {
+			t.Errorf("capacity %g: permitted", capacity)
+		}
+	}
+}
--- a/gateway/routing.go
+++ b/gateway/routing.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"heatherwall.example/balance"
 	"heatherwall.example/document"
 )
 
@@ -35,7 +36,8 @@
 	return nil
 }
 
-// readRouteLimits sets the deadline, the caller's timeout and the number of retries. The deadline counts from the
+// readRouteLimits sets the deadline, the caller's timeout and the number of retries, which is at most the number of servers
+// that a selection can exclude, so that no server gets the request twice. The deadline counts from the
 // arrival of the header, so that it includes the wait for a configuration.
 func (p *requestPath) readRouteLimits(c *call) *Refusal {
 	remaining, ok := parseHeaderNumber(c.r.Header, p.dialect.Deadline, int(c.rule.Deadline.Milliseconds()))
@@ -48,6 +50,6 @@
 	}
 	c.callerTimeout = time.Duration(remaining) * time.Millisecond
 	c.likelyRetry = p.callerRetries.isLikelyRetry(c.lease.catalogue.routes, c.route, c.callerTimeout)
-	c.retriesLeft, c.deadline = c.route.MaxAttempts-1, time.Now().Add(limit)
+	c.retriesLeft, c.deadline = min(c.route.MaxAttempts-1, balance.MaxExcluded), time.Now().Add(limit)
 	return nil
 }
--- a/routes/table.go
+++ b/routes/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net"
 	"slices"
 	"strings"
@@ -90,7 +91,7 @@
 
 func compileLimits(l *controlpb.CallerLimits) Limits {
 	return Limits{
-		HeaderBytes: int(l.GetMaxHeaderBytes()), BodyBytes: int64(l.GetMaxBodyBytes()),
+		HeaderBytes: int(l.GetMaxHeaderBytes()), BodyBytes: int64(min(l.GetMaxBodyBytes(), math.MaxInt64)),
 		HeaderTimeout: time.Duration(l.GetHeaderTimeoutMs()) * time.Millisecond,
 		IdleTimeout:   time.Duration(l.GetIdleTimeoutMs()) * time.Millisecond,
 	}
@@ -101,12 +102,17 @@
 		Name: r.GetName(), Prefix: r.GetPathPrefix(), LatencyTarget: time.Duration(r.GetLatencyTargetMs()) * time.Millisecond,
 		MaxAttempts: cmp.Or(int(r.GetMaxAttempts()), defaultAttempts),
 	}
+	largest := 0.0
+	for _, s := range r.GetShares() {
+		largest = max(largest, s.GetWeight())
+	}
 	for _, s := range r.GetShares() {
 		if s.GetWeight() == 0 {
 			continue
 		}
-		compiled.totalWeight += s.GetWeight()
-		compiled.shares = append(compiled.shares, share{weight: s.GetWeight(), rule: c.compileRule(r, s.GetService())})
+		weight := s.GetWeight() / largest // the sum of large weights may overflow
+		compiled.totalWeight += weight
+		compiled.shares = append(compiled.shares, share{weight: weight, rule: c.compileRule(r, s.GetService())})
 	}
 	return compiled
 }
--- a/routes/validate.go
+++ b/routes/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 
 	"heatherwall.example/api/controlpb"
@@ -53,17 +54,17 @@
 }
 
 func validateShares(r *controlpb.Route, known map[string]bool) error {
-	sum := 0.0
+	largest := 0.0
 	for _, s := range r.GetShares() {
 		if !known[s.GetService()] {
 			return &InvalidError{Route: r.GetName(), Field: "service", Expected: fmt.Sprintf("a service of the table, got %q", s.GetService())}
 		}
-		if s.GetWeight() < 0 {
-			return &InvalidError{Route: r.GetName(), Field: "weight", Expected: "0 or more"}
+		if !(s.GetWeight() >= 0 && s.GetWeight() <= math.MaxFloat64) {
+			return &InvalidError{Route: r.GetName(), Field: "weight", Expected: "a finite number, 0 or more"}
 		}
-		sum += s.GetWeight()
+		largest = max(largest, s.GetWeight())
 	}
-	if !(sum > 0) {
+	if largest == 0 {
 		return &InvalidError{Route: r.GetName(), Field: "weight", Expected: "a sum above 0"}
 	}
 	return nil
