Ignore numbers in response headers that no server can mean

cause: two loads whose sum overflows gave a load below 0, and a negative load was accepted in the product's own header: such a server draws requests. Slots up to 2^63 were accepted.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -41,6 +41,8 @@
 	InFlight int
 	// Slots is the number of requests that the server runs concurrently; 0 if not reported.
 	Slots int
+	// LoadInvalid is set if the server reported a load that cannot be used.
+	LoadInvalid bool
 	// Server is the identifier of the server; empty if not reported.
 	Server string
 	// ColdRemaining is the remaining time of the cold start; 0 for a warm server or if not reported.
@@ -65,14 +67,23 @@
 // parseNativeReport parses Heatherwall-State, Heatherwall-Load and Retry-After.
 func parseNativeReport(h http.Header) ServerReport {
 	r := ServerReport{State: h.Get(headerState), RetryAfter: ParseRetryAfter(h)}
-	inflight, slots, ok := strings.Cut(h.Get(headerLoad), "/")
-	if ok {
-		r.InFlight, _ = strconv.Atoi(inflight)
-		r.Slots, _ = strconv.Atoi(slots)
+	if h.Get(headerLoad) == "" {
+		return r
 	}
+	inflight, slots, _ := strings.Cut(h.Get(headerLoad), "/")
+	n, err := strconv.ParseUint(inflight, 10, maxLoadBits)
+	m, slotsErr := strconv.ParseUint(slots, 10, maxLoadBits)
+	if err != nil || slotsErr != nil || m == 0 || m > maxSlots {
+		r.LoadInvalid = true
+		return r
+	}
+	r.InFlight, r.Slots = int(n), int(m)
 	return r
 }
 
+// maxLoadBits is the size of the numbers in a load report.
+const maxLoadBits = 20
+
 // ParseRetryAfter parses Retry-After in seconds. It returns 0 if the header is missing or invalid, and at most a
 // minute.
 func ParseRetryAfter(h http.Header) time.Duration {
--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -148,7 +148,9 @@
 	}
 	report := p.dialect.ParseReport(response.Header)
 	if report.Slots == 0 {
-		p.mute(service)
+		if !report.LoadInvalid { // an odd report is the fault of one server
+			p.mute(service)
+		}
 		return false
 	}
 	if response.StatusCode != http.StatusOK || (report.Server != "" && report.Server != t.ID) {
--- a/gateway/loadprobe_test.go
+++ b/gateway/loadprobe_test.go
@@ -133,3 +133,17 @@
 		t.Error("no server was probed for a request that polls")
 	}
 }
+
+// Guards against one server with an odd load that stops the probes of its whole service, and against odd loads in the
+// product's own header that become readings.
+func TestOddLoadDoesNotStopTheProbesOfOthers(t *testing.T) {
+	for _, load := range []string{"-5/8", "9223372036854775808/8", "0/4294967295", "0/0", "1e3/8", "0/NaN", "text"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(headerLoad, load) }))
+		p := newTestLoadProber(t)
+		target := newOneServerEngine(p, s.Listener.Addr().String()).Current().ProbeTargets(&balance.Query{Now: p.clock.now(), Service: "labels", AnyRegion: true}, false)[0]
+		if p.probe("labels", "/healthz", target) || p.isMuted("labels") {
+			t.Errorf("load %q: a reading, or the service is not probed any more (%t)", load, p.isMuted("labels"))
+		}
+		s.Close()
+	}
+}
