Log the messages of libraries as events, without received bytes

cause: net/http writes a line to the standard logger for every connection on which bytes arrive after a complete response, with up to 4 KiB of these bytes. The daemons left it at that: no event, no limit on the lines, and private bytes on stderr. ruled out: a logger of the transport (net/http has none). change: the standard logger of the daemons writes the event library_message (3002), at most 10 a second, without the bytes. before: no code to test; the lines stood in the output of every test of surplus bytes. after: TestSurplusBytesAreLoggedAsEvents passes; it goes red if the bytes are not cut. conclusion: surplus bytes are closed (TestEndlessSurplus) and logged.

--- a/balance/reading_test.go
+++ b/balance/reading_test.go
@@ -1,8 +1,8 @@
 package balance
 
 import (
-	"math"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
--- a/cmd/heatherwall/main.go
+++ b/cmd/heatherwall/main.go
@@ -10,6 +10,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -162,6 +163,9 @@
 	context.AfterFunc(ctx, cancel)
 	logger := telemetry.NewAsyncLogger(stdout, level)
 	defer logger.Close()
+	log.SetFlags(0)
+	log.SetOutput(newLibraryLog(logger))
+	defer log.SetOutput(stderr)
 	if err := daemon(ctx, logger); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitFailed
