--- a/gateway/backends.go
+++ b/gateway/backends.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"heatherwall.example/api/controlpb"
@@ -33,6 +34,8 @@
 	retry    settings.RetryBudget
 	log      *telemetry.Logger
 	counters *telemetry.Metrics
+	// ownAddresses are the addresses of this gateway, which belong to no backend server.
+	ownAddresses []string
 
 	commands chan func(now time.Duration)
 	stopped  chan struct{}
@@ -109,7 +112,7 @@
 		if r := b.records[id]; r != nil && r.server.GetChanged() == s.GetChanged() {
 			continue
 		}
-		err := routes.ValidateServer(s)
+		err := b.checkServer(s)
 		if err == nil {
 			continue
 		}
@@ -126,6 +129,21 @@
 	return usable
 }
 
+// OwnAddressError reports a record of a backend server at an address of this gateway, which would receive its own requests.
+type OwnAddressError struct {
+	Address string
+}
+
+func (e *OwnAddressError) Error() string { return "address " + e.Address + " belongs to this gateway" }
+
+// checkServer returns an error if a record names no server to use.
+func (b *catalogueBackends) checkServer(s *controlpb.BackendServer) error {
+	if slices.Contains(b.ownAddresses, s.GetAddress()) {
+		return &OwnAddressError{Address: s.GetAddress()}
+	}
+	return routes.ValidateServer(s)
+}
+
 // flush passes the pending events to the engine in one batch.
 func (b *catalogueBackends) flush() {
 	b.engine.ApplyAll(b.pending)
--- a/gateway/backends_test.go
+++ b/gateway/backends_test.go
@@ -65,7 +65,7 @@
 func TestOddRecordsNameNoServer(t *testing.T) {
 	var lines bytes.Buffer
 	b := &catalogueBackends{name: "gw-1", region: "north", engine: balance.New(balance.Config{Region: "north", FailureDomain: "north-a", EvidenceLifetime: noExpiry}),
-		log: telemetry.NewLogger(&lines, telemetry.Info), counters: telemetry.NewMetrics(), clock: newClock(),
+		log: telemetry.NewLogger(&lines, telemetry.Info), counters: telemetry.NewMetrics(), clock: newClock(), ownAddresses: []string{"10.0.0.7:80"},
 		commands: make(chan func(time.Duration)), stopped: make(chan struct{}), records: map[string]*backendRecord{}}
 	ctx, cancel := context.WithCancel(t.Context())
 	go b.run(ctx)
@@ -77,7 +77,7 @@
 	servers := map[string]*controlpb.BackendServer{
 		"good": good, "slots": record("slots", "10.0.0.2:80", 4294967295, 0), "line\r\n": record("line\r\n", "10.0.0.3:80", 2, 0),
 		"zone": record("zone", "[fe80::1%eth0]:80", 2, 0), "port": record("port", "10.0.0.4:70000", 2, 0), "cold": record("cold", "10.0.0.5:80", 2, 4294967295),
-		"": record("", "10.0.0.6:80", 2, 0), "none": record("none", "", 2, 0),
+		"": record("", "10.0.0.6:80", 2, 0), "none": record("none", "", 2, 0), "own": record("own", "10.0.0.7:80", 2, 0),
 	}
 	picks := func() []string {
 		seen := map[string]bool{}
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -55,6 +55,7 @@
 	d.backends = &catalogueBackends{
 		name: s.Name, region: s.Region, clock: d.clock, engine: engine, cold: s.Catalogue.Cold, retry: s.Catalogue.Retry, log: d.log, counters: d.counters,
 		commands: make(chan func(time.Duration)), stopped: make(chan struct{}), records: map[string]*backendRecord{},
+		ownAddresses: []string{s.Callers.AdvertisedAddress(), s.Admin.AdvertisedAddress(), s.Metrics.AdvertisedAddress()},
 	}
 	d.lease.serveStale = s.Catalogue.ServeStale()
 	d.lease.takeCrashReports = d.path.crashMarks.takeReports
