--- a/gateway/serverpath.go
+++ b/gateway/serverpath.go
@@ -110,7 +110,8 @@
 }
 
 func (s *serverPath) probe(ctx context.Context, t pathTarget) {
-	ctx, cancel := context.WithTimeout(withProbeGate(ctx), pathProbeTimeout)
+	ctx, _ = withProbeGate(ctx)
+	ctx, cancel := context.WithTimeout(ctx, pathProbeTimeout)
 	defer cancel()
 	s.counters.UnlabeledCounter("path_probes").Inc(1)
 	s.asked(t.address)
