--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -171,6 +171,7 @@
 	relayed := &relayedCall{
 		requestID: c.requestID, deadline: time.Until(c.deadline), held: p.clock.now() - c.arrived, patience: c.callerTimeout,
 		likelyRetry: c.likelyRetry, used: used, left: left, service: c.rule.Service.Name,
+		routes: c.lease.catalogue.routes.Version,
 	}
 	relayed.write(request.Header)
 	response, err := p.relay.transport.RoundTrip(request)
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -190,6 +190,10 @@
 	if n := servers.runsOf("/write/2"); n != 2 {
 		t.Errorf("%d attempts; want those of the route", n)
 	}
+	status, header = g.passOn(t, http.MethodPost, "/write/3", "x", relayedCall{service: "s", deadline: time.Second, routes: 2})
+	if header.Get(headerRelayOutcome) != relayNotRun || header.Get(headerRelayReason) != string(ReasonNotReady) || servers.runsOf("/write/3") != 0 {
+		t.Errorf("with a newer route table at the other gateway: %d %v", status, header)
+	}
 	r, err := g.client.Get("http://" + g.Relay + "/read")
 	must(t, err)
 	defer r.Body.Close()
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -63,7 +63,11 @@
 }
 
 // matchRelayedRoute selects the route and the service that the other gateway chose. The body is read in a home region only.
+// With an older route table than the other gateway's, the request is refused.
 func (p *requestPath) matchRelayedRoute(c *call) *Refusal {
+	if c.lease.catalogue.routes.Version < c.relayed.routes {
+		return refuse(ReasonNotReady, "the route table here is older than that of the other gateway").withRetryAfter(retryAfterLong)
+	}
 	route, ok := c.lease.catalogue.routes.Match(c.r.Host, c.r.URL.Path)
 	if !ok {
 		return refuse(ReasonNoServer, "the route is not known here").withRetryAfter(retryAfterLong)
--- a/gateway/relaywire.go
+++ b/gateway/relaywire.go
@@ -17,6 +17,7 @@
 	headerRelayLikelyRetry = relayHeaderPrefix + "Likely-Retry"
 	headerRelayUsed        = relayHeaderPrefix + "Attempts-Used"
 	headerRelayLeft        = relayHeaderPrefix + "Attempts-Left"
+	headerRelayRoutes      = relayHeaderPrefix + "Routes-Version"
 	headerRelayService     = relayHeaderPrefix + "Service"
 	headerRelayOutcome     = relayHeaderPrefix + "Outcome"
 	headerRelayReason      = relayHeaderPrefix + "Reason"
@@ -42,8 +43,9 @@
 	likelyRetry    bool
 	// used is the number of attempts that may have run the request, left that of further attempts after the next one.
 	used, left int
-	// service is the service that the other gateway chose for the request.
+	// service is the service that the other gateway chose for the request, and routes the version of its route table.
 	service string
+	routes  uint64
 }
 
 func removeRelayHeaders(h http.Header) {
@@ -64,6 +66,7 @@
 	h.Set(headerRelayUsed, strconv.Itoa(c.used))
 	h.Set(headerRelayLeft, strconv.Itoa(c.left))
 	h.Set(headerRelayService, c.service)
+	h.Set(headerRelayRoutes, strconv.FormatUint(c.routes, 10))
 	if c.likelyRetry {
 		h.Set(headerRelayLikelyRetry, "true")
 	}
@@ -82,7 +85,9 @@
 	var usedOK, leftOK bool
 	c.used, usedOK = parseHeaderNumber(h, headerRelayUsed, 0)
 	c.left, leftOK = parseHeaderNumber(h, headerRelayLeft, 0)
-	return c, ok && usedOK && leftOK
+	var err error
+	c.routes, err = strconv.ParseUint(h.Get(headerRelayRoutes), 10, 64)
+	return c, ok && usedOK && leftOK && err == nil
 }
 
 // writeRelayRefusal adds the outcome of a refusal for the gateway that passed the request on.
--- a/settings/catalogue_test.go
+++ b/settings/catalogue_test.go
@@ -62,6 +62,7 @@
 		"TLS by default":    {validControl, `, plaintext: true`, ``, "peer.tls"},
 		"negative time":     {validCatalogueGateway, `serve_stale_seconds: 30`, `serve_stale_seconds: -1`, "catalogue.serve_stale_seconds"},
 		"negative ratio":    {validCatalogueGateway, `serve_stale_seconds: 30`, `retry: {ratio: -0.1}`, "catalogue.retry.ratio"},
+		"relay port":        {validCatalogueGateway, `serve_stale_seconds: 30`, `relay: {address: "10.0.0.2:0"}`, "catalogue.relay.address"},
 		"unknown field":     {validCatalogueGateway, `serve_stale_seconds: 30`, `serve_stale: 30`, "catalogue.serve_stale"},
 		"document gateways": {validCatalogueGateway, `catalogue: {serve_stale_seconds: 30}`, ``, "announce.address"},
 	} {
