--- a/settings/catalogue_test.go
+++ b/settings/catalogue_test.go
@@ -64,6 +64,7 @@
 		"negative ratio":    {validCatalogueGateway, `serve_stale_seconds: 30`, `retry: {ratio: -0.1}`, "catalogue.retry.ratio"},
 		"ratio no number":   {validCatalogueGateway, `serve_stale_seconds: 30`, `retry: {ratio: .nan}`, "catalogue.retry.ratio"},
 		"infinite ratio":    {validCatalogueGateway, `serve_stale_seconds: 30`, `retry: {ratio: .inf}`, "catalogue.retry.ratio"},
+		"relay port":        {validCatalogueGateway, `serve_stale_seconds: 30`, `relay: {address: "10.0.0.2:0"}`, "catalogue.relay.address"},
 		"unknown field":     {validCatalogueGateway, `serve_stale_seconds: 30`, `serve_stale: 30`, "catalogue.serve_stale"},
 		"document gateways": {validCatalogueGateway, `catalogue: {serve_stale_seconds: 30}`, ``, "announce.address"},
 	} {
