--- a/gateway/call.go
+++ b/gateway/call.go
@@ -193,9 +193,7 @@
 // readBody buffers the whole body, within the size limit of the rule, the memory budget and the deadline.
 func (p *requestPath) readBody(c *call) *Refusal {
 	if c.r.ContentLength > c.rule.MaxBodyBytes {
-		r := refuse(ReasonRequestTooLarge, "the body is larger than the rule permits")
-		r.closeConnection = true
-		return r
+		return p.refuseBody(c)
 	}
 	// The read deadline must be cleared again, because net/http keeps reading to detect that the caller disconnects.
 	controller := http.NewResponseController(c.w)
@@ -211,7 +209,7 @@
 		r.closeConnection = true
 		return r
 	case errors.As(err, &tooLarge):
-		return refuse(ReasonRequestTooLarge, "the body is larger than the rule permits")
+		return p.refuseBody(c)
 	case err != nil && !time.Now().Before(c.deadline):
 		return refuse(ReasonDeadlineExceeded, "the body did not arrive in time")
 	case err != nil:
@@ -221,6 +219,16 @@
 	return nil
 }
 
+// refuseBody refuses a body that is larger than the rule permits. A newer route table may permit it.
+func (p *requestPath) refuseBody(c *call) *Refusal {
+	r := refuse(ReasonRequestTooLarge, "the body is larger than the rule permits")
+	if c.route != nil && c.lease.mayBeUnknownRoute(p.clock.now()) {
+		r = refuse(ReasonConfigurationStale, "the body is larger than the route permits, but there may be newer routes").withRetryAfter(retryAfterLong)
+	}
+	r.closeConnection = true
+	return r
+}
+
 // checkPoison computes the fingerprint and refuses a request that crashed backend servers before.
 func (p *requestPath) checkPoison(c *call) *Refusal {
 	c.fingerprint = requestFingerprint(c.caller.Tenant.Member.Name, c.r.Method, c.r.URL.EscapedPath(), c.r.URL.RawQuery, c.body)
--- a/gateway/routeparts_test.go
+++ b/gateway/routeparts_test.go
@@ -277,3 +277,23 @@
 		t.Errorf("a replica that has confirmed nothing for %s keeps its session: progress %t, %v", maxPartialTime, progress, err)
 	}
 }
+
+// Guards against a definite refusal of a large body by a limit that a newer route table may have raised.
+func TestLargeBodyIsRefusedByConfirmation(t *testing.T) {
+	c := newTestLease(t)
+	if _, err := c.applyAnswer(catalogueAnswer(0, 10, routeTable(3)), c.clock.now()+leaseDuration); err != nil {
+		t.Fatal(err)
+	}
+	p := &requestPath{clock: c.clock}
+	for newest, want := range map[uint64]Reason{3: ReasonRequestTooLarge, 4: ReasonConfigurationStale} {
+		l := *c.Current()
+		l.catalogue.newestRoutes = newest
+		route, _ := l.catalogue.routes.Match("a.example", "/")
+		r := httptest.NewRequest("POST", "/", nil)
+		r.ContentLength = 1 << 40
+		refusal := p.readBody(&call{r: r, lease: &l, route: route, rule: route.ChooseRule(0)})
+		if refusal == nil || refusal.Reason != want || !refusal.closeConnection {
+			t.Errorf("newest version %d: %v; want %s and a closed connection", newest, refusal, want)
+		}
+	}
+}
--- a/gateway/serverpath.go
+++ b/gateway/serverpath.go
@@ -15,6 +15,8 @@
 
 const (
 	serverPathTick = 50 * time.Millisecond
+	// pathTargetsInterval is the time between two lists of the servers that can be probed.
+	pathTargetsInterval = time.Second
 	// pathProbeTimeout bounds a probe that tells whether any server can be reached.
 	pathProbeTimeout = 300 * time.Millisecond
 )
@@ -30,6 +32,10 @@
 	// onCutOff is called when the gateway is cut off from all servers.
 	onCutOff func()
 
+	// listed holds the result of targets at listedAt. Only run uses them.
+	listed   []pathTarget
+	listedAt time.Duration
+
 	state atomic.Uint32 // balance.ReachState as of the last tick
 	// cutOff is cancelled when the gateway is cut off, and replaced when servers answer again.
 	cutOff atomic.Pointer[cutOffSignal]
@@ -74,9 +80,15 @@
 }
 
 func (s *serverPath) tick(ctx context.Context) {
-	targets := s.targets()
+	if now := s.clock.now(); len(s.listed) == 0 || now-s.listedAt >= pathTargetsInterval {
+		s.listed, s.listedAt = s.targets(), now
+	}
+	targets := s.listed
 	state, probes := s.reach.Tick(s.clock.now(), len(targets))
 	s.enter(state, len(targets))
+	if probes == 0 {
+		return
+	}
 	for _, i := range rand.Perm(len(targets))[:min(probes, len(targets))] {
 		go s.probe(ctx, targets[i])
 	}
