--- a/balance/reachability.go
+++ b/balance/reachability.go
@@ -27,6 +27,9 @@
 	// maxUnanswered bounds the number of servers whose failures are remembered.
 	maxUnanswered = 64
 
+	// quietTime is the time without any answer after which servers are probed if requests wait for answers.
+	quietTime = 300 * time.Millisecond
+
 	verifyInterval = 150 * time.Millisecond
 	verifyProbes   = 4
 	// cutOffProbeInterval is the time between two rounds of probes while cut off, returnProbeInterval that after an answer.
@@ -72,6 +75,8 @@
 	// verifiedAt is when further servers were first probed since the last answer; 0 for never.
 	verifiedAt  time.Duration
 	nextProbeAt time.Duration
+	// answeredAt is when any server last answered.
+	answeredAt time.Duration
 
 	// answers counts the answers while cut off, from firstAnswerAt on.
 	answers                     int
@@ -100,6 +105,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forgetLocked()
+	r.answeredAt = now
 	if r.state != CutOff {
 		return
 	}
@@ -142,9 +148,9 @@
 	return 1
 }
 
-// Tick advances the state. servers is the number of servers that can be probed. It returns the state and the number of
-// servers to probe now.
-func (r *Reachability) Tick(now time.Duration, servers int) (ReachState, int) {
+// Tick advances the state. servers is the number of servers that can be probed, and waiting is set if requests wait for
+// answers of servers. It returns the state and the number of servers to probe now.
+func (r *Reachability) Tick(now time.Duration, servers int, waiting bool) (ReachState, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now-r.lastTick > maxTickGap {
@@ -163,7 +169,7 @@
 	case r.state == Returning && now-r.returnedAt >= pathReturnRamp:
 		r.state = Reached
 	}
-	return r.state, r.probesLocked(now, servers)
+	return r.state, r.probesLocked(now, servers, waiting)
 }
 
 func (r *Reachability) mayReturnLocked(now time.Duration) bool {
@@ -202,7 +208,7 @@
 }
 
 // probesLocked returns the number of servers to probe now.
-func (r *Reachability) probesLocked(now time.Duration, servers int) int {
+func (r *Reachability) probesLocked(now time.Duration, servers int, waiting bool) int {
 	if servers == 0 || now < r.nextProbeAt {
 		return 0
 	}
@@ -213,7 +219,11 @@
 	case r.state == CutOff:
 		r.nextProbeAt = now + cutOffProbeInterval
 		return cutOffProbes
-	case r.countLocked(now, suspicionPatience) < min(verifyServers, servers):
+	case r.countLocked(now, suspicionPatience) >= min(verifyServers, servers):
+	case waiting && now-r.answeredAt >= quietTime:
+		r.nextProbeAt = now + verifyInterval
+		return verifyServers
+	default:
 		return 0
 	}
 	if r.verifiedAt == 0 {
--- a/balance/reachability_test.go
+++ b/balance/reachability_test.go
@@ -13,8 +13,10 @@
 	now     time.Duration
 	servers int
 	works   func(server int) bool
-	probes  int
-	next    int
+	// idle is set if no request asks servers, waiting if some wait for answers.
+	idle, waiting bool
+	probes        int
+	next          int
 }
 
 const simulationStep = 10 * time.Millisecond
@@ -39,11 +41,11 @@
 	for end := s.now + d; s.now < end; s.now += simulationStep {
 		switch s.now / simulationStep % 5 {
 		case 0:
-			_, n := s.Tick(s.now, s.servers)
+			_, n := s.Tick(s.now, s.servers, s.waiting)
 			s.probes += n
 			s.ask(min(n, s.servers))
 		case 2:
-			if s.State() != CutOff {
+			if s.State() != CutOff && !s.idle {
 				s.ask(3)
 			}
 		}
@@ -104,21 +106,21 @@
 			r.Asked(fmt.Sprint(i), now)
 		}
 	}
-	r.Tick(0, 9)
+	r.Tick(0, 9, false)
 	fail(0)
-	if _, probes := r.Tick(50*time.Millisecond, 9); probes != 0 || r.IsSuspect(50*time.Millisecond) {
+	if _, probes := r.Tick(50*time.Millisecond, 9, false); probes != 0 || r.IsSuspect(50*time.Millisecond) {
 		t.Error("suspect 50 ms after failures at once")
 	}
-	if state, probes := r.Tick(suspicionPatience, 9); state != Reached || probes != verifyProbes || !r.IsSuspect(suspicionPatience) {
+	if state, probes := r.Tick(suspicionPatience, 9, false); state != Reached || probes != verifyProbes || !r.IsSuspect(suspicionPatience) {
 		t.Errorf("%s, %d probes after 75 ms", state, probes)
 	}
 	r.Answered(90 * time.Millisecond)
-	if state, _ := r.Tick(100*time.Millisecond, 9); state != Reached || r.IsSuspect(100*time.Millisecond) {
+	if state, _ := r.Tick(100*time.Millisecond, 9, false); state != Reached || r.IsSuspect(100*time.Millisecond) {
 		t.Errorf("%s after an answer", state)
 	}
 	fail(100 * time.Millisecond)
-	r.Tick(150*time.Millisecond, 9)
-	if state, _ := r.Tick(10*time.Second, 9); state != Reached || r.IsSuspect(10*time.Second) {
+	r.Tick(150*time.Millisecond, 9, false)
+	if state, _ := r.Tick(10*time.Second, 9, false); state != Reached || r.IsSuspect(10*time.Second) {
 		t.Errorf("%s after a stop of the process", state)
 	}
 }
@@ -130,7 +132,7 @@
 		r.Asked(fmt.Sprint(i), 0)
 	}
 	for now := time.Duration(0); now <= suspicionLifetime; now += 50 * time.Millisecond {
-		if state, probes := r.Tick(now, 0); state != Reached || probes != 0 {
+		if state, probes := r.Tick(now, 0, true); state != Reached || probes != 0 {
 			t.Fatalf("%s, %d probes without servers to probe", state, probes)
 		}
 	}
@@ -168,3 +170,20 @@
 		t.Errorf("%s a second after the return; want a short return after a calm time", s.State())
 	}
 }
+
+// Guards against a cut that is not detected because requests hang on connections that were open before, and no server is asked
+// for its load; and against probes without bound while requests are slow.
+func TestCutIsDetectedByRequestsThatWait(t *testing.T) {
+	s := newPathSimulation(12)
+	s.run(time.Second)
+	s.idle, s.waiting = true, true
+	s.run(10 * time.Second)
+	if s.State() != Reached || s.probes > 80 {
+		t.Errorf("%s, %d probes in 10 s of slow requests", s.State(), s.probes)
+	}
+	s.works = func(int) bool { return false }
+	s.run(1500 * time.Millisecond)
+	if s.State() != CutOff {
+		t.Errorf("%s 1.5 s after the cut", s.State())
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -101,7 +101,7 @@
 // send sends the request and waits for the response header.
 func (p *requestPath) send(c *call, a *attempt, retriesLeft int) {
 	started := time.Now()
-	stop := p.serverPath().abandonWhenCutOff(a, c.rule.Idempotent)
+	stop := p.serverPath().watch(a, c.rule.Idempotent)
 	response, err := p.transport.RoundTrip(p.newBackendRequest(c, a, retriesLeft))
 	stop()
 	if a.abandoned = !a.settled.CompareAndSwap(false, true); a.abandoned && err == nil {
--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -134,7 +134,8 @@
 		if path == "" || s.GetState() == controlpb.BackendState_BACKEND_DRAINING {
 			continue
 		}
-		if t := (pathTarget{address: s.GetAddress(), path: path}); p.isMuted(s.GetService()) {
+		t := pathTarget{address: s.GetAddress(), path: path, slow: p.isMuted(s.GetService())}
+		if t.slow {
 			slow = append(slow, t)
 		} else {
 			quick = append(quick, t)
--- a/gateway/relay_harness_test.go
+++ b/gateway/relay_harness_test.go
@@ -187,6 +187,8 @@
 type relayServers struct {
 	records []*controlpb.BackendServer
 	handle  func(w http.ResponseWriter, r *http.Request)
+	// hidesLoad makes the servers report no load, so that they are not asked for it.
+	hidesLoad bool
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -207,7 +209,9 @@
 }
 
 func (s *relayServers) serve(region string, w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(headerLoad, "0/8")
+	if !s.hidesLoad {
+		w.Header().Set(headerLoad, "0/8")
+	}
 	if r.URL.Path == "/healthz" {
 		return
 	}
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -14,9 +14,10 @@
 // Guards against callers that are not served because their gateway alone reaches no backend server, and against requests
 // that run twice meanwhile.
 func TestGatewayCutOffFromServersServesThroughAnother(t *testing.T) {
-	for name, mode := range map[string]cutMode{"silent": cutSilent, "refused": cutRefuse, "reset": cutReset} {
+	for name, mode := range map[string]cutMode{"silent": cutSilent, "refused": cutRefuse, "reset": cutReset, "silent, load hidden": cutSilent} {
 		t.Run(name, func(t *testing.T) {
 			servers := startRelayServers(t)
+			servers.hidesLoad = strings.Contains(name, "hidden")
 			g := startRelayGateways(t, startCatalogueControl(t, servers.records), "north-a", "north-a", "north-b")[0]
 			if status, body, _ := g.send(t, http.MethodGet, "/before", ""); status != http.StatusOK {
 				t.Fatalf("before the cut: %d %s", status, body)
--- a/gateway/serverpath.go
+++ b/gateway/serverpath.go
@@ -21,16 +21,20 @@
 
 // serverPath watches whether this gateway reaches backend servers at all. A nil serverPath always reaches them.
 type serverPath struct {
-	reach    *balance.Reachability
-	clock    clock
-	client   *http.Client
-	targets  func() []pathTarget
-	log      *telemetry.Logger
-	counters *telemetry.Metrics
+	reach  *balance.Reachability
+	clock  clock
+	client *http.Client
+	// connecting opens a connection for each probe.
+	connecting *http.Client
+	targets    func() []pathTarget
+	log        *telemetry.Logger
+	counters   *telemetry.Metrics
 	// onCutOff is called when the gateway is cut off from all servers.
 	onCutOff func()
 
-	state atomic.Uint32 // balance.ReachState as of the last tick
+	// waiting is the number of requests that wait for the response of a server.
+	waiting atomic.Int64
+	state   atomic.Uint32 // balance.ReachState as of the last tick
 	// cutOff is cancelled when the gateway is cut off, and replaced when servers answer again.
 	cutOff atomic.Pointer[cutOffSignal]
 }
@@ -45,6 +49,8 @@
 type pathTarget struct {
 	address string
 	path    string
+	// slow is set if the server queues health checks like requests. It is probed on a new connection, which it accepts at once.
+	slow bool
 }
 
 func newServerPath(c clock, transport http.RoundTripper, log *telemetry.Logger, counters *telemetry.Metrics) *serverPath {
@@ -75,7 +81,7 @@
 
 func (s *serverPath) tick(ctx context.Context) {
 	targets := s.targets()
-	state, probes := s.reach.Tick(s.clock.now(), len(targets))
+	state, probes := s.reach.Tick(s.clock.now(), len(targets), s.waiting.Load() > 0)
 	s.enter(state, len(targets))
 	for _, i := range rand.Perm(len(targets))[:min(probes, len(targets))] {
 		go s.probe(ctx, targets[i])
@@ -114,7 +120,11 @@
 	defer cancel()
 	s.counters.UnlabeledCounter("path_probes").Inc(1)
 	s.asked(t.address)
-	_, err := getProbe(ctx, s.client, t.address, t.path)
+	client := s.client
+	if t.slow {
+		client = s.connecting
+	}
+	_, err := getProbe(ctx, client, t.address, t.path)
 	s.ended(t.address, err)
 }
 
@@ -179,15 +189,20 @@
 	return rand.Float64() >= s.reach.DirectShare(s.clock.now())
 }
 
-// abandonWhenCutOff ends an attempt when the gateway is cut off: always if nothing was written, and otherwise if the
-// request may be run again. The caller must call the function that it returns.
-func (s *serverPath) abandonWhenCutOff(a *attempt, idempotent bool) (stop func() bool) {
+// watch counts the attempt as waiting, and ends it when the gateway is cut off: always if nothing was written, and otherwise
+// if the request may be run again. The caller must call the function that it returns.
+func (s *serverPath) watch(a *attempt, idempotent bool) (stop func()) {
 	if s == nil {
-		return func() bool { return true }
+		return func() {}
 	}
-	return context.AfterFunc(s.cutOff.Load().ctx, func() {
+	s.waiting.Add(1)
+	release := context.AfterFunc(s.cutOff.Load().ctx, func() {
 		if wrote, _ := a.gate.stop(); (!wrote || idempotent) && a.settled.CompareAndSwap(false, true) {
 			a.cancel()
 		}
 	})
+	return func() {
+		s.waiting.Add(-1)
+		release()
+	}
 }
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -77,6 +79,12 @@
 	path := newServerPath(d.clock, transport, d.log, d.counters)
 	path.targets = func() []pathTarget { return prober.pathTargets(d.lease.Current().catalogue.servers) }
 	transport.DialContext = path.watchDials(transport.DialContext)
+	path.connecting = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+		DisableKeepAlives: true, DisableCompression: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return transport.DialContext(ctx, network, address)
+		},
+	}}
 	path.onCutOff = transport.CloseIdleConnections // they may hang, and a request must not be written on one later
 	prober.path = path
 	d.path.relay = &relayClient{relays: balance.NewRelays(d.settings.Region, d.settings.FailureDomain), transport: newRelayTransport(), path: path, clock: d.clock}
