--- a/balance/pick.go
+++ b/balance/pick.go
@@ -27,6 +27,8 @@
 	expected float64
 	// anyBusy is set if the verdict on any server was verdictBusy.
 	anyBusy bool
+	// anyUnreachable is set if connections to any server failed lately.
+	anyUnreachable bool
 }
 
 // Pick selects a server for one attempt. Unless the refusal is set, the caller may send the attempt and must end it with
@@ -61,7 +63,9 @@
 			if best.anyBusy {
 				return nil, false, newRefusal(ReasonOverloaded)
 			}
-			return nil, false, newRefusal(ReasonNoServer)
+			refusal := newRefusal(ReasonNoServer)
+			refusal.Unreachable = best.anyUnreachable
+			return nil, false, refusal
 		}
 		if q.Remaining > 0 && best.expected > maxDeadlineOverrun*float64(q.Remaining) {
 			return nil, false, newRefusal(ReasonDeadline)
@@ -161,6 +165,7 @@
 		}
 		switch s.checkEligibility(v, c, q) {
 		case verdictForbidden:
+			best.anyUnreachable = best.anyUnreachable || q.Now < c.load.unreachableUntil.load()
 			continue
 		case verdictBusy:
 			best.anyBusy = true
--- a/balance/query.go
+++ b/balance/query.go
@@ -98,6 +98,8 @@
 	RetryAfter time.Duration
 	// Yield is set for ReasonYield.
 	Yield Yield
+	// Unreachable is set for ReasonNoServer if connections to servers failed lately.
+	Unreachable bool
 }
 
 // Refused reports whether Pick refused.
--- a/balance/relays.go
+++ b/balance/relays.go
@@ -28,6 +28,8 @@
 	// Regions lists the permitted regions; it is ignored if AnyRegion is set.
 	Regions   []string
 	AnyRegion bool
+	// OtherDomain leaves out the own failure domain if there is a relay elsewhere.
+	OtherDomain bool
 	// Tried lists the names of the relays that were picked for the request before.
 	Tried []string
 	// Random is uniformly distributed.
@@ -83,17 +85,9 @@
 func (r *Relays) Pick(q RelayQuery) (relay Relay, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var candidates []Relay
-	nearest := tierOther
-	for _, x := range r.list {
-		tier := r.tier(x)
-		if tier > nearest || !r.isUsableLocked(x, &q) {
-			continue
-		}
-		if tier < nearest {
-			nearest, candidates = tier, candidates[:0]
-		}
-		candidates = append(candidates, x)
+	candidates := r.nearestLocked(&q, q.OtherDomain)
+	if len(candidates) == 0 && q.OtherDomain {
+		candidates = r.nearestLocked(&q, false)
 	}
 	if len(candidates) == 0 {
 		return Relay{}, false
@@ -111,6 +105,23 @@
 	return relay, true
 }
 
+// nearestLocked returns the usable relays of the nearest tier that has some, without the own failure domain if otherDomain
+// is set.
+func (r *Relays) nearestLocked(q *RelayQuery, otherDomain bool) (candidates []Relay) {
+	nearest := tierOther
+	for _, x := range r.list {
+		tier := r.tier(x)
+		if tier > nearest || tier == tierDomain && otherDomain || !r.isUsableLocked(x, q) {
+			continue
+		}
+		if tier < nearest {
+			nearest, candidates = tier, candidates[:0]
+		}
+		candidates = append(candidates, x)
+	}
+	return candidates
+}
+
 func (r *Relays) tier(x Relay) int {
 	switch {
 	case x.FailureDomain == r.failureDomain:
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,8 +10,6 @@
 	"strconv"
 	"sync/atomic"
 	"time"
-
-	"heatherwall.example/telemetry"
 )
 
 // attempt is one attempt to run a request on a backend server.
@@ -28,6 +26,8 @@
 	result   result
 	// relayRefusal is the refusal of the gateway that the request was passed on to; nil otherwise.
 	relayRefusal *Refusal
+	// relayArrivals counts how often that gateway brought the request to a server.
+	relayArrivals int
 	// settled is set by the first of two: the end of the round trip, or its end because this gateway is cut off from all
 	// servers; abandoned is set in the second case.
 	settled   atomic.Bool
@@ -126,18 +126,12 @@
 	if a.abandoned && a.result.kind == resultCanceled {
 		a.result.kind = resultBroken
 	}
-	if a.result.kind == resultBroken && p.provesCrash(a) {
+	if a.result.kind == resultBroken {
 		p.recordCrash(c, a)
 	}
 	p.logAttempt(c, a)
 }
 
-// provesCrash reports whether a broken connection shows that a server has crashed: it does not if the connection led to
-// another gateway, or if this gateway may have lost the connections to all servers.
-func (p *requestPath) provesCrash(a *attempt) bool {
-	return !a.isRelay() && !p.serverPath().isDoubtful()
-}
-
 // serverPath returns the watch over the path to servers; nil if there is none.
 func (p *requestPath) serverPath() *serverPath {
 	if p.relay == nil {
@@ -157,17 +151,6 @@
 	a.result.kind = classifyError(c.ctx, a.ctx, err, wrote)
 }
 
-// recordCrash adds a crash mark to a request if it was in flight on a connection that broke. A connection that the
-// gateway closed because of what the server sent did not break.
-func (p *requestPath) recordCrash(c *call, a *attempt) {
-	if !a.gate.connectionBroke() {
-		return
-	}
-	if p.crashMarks.RecordCrash(p.clock.now(), c.fingerprint, c.placement.Home.Names) {
-		p.log.Log(eventPoisonMarked, telemetry.F("service", c.rule.Service.Name))
-	}
-}
-
 // MismatchedResponseError reports a response that does not belong to the request: it arrived before the request was
 // written, echoes another request ID, switches protocols, or may be a copy of a response to an earlier request.
 type MismatchedResponseError struct {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -58,7 +58,9 @@
 	fingerprint fingerprint
 	// relayed is what the gateway that passed the request on says about it; nil for a request of a caller.
 	relayed *relayedCall
-	claim   *requestClaim // nil if the request is idempotent or has no key
+	// arrivals counts how often this gateway or its relays brought the request to a server.
+	arrivals int
+	claim    *requestClaim // nil if the request is idempotent or has no key
 }
 
 // step is one stage of the request path. A refusal ends the request.
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -99,6 +99,8 @@
 	Regions []string
 	// RetryAfter is rounded up to seconds unless the dialect permits fractions; with 0 the header is omitted.
 	RetryAfter time.Duration
+	// unreachable is set for ReasonNoServer if connections to servers failed lately.
+	unreachable bool
 	// yield is set if the request yields to others; the gateway may wait and call Pick again.
 	yield *balance.Yield
 	// closeConnection is set if the body must not be read, so that the connection cannot be reused.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -18,7 +18,9 @@
 	// maxRelays is the number of relays that are tried for one request while this gateway reaches no server, and
 	// maxRelaysReached while it does and only the service of the request has none.
 	maxRelays        = 5
-	maxRelaysReached = 1
+	maxRelaysReached = 2
+	// maxRelaysInDomain is the number of relays of the own failure domain that are tried; a cut may concern all of it.
+	maxRelaysInDomain = 2
 )
 
 // relayClient passes requests on to other gateways.
@@ -64,8 +66,10 @@
 	service string
 	// suspect is set if this gateway seemed cut off when the relay was selected; otherwise only the service had no server.
 	suspect bool
-	// refused is set if the relay refused because it cannot serve.
-	refused bool
+	// unable is set if the relay refused because it cannot serve any request at present, and responded if it sent a valid
+	// response.
+	unable    bool
+	responded bool
 }
 
 // Server implements selection. The failure domain is empty, because taking out a domain concerns its servers only.
@@ -77,9 +81,9 @@
 func (s *relaySelection) Done(r result) {
 	outcome := balance.RelayOK
 	switch {
-	case r.kind == resultUnreachable || r.kind == resultBroken && !s.refused:
+	case r.kind == resultUnreachable || r.kind == resultBroken && !s.responded:
 		outcome = balance.RelayFailed
-	case s.refused:
+	case s.unable:
 		outcome = balance.RelayRefused
 	}
 	s.client.relays.Done(s.relay.Name, s.client.clock.now(), outcome)
@@ -97,7 +101,7 @@
 		return nil
 	}
 	relay, ok := client.relays.Pick(balance.RelayQuery{
-		Now: client.clock.now(), Regions: r.c.placement.RunIn.Names, AnyRegion: r.c.placement.RunIn.Any, Tried: r.relays, Random: rand.Uint64(),
+		Now: client.clock.now(), OtherDomain: len(r.relays) >= maxRelaysInDomain, Regions: r.c.placement.RunIn.Names, AnyRegion: r.c.placement.RunIn.Any, Tried: r.relays, Random: rand.Uint64(),
 	})
 	if !ok {
 		return nil
@@ -120,7 +124,8 @@
 	}
 	s, refusal := r.pickServer(q)
 	doubtful := path.isDoubtful()
-	if !doubtful && (refusal == nil || refusal.Reason != ReasonNoServer) {
+	noPath := refusal != nil && refusal.Reason == ReasonNoServer && refusal.unreachable && r.arrivals == 0
+	if !doubtful && !noPath {
 		return s, refusal
 	}
 	var relay selection
@@ -150,14 +155,27 @@
 // relayInstead selects another gateway after an attempt that reached no server and wrote nothing, although no further
 // attempts at servers are permitted.
 func (r *runner) relayInstead(a *attempt) (selection, bool) {
-	written := r.mayHaveRun || a.result.kind != resultUnreachable && a.result.kind != resultNotSent
-	if r.p.relay == nil || r.c.relayed != nil || written {
+	unsent := r.arrivals == 0 && (a.result.kind == resultUnreachable || a.result.kind == resultNotSent)
+	if r.p.relay == nil || r.c.relayed != nil || !unsent {
 		return nil, false
 	}
 	s := r.pickRelay()
 	return s, s != nil
 }
 
+// selectAfterRelay selects another relay after one that brought the request to no server or, without one, a server: the
+// gateway may not be cut off after all.
+func (r *runner) selectAfterRelay() (selection, bool) {
+	if s := r.pickRelay(); s != nil {
+		return s, true
+	}
+	if r.p.relay.path.isCutOff() {
+		return nil, false
+	}
+	s, refusal := r.pickServer(&query{retry: r.arrivals > 0})
+	return s, refusal == nil
+}
+
 // isRelay reports whether the attempt passes the request on to another gateway.
 func (a *attempt) isRelay() bool {
 	_, ok := a.selection.(*relaySelection)
@@ -165,12 +183,15 @@
 }
 
 // sendToRelay passes the request on to another gateway and waits for the response header.
-func (p *requestPath) sendToRelay(c *call, a *attempt, left, used int) {
+func (p *requestPath) sendToRelay(c *call, a *attempt, left, arrivals int) {
 	started := time.Now()
+	if c.rule.Idempotent && left > 0 {
+		left-- // kept for another relay, in case the connection to this one breaks
+	}
 	request := p.newBackendRequest(c, a, left)
 	relayed := &relayedCall{
 		requestID: c.requestID, deadline: time.Until(c.deadline), held: p.clock.now() - c.arrived, patience: c.callerTimeout,
-		likelyRetry: c.likelyRetry, used: used, left: left, service: c.rule.Service.Name,
+		likelyRetry: c.likelyRetry, arrivals: arrivals, left: left, service: c.rule.Service.Name,
 		routes: c.lease.catalogue.routes.Version,
 	}
 	relayed.write(request.Header)
@@ -180,6 +201,9 @@
 	}
 	if err != nil {
 		a.recordFailure(c, err)
+		if a.gate.wrote.Load() {
+			a.relayArrivals = left + 1 // not known; the relay may have used all attempts
+		}
 	}
 	a.result.latency = time.Since(started)
 	if a.result.kind == resultBroken && time.Until(c.deadline) < deadlineSlack {
@@ -191,10 +215,12 @@
 // readRelayResponse takes over the response of a server, or the refusal of the relay.
 func (p *requestPath) readRelayResponse(c *call, a *attempt, response *http.Response) error {
 	outcome := response.Header.Get(headerRelayOutcome)
+	s := a.selection.(*relaySelection)
 	if outcome == relayAnswered {
 		if err := p.checkResponse(c, a, response); err != nil {
 			return err
 		}
+		s.responded = true
 		a.response, a.result.kind = response, resultAnswered
 		if response.StatusCode >= http.StatusInternalServerError {
 			a.result.kind = resultFailed
@@ -207,7 +233,8 @@
 	}
 	refusal := readRelayRefusal(response.Header)
 	a.relayRefusal, a.err = refusal, refusal
-	a.selection.(*relaySelection).refused = true
+	a.relayArrivals, _ = parseHeaderNumber(response.Header, headerRelayArrivals, 1)
+	s.responded, s.unable = true, isUnable(refusal.Reason)
 	switch {
 	case refusal.Ran == RanNo:
 		a.result.kind = resultNotRun
@@ -229,18 +256,25 @@
 		return "relay_broken"
 	case resultNotRun:
 		r.refusal = a.relayRefusal
-		switch a.relayRefusal.Reason {
-		case ReasonOverloaded:
-			if r.mayHaveRun { // the retry budget of that gateway is spent, that of another one may not be
-				return "relay_refused"
-			}
-		case ReasonServersUnreachable, ReasonNoServer, ReasonNotReady, ReasonDraining, ReasonConfigurationStale:
+		reason := a.relayRefusal.Reason
+		// The retry budget of that gateway may be spent, and a server may have shed the request there.
+		again := reason == ReasonOverloaded && r.arrivals > 0 && (a.relayArrivals == 0 || r.c.rule.Idempotent)
+		if again || a.relayArrivals == 0 && (reason == ReasonNoServer || isUnable(reason)) {
 			return "relay_refused"
 		}
 	}
 	return ""
 }
 
+// isUnable reports whether a gateway that gives this reason can serve no request at present.
+func isUnable(reason Reason) bool {
+	switch reason {
+	case ReasonServersUnreachable, ReasonNotReady, ReasonDraining, ReasonConfigurationStale:
+		return true
+	}
+	return false
+}
+
 // logRelay counts and logs an attempt at a relay.
 func (p *requestPath) logRelay(c *call, a *attempt) {
 	p.counters.Counter("relayed_requests", "outcome", a.result.kind.String()).Inc(1)
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -219,7 +220,7 @@
 		_, _ = io.WriteString(w, "ran")
 	}
 	list := startRelayGateways(t, startCatalogueControl(t, servers.records), "north-a", "north-a")
-	forged := []string{headerRelayDeadline, "1", headerRelayService, "x", headerRelayLeft, "9", headerRelayUsed, "9", headerRelayRequestID, "other", headerRequestID, "own"}
+	forged := []string{headerRelayDeadline, "1", headerRelayService, "x", headerRelayLeft, "9", headerRelayArrivals, "9", headerRelayRequestID, "other", headerRequestID, "own"}
 	for _, cut := range []bool{false, true} {
 		if cut {
 			list[0].awaitCutOff(t)
@@ -333,23 +334,96 @@
 	if status != http.StatusBadGateway || !strings.Contains(body, `"ran":"unknown"`) || servers.runsOf("/write/1") != 1 {
 		t.Errorf("%d %s, ran %d times", status, body, servers.runsOf("/write/1"))
 	}
+	for _, g := range list {
+		g.path.background.Wait()
+	}
 	if list[0].crashes() != 0 || list[1].crashes()+list[2].crashes() != 1 {
 		t.Errorf("crash marks: %d, %d, %d; want one at a relay", list[0].crashes(), list[1].crashes(), list[2].crashes())
 	}
 }
 
-// Guards against crash marks for connections that broke because the path to all servers did, or that led to a relay.
+// Guards against crash marks for connections that broke because the path to all servers did, so that a common request is
+// refused afterwards, and against none for a server that breaks alone.
 func TestOnlyASingleServerProvesACrash(t *testing.T) {
-	p := &requestPath{relay: &relayClient{path: newServerPath(clock{start: time.Now().Add(-time.Second)}, nil, nil, nil)}}
-	direct, relayed := &attempt{}, &attempt{selection: &relaySelection{}}
-	if !p.provesCrash(direct) || p.provesCrash(relayed) {
-		t.Error("while servers are reached")
+	const inFlight = 8
+	servers := startRelayServers(t)
+	g := startRelayGateways(t, startCatalogueControl(t, servers.records), "north-a", "north-a")[0]
+	reached, release := make(chan struct{}, inFlight), make(chan struct{})
+	servers.handle = func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/crash" {
+			panic(http.ErrAbortHandler)
+		}
+		reached <- struct{}{}
+		<-release
+	}
+	g.send(t, http.MethodPost, "/crash", "x")
+	eventually(t, "a server that breaks alone leaves a mark", func() bool { return g.crashes() == 1 })
+	var ended sync.WaitGroup
+	for range inFlight {
+		ended.Go(func() { g.send(t, http.MethodPost, "/common", "x") })
 	}
-	for _, address := range []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"} {
-		p.serverPath().reach.Asked(address, 0)
+	for range inFlight {
+		<-reached
 	}
-	if p.provesCrash(direct) {
-		t.Error("while connections to several servers break")
+	g.cut.set(cutReset)
+	ended.Wait()
+	close(release)
+	g.path.background.Wait()
+	if n := g.crashes(); n != 1 {
+		t.Errorf("%d requests with crash marks after connections to several servers broke; want the one before", n)
+	}
+}
+
+// Guards against relays that are avoided because a server behind them shed a request, and against a healthy gateway that
+// passes on a request that servers have rejected.
+func TestShedRequestsNeitherPauseRelaysNorGoRound(t *testing.T) {
+	servers := startRelayServers(t)
+	list := startRelayGateways(t, startCatalogueControl(t, servers.records), "north-a", "north-a", "north-b")
+	list[0].awaitCutOff(t)
+	shed := func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/shed") {
+			w.Header().Set(headerNotRun, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ran")
+	}
+	servers.handle = shed
+	for i := range 20 {
+		path := fmt.Sprintf("/shed/%d", i)
+		list[0].send(t, http.MethodPost, path, "x")
+		if n := servers.runsOf(path); n > 2 {
+			t.Errorf("%d arrivals of a request that may be sent to 2 servers", n)
+		}
+		if status, body, _ := list[0].send(t, http.MethodPost, fmt.Sprintf("/write/%d", i), "x"); status != http.StatusOK {
+			t.Fatalf("a relay was avoided after servers shed a request: %d %s", status, body)
+		}
+	}
+	before := list[2].relayedHere()
+	for i := range 20 {
+		path := fmt.Sprintf("/shed/direct/%d", i)
+		list[1].send(t, http.MethodPost, path, "x")
+		if n := servers.runsOf(path); n > 2 {
+			t.Errorf("%d arrivals of a request that may be sent to 2 servers", n)
+		}
+	}
+	if n := list[2].relayedHere() - before; n != 0 {
+		t.Errorf("a gateway that reaches its servers passed on %d rejected requests", n)
+	}
+}
+
+// Guards against more runs of an idempotent request than its route permits when servers break behind several relays.
+func TestRelaysKeepAttemptsOfTheRoute(t *testing.T) {
+	servers := startRelayServers(t)
+	list := startRelayGateways(t, startCatalogueControl(t, servers.records), "north-a", "north-a", "north-b")
+	list[0].awaitCutOff(t)
+	servers.handle = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for i := range 5 {
+		path := fmt.Sprintf("/read/%d", i)
+		list[0].send(t, http.MethodGet, path, "")
+		if n := servers.runsOf(path); n > 2 {
+			t.Errorf("%d runs of a request that may be sent to 2 servers", n)
+		}
 	}
 }
 
@@ -391,6 +465,9 @@
 	if status, body, _ := g.send(t, http.MethodPost, "/truncated", ""); status == http.StatusOK {
 		t.Errorf("a response that ended early looks complete: %q", body)
 	}
+	for _, gateway := range list {
+		gateway.path.background.Wait()
+	}
 	if g.crashes() != 0 || list[1].crashes() != 1 {
 		t.Errorf("crash marks: %d here, %d at the relay; want one there", g.crashes(), list[1].crashes())
 	}
--- a/gateway/relaywire.go
+++ b/gateway/relaywire.go
@@ -15,7 +15,7 @@
 	headerRelayHeld        = relayHeaderPrefix + "Held-Ms"
 	headerRelayPatience    = relayHeaderPrefix + "Patience-Ms"
 	headerRelayLikelyRetry = relayHeaderPrefix + "Likely-Retry"
-	headerRelayUsed        = relayHeaderPrefix + "Attempts-Used"
+	headerRelayArrivals    = relayHeaderPrefix + "Arrivals"
 	headerRelayLeft        = relayHeaderPrefix + "Attempts-Left"
 	headerRelayRoutes      = relayHeaderPrefix + "Routes-Version"
 	headerRelayService     = relayHeaderPrefix + "Service"
@@ -41,8 +41,8 @@
 	deadline, held time.Duration
 	patience       time.Duration
 	likelyRetry    bool
-	// used is the number of attempts that may have run the request, left that of further attempts after the next one.
-	used, left int
+	// arrivals counts how often the request has reached a server, left is the number of attempts after the next one.
+	arrivals, left int
 	// service is the service that the other gateway chose for the request, and routes the version of its route table.
 	service string
 	routes  uint64
@@ -63,7 +63,7 @@
 	for name, d := range map[string]time.Duration{headerRelayDeadline: c.deadline, headerRelayHeld: c.held, headerRelayPatience: c.patience} {
 		h.Set(name, strconv.FormatInt(max(d.Milliseconds(), 0), 10))
 	}
-	h.Set(headerRelayUsed, strconv.Itoa(c.used))
+	h.Set(headerRelayArrivals, strconv.Itoa(c.arrivals))
 	h.Set(headerRelayLeft, strconv.Itoa(c.left))
 	h.Set(headerRelayService, c.service)
 	h.Set(headerRelayRoutes, strconv.FormatUint(c.routes, 10))
@@ -82,16 +82,18 @@
 	}
 	ok = true
 	c.deadline, c.held, c.patience = milliseconds(headerRelayDeadline), milliseconds(headerRelayHeld), milliseconds(headerRelayPatience)
-	var usedOK, leftOK bool
-	c.used, usedOK = parseHeaderNumber(h, headerRelayUsed, 0)
+	var arrivalsOK, leftOK bool
+	c.arrivals, arrivalsOK = parseHeaderNumber(h, headerRelayArrivals, 0)
 	c.left, leftOK = parseHeaderNumber(h, headerRelayLeft, 0)
 	var err error
 	c.routes, err = strconv.ParseUint(h.Get(headerRelayRoutes), 10, 64)
-	return c, ok && usedOK && leftOK && err == nil
+	return c, ok && arrivalsOK && leftOK && err == nil
 }
 
-// writeRelayRefusal adds the outcome of a refusal for the gateway that passed the request on.
-func writeRelayRefusal(h http.Header, r *Refusal) {
+// writeRelayRefusal adds the outcome of a refusal, and how often the request reached a server here, for the gateway that
+// passed the request on.
+func writeRelayRefusal(h http.Header, r *Refusal, arrivals int) {
+	h.Set(headerRelayArrivals, strconv.Itoa(arrivals))
 	outcome := relayUnknown
 	if r.Ran == RanNo {
 		outcome = relayNotRun
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -132,7 +132,7 @@
 		a.done()
 		return
 	}
-	if a.result.kind = interruptionResult(c); a.result.kind == resultBroken && p.provesCrash(a) {
+	if a.result.kind = interruptionResult(c); a.result.kind == resultBroken {
 		p.recordCrash(c, a)
 		p.publishCrashMarks()
 	}
@@ -161,7 +161,7 @@
 	p.counters.Counter("refusals", "reason", string(refusal.Reason)).Inc(1)
 	p.logRefusal(c, refusal)
 	if c.relayed != nil {
-		writeRelayRefusal(c.w.Header(), refusal)
+		writeRelayRefusal(c.w.Header(), refusal, c.arrivals)
 	}
 	refusal.write(c.w, p.dialect)
 }
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -27,10 +27,10 @@
 	// tried lists the addresses of all attempts so far.
 	tried       []string
 	retriesLeft int
-	// relays lists the names of the gateways that the request was passed on to, and used counts the attempts that may have
-	// run it.
+	// relays lists the names of the gateways that the request was passed on to.
 	relays []string
-	used   int
+	// arrivals counts how often the request reached a server, also where the server rejected it, here and at relays.
+	arrivals int
 	// mayHaveRun is set if any attempt so far may have run the request.
 	mayHaveRun bool
 	// refusal is the last refusal of the selector.
@@ -42,7 +42,7 @@
 	r.retriesLeft = r.c.retriesLeft
 	first := &query{}
 	if r.c.relayed != nil {
-		r.used, first.retry = r.c.relayed.used, r.c.relayed.used > 0
+		r.arrivals, first.retry = r.c.relayed.arrivals, r.c.relayed.arrivals > 0
 	}
 	s, refusal := r.pick(first)
 	if refusal != nil {
@@ -50,10 +50,7 @@
 	}
 	for {
 		a := r.runAttempt(s)
-		if a.mayHaveRun() {
-			r.mayHaveRun = true
-			r.used++
-		}
+		r.countArrivals(a)
 		next, ok := r.selectRetry(a)
 		if !ok {
 			return r.finish(a)
@@ -63,6 +60,18 @@
 	}
 }
 
+// countArrivals adds the arrivals of an attempt at servers. Those at a relay use up attempts of this gateway.
+func (r *runner) countArrivals(a *attempt) {
+	r.mayHaveRun = r.mayHaveRun || a.mayHaveRun()
+	n := a.relayArrivals
+	if !a.isRelay() && a.gate.wrote.Load() {
+		n = 1
+	}
+	r.arrivals += n
+	r.c.arrivals += n
+	r.retriesLeft = max(0, r.retriesLeft-max(n-1, 0))
+}
+
 // pick selects a server that was not tried before, or another gateway while this one reaches no server. The caller sets
 // the flags hedge and retry of q; pick sets the rest.
 func (r *runner) pick(q *query) (selection, *Refusal) {
@@ -97,7 +106,7 @@
 func (r *runner) runAttempt(s selection) *attempt {
 	a := r.p.startAttempt(r.c, s)
 	if a.isRelay() {
-		r.p.sendToRelay(r.c, a, r.retriesLeft, r.used)
+		r.p.sendToRelay(r.c, a, r.retriesLeft, r.arrivals)
 		return a
 	}
 	if r.c.rule.Idempotent && r.c.rule.Hedge {
@@ -178,12 +187,11 @@
 	return s, true
 }
 
-// selectFurther selects a server or another gateway for another attempt after a. Passing on a request of which nothing was
-// written yet is not charged, because no server has got it.
+// selectFurther selects a server or another gateway for another attempt after a. Passing on a request that has reached no
+// server yet is not charged.
 func (r *runner) selectFurther(a *attempt) (selection, bool) {
-	if a.isRelay() && !a.mayHaveRun() {
-		s := r.pickRelay()
-		return s, s != nil
+	if a.isRelay() && a.relayArrivals == 0 {
+		return r.selectAfterRelay()
 	}
 	if r.retriesLeft == 0 {
 		return r.relayInstead(a)
@@ -192,7 +200,7 @@
 	if refusal != nil {
 		return r.relayInstead(a)
 	}
-	if _, isRelay := s.(*relaySelection); !isRelay || r.mayHaveRun {
+	if _, isRelay := s.(*relaySelection); !isRelay || r.arrivals > 0 {
 		r.retriesLeft--
 	}
 	return s, true
--- a/gateway/selector.go
+++ b/gateway/selector.go
@@ -96,7 +96,9 @@
 	case balance.ReasonNone:
 		return nil
 	case balance.ReasonNoServer:
-		return refuse(ReasonNoServer, "no backend server of the service may receive the request").withRetryAfter(retryAfterLong)
+		refusal := refuse(ReasonNoServer, "no backend server of the service may receive the request").withRetryAfter(retryAfterLong)
+		refusal.unreachable = r.Unreachable
+		return refusal
 	case balance.ReasonServiceLimit:
 		return refuse(ReasonLimitService, "the service is at its limit at this gateway").withRetryAfter(r.RetryAfter)
 	case balance.ReasonMemberLimit:
--- a/gateway/serverpath.go
+++ b/gateway/serverpath.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +40,7 @@
 	listed   []pathTarget
 	listedAt time.Duration
 
+	broken brokenConnections
 	// waiting is the number of requests that wait for the response of a server.
 	waiting atomic.Int64
 	state   atomic.Uint32 // balance.ReachState as of the last tick
@@ -219,3 +222,42 @@
 		release()
 	}
 }
+
+// maxBrokenConnections limits the broken connections that are remembered.
+const maxBrokenConnections = 64
+
+// brokenConnections holds the connections to servers that broke last, the oldest first.
+type brokenConnections struct {
+	mu   sync.Mutex
+	list []brokenConnection
+}
+
+type brokenConnection struct {
+	address string
+	at      time.Duration
+}
+
+// connectionBroke records that a server broke a connection.
+func (s *serverPath) connectionBroke(address string, at time.Duration) {
+	b := &s.broken
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.list) == maxBrokenConnections {
+		b.list = slices.Delete(b.list, 0, 1)
+	}
+	b.list = append(b.list, brokenConnection{address, at})
+}
+
+// brokenAround returns the number of servers of which a connection broke within crashProofDelay of a time.
+func (s *serverPath) brokenAround(at time.Duration) int {
+	b := &s.broken
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	servers := map[string]bool{}
+	for _, c := range b.list {
+		if (c.at - at).Abs() <= crashProofDelay {
+			servers[c.address] = true
+		}
+	}
+	return len(servers)
+}
