balance: derive the state of a server at a gateway in one place

cause: what a server says of itself did not bind. Attempt and ProbeTarget record a Statement (leaving, pause) as soon as a response header is there. Leaving is final for the incarnation (address, ID, number), also if the record is removed and listed again; a pause lasts at least as long as asked, up to a quarter (at most 2 s) longer. Where all servers have paused, the refusal carries the earliest end.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -10,10 +10,10 @@
 	unreachableMaxDoublings = 5
 )
 
-// Retry-After pause of a server: the first pause, and how often it doubles at most.
+// Backoff of a server that sheds load without asking for a pause: the first one, and how often it doubles at most.
 const (
-	pauseInitial      = 20 * time.Millisecond
-	pauseMaxDoublings = 16
+	backoffInitial      = 20 * time.Millisecond
+	backoffMaxDoublings = 16
 )
 
 // Done ends the attempt: it releases the reserved place and updates the server's load and latency from the outcome. It
@@ -34,7 +34,7 @@
 	}
 	a.recordReachable(now)
 	a.recordState(now, o)
-	a.recordRetryAfter(now, o)
+	a.recordBackoff(now, o)
 	a.recordLatency(now, o)
 	a.recordLoad(now, o)
 }
@@ -62,27 +62,28 @@
 		return
 	}
 	l := a.candidate.load
-	before := State(l.reportedState.Swap(uint32(o.State)))
-	if o.State <= StateCold {
-		l.evidenceAt.raise(a.start)
+	if o.State > StateCold {
+		l.record(now, Statement{Leaving: true})
+		return
 	}
+	before := State(l.reportedState.Swap(uint32(o.State)))
+	l.evidenceAt.raise(a.start)
 	if o.State == StateCold && before != StateCold && a.candidate.server.State != StateCold {
 		l.cold.resetLimit(now)
 		l.cold.noticeSent.Store(false)
 	}
 }
 
-// recordRetryAfter pauses a server that sent Retry-After. The header is only an upper bound, because its unit is a
-// second, in which a server handles thousands of requests. The pause starts short and doubles while the server repeats
-// the header.
-func (a Attempt) recordRetryAfter(now time.Duration, o Outcome) {
+// recordBackoff sends nothing for a moment to a server that shed load with Retry-After but does not pause this gateway (see
+// Statement). The header is only an upper bound then. The backoff doubles while the server repeats the header.
+func (a Attempt) recordBackoff(now time.Duration, o Outcome) {
 	l := a.candidate.load
 	switch {
 	case o.Kind == OutcomeOK:
-		l.consecutivePauses.Store(0)
-	case o.RetryAfter > 0 && now >= l.pausedUntil.load():
-		n := min(l.consecutivePauses.Add(1)-1, pauseMaxDoublings)
-		l.pausedUntil.raise(now + min(pauseInitial<<n, o.RetryAfter))
+		l.consecutiveBackoffs.Store(0)
+	case o.RetryAfter > 0 && now >= l.backoffUntil.load() && now >= l.pausedUntil.load():
+		n := min(l.consecutiveBackoffs.Add(1)-1, backoffMaxDoublings)
+		l.backoffUntil.raise(now + min(backoffInitial<<n, o.RetryAfter))
 	}
 }
 
--- a/balance/config.go
+++ b/balance/config.go
@@ -23,7 +23,7 @@
 	NoColdLimit bool
 	// NoFallbackDetection learns of a fallback into cold start only through reports and announcements.
 	NoFallbackDetection bool
-	// NoPause ignores Retry-After.
+	// NoPause ignores Retry-After, and pauses that servers ask for.
 	NoPause bool
 	// NoServerLimit lifts the limit per server.
 	NoServerLimit bool
--- a/balance/eligible.go
+++ b/balance/eligible.go
@@ -10,8 +10,10 @@
 
 const (
 	verdictEligible verdict = iota
-	// verdictBusy: the candidate is permitted, but ejected, paused, returning or at a limit.
+	// verdictBusy: the candidate is permitted, but ejected, returning or at a limit.
 	verdictBusy
+	// verdictPaused: the candidate asked this gateway to send nothing for a time.
+	verdictPaused
 	// verdictForbidden: the candidate must not receive the request, regardless of load, or cannot be reached.
 	verdictForbidden
 )
@@ -25,43 +27,48 @@
 // checkEligibility applies the rules that hold regardless of load, then those that depend on the candidate's state and
 // load.
 func (s *Snapshot) checkEligibility(v *serviceView, c *candidate, q *Query) verdict {
-	if !s.isPermitted(c, q) {
+	if !isInRegion(c, q) {
 		return verdictForbidden
 	}
-	if q.Now < c.load.unreachableUntil.load() {
+	standing := s.standing(c, q.Now)
+	switch {
+	case standing == StandingPaused: // also if it is excluded, because the request could be sent there once the pause ends
+		return verdictPaused
+	case standing >= StandingUnreachable || isExcluded(c, q):
 		return verdictForbidden
-	}
-	if c.server.State != StateCold && q.Now < c.load.reportedColdUntil.load() {
+	case standing == StandingCold && !s.mayReceiveCold(c, q.Now):
+		return verdictForbidden
+	case standing == StandingEjected || !s.passesReturnRamp(c, q):
 		return verdictBusy
-	}
-	if q.Now < c.load.ejectedUntil.load() || !s.passesReturnRamp(c, q) {
+	case standing == StandingCold && c.server.State != StateCold && q.Now < c.load.reportedColdUntil.load():
 		return verdictBusy
-	}
-	if !s.config.Switches.NoPause && q.Now < c.load.pausedUntil.load() {
+	case q.Now < c.load.backoffUntil.load() && !s.config.Switches.NoPause:
 		return verdictBusy
 	}
-	return s.checkLoad(v, c, q)
+	return s.checkLoad(v, c, q, standing == StandingCold && !s.config.Switches.NoColdLimit)
 }
 
-// isPermitted applies the safety rules: region, exclusion, evidence, state, and the right to send to a cold server.
+// isPermitted reports whether the server may be probed for the request: region, exclusion, state, and the right to send to
+// a cold server.
 func (s *Snapshot) isPermitted(c *candidate, q *Query) bool {
-	if !q.AnyRegion && !slices.Contains(q.Regions, c.server.Region) {
-		return false
-	}
-	if slices.Contains(q.Excluded[:], c.server.Address) {
-		return false
-	}
-	if q.Now-c.load.evidenceAt.load() >= s.config.EvidenceLifetime {
+	if !isInRegion(c, q) || isExcluded(c, q) {
 		return false
 	}
-	reportedState := State(c.load.reportedState.Load())
-	if reportedState > StateCold {
-		return false
-	}
-	if c.server.State != StateCold && reportedState != StateCold {
-		return !s.isSuspected(c, q.Now) || s.maySendCold(c, q.Now)
-	}
-	return s.maySendCold(c, q.Now)
+	standing := s.standing(c, q.Now)
+	return standing < StandingUnreachable && (standing != StandingCold || s.mayReceiveCold(c, q.Now))
+}
+
+func isInRegion(c *candidate, q *Query) bool {
+	return q.AnyRegion || slices.Contains(q.Regions, c.server.Region)
+}
+
+func isExcluded(c *candidate, q *Query) bool { return slices.Contains(q.Excluded[:], c.server.Address) }
+
+// mayReceiveCold reports whether this gateway may send to a server in StandingCold. A cold start that only a reading
+// reports needs no right, because such a server counts as busy.
+func (s *Snapshot) mayReceiveCold(c *candidate, now time.Duration) bool {
+	needsRight := c.server.State == StateCold || State(c.load.reportedState.Load()) == StateCold || s.isSuspected(c, now)
+	return !needsRight || s.maySendCold(c, now)
 }
 
 // maySendCold reports whether this gateway currently has the right to send to a cold server.
@@ -107,9 +114,9 @@
 
 // checkLoad applies the load limits. The limit for hedges is stricter, because at high load a hedge would take the place
 // of a first attempt.
-func (s *Snapshot) checkLoad(v *serviceView, c *candidate, q *Query) verdict {
+func (s *Snapshot) checkLoad(v *serviceView, c *candidate, q *Query, cold bool) verdict {
 	own := c.load.inFlight.Load()
-	if s.isCold(c, q.Now) {
+	if cold {
 		if own >= c.load.cold.limit() || q.Now < c.load.cold.cancelledGoneAt.load() || q.Now < c.nextColdSend() {
 			return verdictBusy
 		}
--- a/balance/engine.go
+++ b/balance/engine.go
@@ -16,6 +16,7 @@
 	services   map[string]*serviceLoad
 	members    map[string]*memberLoad
 	domainsOut map[string]bool
+	departures departures
 	notices    []Notice
 	current    atomic.Pointer[Snapshot]
 
@@ -92,7 +93,7 @@
 	case ServerChanged:
 		e.updateServer(ev.Server)
 	case ServerRemoved:
-		delete(e.servers, ev.Address)
+		e.removeServer(ev.Address)
 	case ConfigChanged:
 		e.configure(ev)
 	case EvidenceRenewed:
@@ -111,19 +112,35 @@
 	return true
 }
 
-// updateServer adds or replaces a server and ignores older incarnations. The load is kept unless the incarnation rises.
-// A state reported in a response is valid until the server announces a newer one.
+// removeServer removes a server and remembers what it said of itself.
+func (e *Engine) removeServer(address string) {
+	if r := e.servers[address]; r != nil {
+		e.departures.add(r)
+		delete(e.servers, address)
+	}
+}
+
+// updateServer adds or replaces a server and ignores older incarnations. The load is kept unless the incarnation rises or
+// the server is another one. A cold start reported in a response is valid until the server announces a newer state; that it
+// leaves is final for its incarnation.
 func (e *Engine) updateServer(s Server) {
 	old := e.servers[s.Address]
 	if old != nil && s.Incarnation < old.server.Incarnation {
 		return
 	}
 	r := &serverRecord{server: s, rank: rendezvousHash(s.ID, e.config.Name)}
-	if old != nil && old.server.Incarnation == s.Incarnation {
+	if old != nil && incarnationOf(old.server) != incarnationOf(s) {
+		e.removeServer(s.Address)
+		old = nil
+	}
+	if old != nil {
 		r.load = old.load
 		e.applyStateChange(r, old.server)
+	} else if d, ok := e.departures.take(s); ok {
+		r.load = d.load
+		e.applyStateChange(r, d.server)
 	} else {
-		r.load = &serverLoad{}
+		r.load = &serverLoad{seed: r.rank}
 	}
 	r.load.evidenceAt.raise(s.EvidenceAt)
 	r.load.sendUntil.store(s.SendUntil)
@@ -165,16 +182,18 @@
 
 func (e *Engine) recordReportedState(ev StateReported) {
 	r := e.servers[ev.Address]
-	if r == nil {
+	if r == nil || ev.Incarnation != 0 && ev.Incarnation != r.server.Incarnation {
 		return
 	}
-	r.load.reportedState.Store(uint32(ev.State))
 	if ev.Slots > 0 {
 		r.load.report.add(ev.At, int64(ev.InFlight), r.load.inFlight.Load())
 	}
-	if ev.State <= StateCold {
-		r.load.evidenceAt.raise(ev.At)
+	if ev.State > StateCold {
+		r.load.record(ev.At, Statement{Leaving: true})
+		return
 	}
+	r.load.reportedState.Store(uint32(ev.State))
+	r.load.evidenceAt.raise(ev.At)
 }
 
 func (e *Engine) configure(ev ConfigChanged) {
@@ -226,7 +245,7 @@
 
 // publish builds a snapshot and makes it the current one.
 func (e *Engine) publish() {
-	s := &Snapshot{config: e.config, services: map[string]*serviceView{}, members: map[string]*memberLoad{}}
+	s := &Snapshot{config: e.config, services: map[string]*serviceView{}, members: map[string]*memberLoad{}, byAddress: make(map[string]*candidate, len(e.servers))}
 	for name, m := range e.members {
 		s.members[name] = m
 	}
@@ -248,13 +267,12 @@
 		v = &serviceView{load: e.ensureService(r.server.Service)}
 		s.services[r.server.Service] = v
 	}
-	if !e.isSelectable(r) {
-		return
-	}
 	t := e.tier(r.server)
-	v.tiers[t] = append(v.tiers[t], candidate{
-		server: r.server, load: r.load, slots: slotCount(r.server), tier: t, cost: e.networkCost(r.server), rank: r.rank,
-	})
+	c := candidate{server: r.server, load: r.load, slots: slotCount(r.server), tier: t, cost: e.networkCost(r.server), rank: r.rank}
+	s.byAddress[r.server.Address] = &c
+	if e.isSelectable(r) {
+		v.tiers[t] = append(v.tiers[t], c)
+	}
 }
 
 // sortByRank sorts the servers of each tier by the order in which this gateway probes them. The order is a hash, so that
--- a/balance/event.go
+++ b/balance/event.go
@@ -69,6 +69,8 @@
 // StateReported is the state and load in a server's response to a state probe.
 type StateReported struct {
 	Address string
+	// Incarnation is the one that was probed; the report of another one is ignored. 0 stands for any.
+	Incarnation uint64
 	// At is the monotonic time at which the probe was sent.
 	At       time.Duration
 	State    State
--- a/balance/load.go
+++ b/balance/load.go
@@ -22,18 +22,25 @@
 	// reportedColdUntil is the time until which the server counts as cold because a reading reported a cold start.
 	reportedColdUntil atomicTime
 	// nextColdSendAt is the earliest time of the next request to the server while it is cold.
-	nextColdSendAt   atomicTime
-	evidenceAt       atomicTime
-	sendUntil        atomicTime
-	pausedUntil      atomicTime
+	nextColdSendAt atomicTime
+	evidenceAt     atomicTime
+	sendUntil      atomicTime
+	// pausedUntil is the time until which the server wants nothing from this gateway.
+	pausedUntil atomicTime
+	// backoffUntil is the time until which a server that shed load without pausing receives nothing.
+	backoffUntil     atomicTime
 	unreachableUntil atomicTime
 	ejectedUntil     atomicTime
 	// returnRampStart is when the last gradual return to the full share began; 0 for none.
 	returnRampStart atomicTime
 	// connectFailures counts consecutive failures to open a connection.
 	connectFailures atomic.Int32
-	// consecutivePauses counts the pauses since the last complete response.
-	consecutivePauses atomic.Int32
+	// consecutiveBackoffs counts the backoffs since the last complete response.
+	consecutiveBackoffs atomic.Int32
+	// final holds what cannot be taken back for this incarnation: finalLeaving, and finalRemoved while it is not listed.
+	final atomic.Uint32
+	// seed spreads the ends of pauses.
+	seed uint64
 	// reportedState is the state in the newest response; it is valid until the server's next announcement.
 	reportedState atomic.Uint32
 
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -16,6 +16,10 @@
 	spillMargin = 1.25
 	// refuseRetryAfter is the Retry-After suggested to callers of refused requests.
 	refuseRetryAfter = time.Second
+	// minPausedRetryAfter and maxPausedRetryAfter bound it if all servers have paused. Other servers may join within the
+	// longest time.
+	minPausedRetryAfter = 20 * time.Millisecond
+	maxPausedRetryAfter = 5 * time.Second
 	// maxDeadlineOverrun is the multiple of the remaining time; a request with a longer expected latency is refused.
 	maxDeadlineOverrun = 2
 )
@@ -27,6 +31,19 @@
 	expected float64
 	// anyBusy is set if the verdict on any server was verdictBusy.
 	anyBusy bool
+	// pauseEnd is the earliest end of the pause of a server that was passed over for it; 0 for none.
+	pauseEnd time.Duration
+}
+
+// refusal explains why no server was chosen.
+func (b *choice) refusal(now time.Duration) Refusal {
+	switch {
+	case b.anyBusy:
+		return newRefusal(ReasonOverloaded)
+	case b.pauseEnd > 0:
+		return Refusal{Reason: ReasonPaused, RetryAfter: min(max(b.pauseEnd-now, minPausedRetryAfter), maxPausedRetryAfter)}
+	}
+	return newRefusal(ReasonNoServer)
 }
 
 // Pick selects a server for one attempt. Unless the refusal is set, the caller may send the attempt and must end it with
@@ -58,10 +75,7 @@
 	for range reserveTries {
 		best := s.choose(v, q)
 		if best.candidate == nil {
-			if best.anyBusy {
-				return nil, false, newRefusal(ReasonOverloaded)
-			}
-			return nil, false, newRefusal(ReasonNoServer)
+			return nil, false, best.refusal(q.Now)
 		}
 		if q.Remaining > 0 && best.expected > maxDeadlineOverrun*float64(q.Remaining) {
 			return nil, false, newRefusal(ReasonDeadline)
@@ -165,6 +179,11 @@
 		case verdictBusy:
 			best.anyBusy = true
 			continue
+		case verdictPaused:
+			if end := c.load.pausedUntil.load(); best.pauseEnd == 0 || end < best.pauseEnd {
+				best.pauseEnd = end
+			}
+			continue
 		}
 		expected := s.expectedLatency(v, c, q.Now) + cost
 		if best.candidate == nil || expected < best.expected {
@@ -226,6 +245,8 @@
 		return s.config.Switches.NoRetryBudget || v.load.retries.spend()
 	case AttemptHedge:
 		return q.Idempotent && !s.config.Switches.NoHedging && v.load.hedges.spend()
+	case AttemptPlacedAnew:
+		return true
 	}
 	v.load.retries.deposit(s.config.RetryShare, s.config.RetryBurst)
 	v.load.hedges.deposit(s.config.HedgeShare, hedgeBurst)
--- a/balance/properties_test.go
+++ b/balance/properties_test.go
@@ -14,7 +14,7 @@
 	engine  *Engine
 	now     time.Duration
 	servers map[string]Server
-	// leaving holds the servers whose newest response reported that they are draining.
+	// leaving holds the servers of which any response reported that they are draining.
 	leaving map[string]bool
 	out     map[string]bool
 	open    []Attempt
@@ -40,7 +40,9 @@
 		w.completeResponses[s.Address] = 0
 	}
 	w.servers[s.Address] = s
-	delete(w.leaving, s.Address)
+	if s.Incarnation != old.Incarnation {
+		delete(w.leaving, s.Address)
+	}
 	w.engine.Apply(ServerChanged{s})
 }
 
@@ -87,8 +89,8 @@
 		if o.Kind == OutcomeOK {
 			w.completeResponses[a.Address]++
 		}
-		if o.HasState {
-			w.leaving[a.Address] = o.State == StateDraining
+		if o.HasState && o.State == StateDraining {
+			w.leaving[a.Address] = true
 		}
 	}
 	a.Done(o)
--- a/balance/query.go
+++ b/balance/query.go
@@ -8,11 +8,13 @@
 // AttemptKind is the reason for an attempt.
 type AttemptKind uint8
 
-// Kinds of attempts. Retries and hedges are charged to their budgets.
+// Kinds of attempts. Retries and hedges are charged to their budgets; an attempt that is placed anew is not.
 const (
 	AttemptFirst AttemptKind = iota
 	AttemptRetry
 	AttemptHedge
+	// AttemptPlacedAnew replaces an attempt of which nothing was written, because its server may no longer receive it.
+	AttemptPlacedAnew
 )
 
 // Query describes one attempt to send a request.
@@ -52,8 +54,8 @@
 	ReasonNone Reason = iota
 	// ReasonNoServer: no server of the service may receive the request.
 	ReasonNoServer
-	// ReasonOverloaded: every permitted server is busy (ejected, paused, returning or at a limit), or the Queue has no place
-	// for the request.
+	// ReasonOverloaded: every permitted server is busy (ejected, returning or at a limit) or paused, or the Queue has no
+	// place for the request.
 	ReasonOverloaded
 	// ReasonServiceLimit: the service is at its limit at this gateway.
 	ReasonServiceLimit
@@ -66,6 +68,8 @@
 	// ReasonYield: no server is expected to answer in time, and the free slots are left to requests that can be answered
 	// in time. The caller may wait and call Pick again.
 	ReasonYield
+	// ReasonPaused: every server that the request may use asked this gateway to send nothing for a time.
+	ReasonPaused
 )
 
 // String returns the name of the reason in counters.
@@ -87,6 +91,8 @@
 		return "deadline_too_short"
 	case ReasonYield:
 		return "yield"
+	case ReasonPaused:
+		return "servers_paused"
 	}
 	return "unknown"
 }
@@ -132,7 +138,8 @@
 	Kind OutcomeKind
 	// Latency is the time from Query.Now to the end of the attempt.
 	Latency time.Duration
-	// RetryAfter is the value of the response's Retry-After header; 0 for none.
+	// RetryAfter is the value of the response's Retry-After header; 0 for none. It pauses the server only through a
+	// Statement.
 	RetryAfter time.Duration
 	// HasState is set if State is the value of the response's state header.
 	HasState bool
--- a/balance/reading.go
+++ b/balance/reading.go
@@ -31,8 +31,10 @@
 type ProbeTarget struct {
 	Address string
 	ID      string
+	Service string
 
-	load *serverLoad
+	snapshot  *Snapshot
+	candidate *candidate
 }
 
 // Reading is the response to a load probe.
@@ -53,14 +55,15 @@
 
 // Observe records the response to a load probe. It may be called by any goroutine.
 func (t ProbeTarget) Observe(r Reading) {
-	t.load.report.add(r.At, int64(r.InFlight), t.load.inFlight.Load())
-	t.load.readingAt.raise(r.At)
+	l := t.candidate.load
+	l.report.add(r.At, int64(r.InFlight), l.inFlight.Load())
+	l.readingAt.raise(r.At)
 	if r.ColdRemaining > 0 {
-		t.load.reportedColdUntil.raise(r.At + min(r.ColdRemaining, maxReportedCold))
+		l.reportedColdUntil.raise(r.At + min(r.ColdRemaining, maxReportedCold))
 	}
 	if r.Slowness > 0 {
-		t.load.slowness.store(r.Slowness)
-		t.load.slownessAt.raise(r.At)
+		l.slowness.store(r.Slowness)
+		l.slownessAt.raise(r.At)
 	}
 }
 
@@ -110,7 +113,7 @@
 		if i < first {
 			c = &candidates[(mix(q.Random, uint64(tier))+uint64(i))%uint64(first)]
 		}
-		if !s.isPermitted(c, q) || q.Now < c.load.unreachableUntil.load() {
+		if !s.isPermitted(c, q) {
 			continue
 		}
 		if c.load.hasFreshReading(q.Now) {
@@ -120,7 +123,7 @@
 			continue
 		}
 		r.found++
-		r.targets = append(r.targets, ProbeTarget{Address: c.server.Address, ID: c.server.ID, load: c.load})
+		r.targets = append(r.targets, s.probeTarget(c))
 	}
 }
 
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -16,6 +16,8 @@
 	config   Config
 	services map[string]*serviceView
 	members  map[string]*memberLoad
+	// byAddress holds all listed servers, also those that no query may pick.
+	byAddress map[string]*candidate
 }
 
 type serviceView struct {
--- a/balance/tick.go
+++ b/balance/tick.go
@@ -137,7 +137,7 @@
 		return
 	}
 	for _, r := range records {
-		if !e.isSelectable(r) || e.now-r.load.evidenceAt.load() < e.config.EvidenceLifetime-probeMargin {
+		if !e.isSelectable(r) || r.load.final.Load() != 0 || e.now < r.load.pausedUntil.load() || e.now-r.load.evidenceAt.load() < e.config.EvidenceLifetime-probeMargin {
 			continue
 		}
 		if r.probed && e.now-r.probedAt < probeInterval {
