gateway: bind what a backend server says of itself to this gateway

cause: a gateway learned only from the catalogue that a server leaves, and for answers with a state only once the body had ended; probes were not read at all. 503 with Retry-After paused for 20 ms. change: the report of every response (request, hedge, load probe, path probe) is read when its header is there and recorded for the server that was selected, unless the response names another one or does not belong to the request. Only a 503 pauses. Retry-After has a stated meaning for each odd value; malformed ones and those above an hour are logged (2085), counted and mean nothing. The gate asks for the state before the first byte; such attempts are placed anew without a charge. All paused: servers_paused with the earliest end, at once. Path detection neither counts nor probes servers that are leaving or paused.

--- a/balance/reading.go
+++ b/balance/reading.go
@@ -32,6 +32,8 @@
 	Address string
 	ID      string
 	Service string
+	// Incarnation is the number of the run of the server.
+	Incarnation uint64
 
 	snapshot  *Snapshot
 	candidate *candidate
--- a/balance/standing.go
+++ b/balance/standing.go
@@ -110,6 +110,9 @@
 	return a.candidate.load.record(now, st)
 }
 
+// Incarnation returns the number of the run of the server.
+func (a Attempt) Incarnation() uint64 { return a.candidate.server.Incarnation }
+
 // Standing returns the present state of the server.
 func (a Attempt) Standing(now time.Duration) Standing { return a.snapshot.standing(a.candidate, now) }
 
@@ -133,5 +136,5 @@
 }
 
 func (s *Snapshot) probeTarget(c *candidate) ProbeTarget {
-	return ProbeTarget{Address: c.server.Address, ID: c.server.ID, Service: c.server.Service, snapshot: s, candidate: c}
+	return ProbeTarget{Address: c.server.Address, ID: c.server.ID, Service: c.server.Service, Incarnation: c.server.Incarnation, snapshot: s, candidate: c}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,7 +62,13 @@
 		p.inFlightByDomain.add(a.server.domain, -1)
 		p.load.add(load, -1, p.clock.now())
 	}
-	a.gate = &sendGate{check: func() error { return p.checkSend(a.server, selected) }}
+	target := targetOf(s)
+	a.gate = &sendGate{check: func() error {
+		if err := p.checkSend(a.server, selected); err != nil || target == nil {
+			return err
+		}
+		return checkStanding(target, p.clock.now())
+	}}
 	return a
 }
 
@@ -88,6 +94,9 @@
 	forbiddenDomainOut         = "the failure domain was taken out"
 	forbiddenSelectionOutdated = "the selection of the server is out of date"
 	forbiddenAttemptEnded      = "the attempt has ended"
+	forbiddenServerPaused      = "the server asked for a pause"
+	forbiddenServerLeaving     = "the server leaves"
+	forbiddenServerGone        = "the server is no longer listed"
 )
 
 // maxSelectionAge is the longest permitted time from the selection of a server to the first byte. Evidence is at most
@@ -104,6 +113,12 @@
 	stop := p.serverPath().abandonWhenCutOff(a, c.rule.Idempotent)
 	response, err := p.transport.RoundTrip(p.newBackendRequest(c, a, retriesLeft))
 	stop()
+	var report ServerReport
+	if err == nil && p.belongsToAttempt(response, c.requestID, a.gate.wrote.Load()) {
+		if report = p.statementReader().read(targetOf(a.selection), a.server, response); !report.isOf(a.server) {
+			report = ServerReport{}
+		}
+	}
 	if a.abandoned = !a.settled.CompareAndSwap(false, true); a.abandoned && err == nil {
 		_ = response.Body.Close()
 		err = context.Canceled
@@ -116,7 +131,7 @@
 		a.recordFailure(c, err)
 	} else {
 		a.response = response
-		a.result.ServerReport = p.dialect.ParseReport(response.Header)
+		a.result.ServerReport = report
 		a.result.kind = p.classifyResponse(response)
 	}
 	a.result.latency = time.Since(started)
--- a/gateway/backendconn.go
+++ b/gateway/backendconn.go
@@ -279,9 +279,9 @@
 func (e *UnreachableError) Unwrap() error { return e.Err }
 
 // withProbeGate permits a probe to use the connections of requests. The request that follows the probe then gets a
-// connection that was used recently, which the server has neither closed nor dropped.
-func withProbeGate(ctx context.Context) context.Context {
-	return withGate(ctx, &sendGate{check: func() error { return nil }, allowsReconnect: true})
+// connection that was used recently, which the server has neither closed nor dropped. check is called before the first byte.
+func withProbeGate(ctx context.Context, check func() error) context.Context {
+	return withGate(ctx, &sendGate{check: check, allowsReconnect: true})
 }
 
 // withGate assigns the gate to the connection that the transport chooses for the request.
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -49,6 +50,10 @@
 	Slowness float64
 	// RetryAfter is 0 if not reported.
 	RetryAfter time.Duration
+	// Leaving is set if the server says that it leaves.
+	Leaving bool
+	// Malformed is the name of a header whose value cannot be used; empty if there is none.
+	Malformed string
 }
 
 // nativeDialect is the product's own dialect; docs/callers.md and docs/backends.md describe it.
@@ -64,7 +69,12 @@
 
 // parseNativeReport parses Heatherwall-State, Heatherwall-Load and Retry-After.
 func parseNativeReport(h http.Header) ServerReport {
-	r := ServerReport{State: h.Get(headerState), RetryAfter: ParseRetryAfter(h)}
+	r := ServerReport{State: h.Get(headerState)}
+	r.Leaving = r.State == stateDraining
+	var ok bool
+	if r.RetryAfter, ok = ParseRetryAfter(h, true); !ok {
+		r.Malformed = headerRetryAfter
+	}
 	inflight, slots, ok := strings.Cut(h.Get(headerLoad), "/")
 	if ok {
 		r.InFlight, _ = strconv.Atoi(inflight)
@@ -73,18 +83,57 @@
 	return r
 }
 
-// ParseRetryAfter parses Retry-After in seconds. It returns 0 if the header is missing or invalid, and at most a
-// minute.
-func ParseRetryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || !(seconds > 0) {
-		return 0
+// ParseRetryAfter parses Retry-After: seconds, possibly with a fraction, or, if dates is set, also an HTTP date. Of several
+// values the longest counts. It returns 0 if there is no usable value; ok is false if any value is malformed or longer than
+// maxRetryAfter.
+func ParseRetryAfter(h http.Header, dates bool) (after time.Duration, ok bool) {
+	ok = true
+	for _, text := range h[headerRetryAfter] {
+		text = textproto.TrimString(text)
+		value, valid := parseSeconds(text)
+		if !valid && dates {
+			value, valid = parseRetryDate(h, text)
+		}
+		if !valid || value > maxRetryAfter {
+			ok = false
+			continue
+		}
+		after = max(after, value)
+	}
+	return after, ok
+}
+
+const headerRetryAfter = "Retry-After"
+
+// maxRetryAfter is the longest pause that a server may request.
+const maxRetryAfter = time.Hour
+
+// parseSeconds parses a decimal number of seconds without sign and exponent. Numbers above maxRetryAfter yield a value above
+// it.
+func parseSeconds(text string) (time.Duration, bool) {
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, false
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0, false
 	}
-	return min(time.Duration(min(seconds, maxRetryAfter.Seconds())*float64(time.Second)), maxRetryAfter)
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()+1) * float64(time.Second)), true
 }
 
-// maxRetryAfter limits the pause that a server may request.
-const maxRetryAfter = time.Minute
+// parseRetryDate returns the time from the date of the response to an HTTP date; 0 if it has passed. The clock of the server
+// counts, if the response has its date, because it may differ from that of this gateway.
+func parseRetryDate(h http.Header, text string) (time.Duration, bool) {
+	until, err := http.ParseTime(text)
+	if err != nil {
+		return 0, false
+	}
+	now, err := http.ParseTime(h.Get("Date"))
+	if err != nil {
+		now = time.Now()
+	}
+	return max(until.Sub(now), 0), true
+}
 
 // formatRetryAfter formats a duration as the value of Retry-After.
 func (d *Dialect) formatRetryAfter(after time.Duration) string {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -41,4 +41,7 @@
 	eventServersUnreachable = telemetry.Define(2080, "servers_unreachable", telemetry.Error, "No backend server answers, though several were asked; requests are passed on to other gateways.")
 	eventServersReturning   = telemetry.Define(2081, "servers_returning", telemetry.Info, "Backend servers answer again and get a growing share of the requests.")
 	eventServersReached     = telemetry.Define(2082, "servers_reached", telemetry.Info, "Backend servers get all requests again.")
+	eventServerLeaving      = telemetry.Define(2083, "server_leaving", telemetry.Info, "A backend server said in a response that it leaves; this run of it gets no more requests from this gateway.")
+	eventServerPaused       = telemetry.Define(2084, "server_paused", telemetry.Info, "A backend server answered 503 with Retry-After; it gets no requests from this gateway until the pause in the fields has passed.")
+	eventStatementIgnored   = telemetry.Define(2085, "server_statement_ignored", telemetry.Warn, "What a response says of its backend server is ignored, because it is malformed or names another server.")
 )
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -36,9 +36,11 @@
 	late bool
 	// polling is set if the request yields and Pick is called repeatedly until a server has a free slot.
 	polling bool
-	// hedge is set for a second, parallel attempt; retry for an attempt after a failure.
-	hedge bool
-	retry bool
+	// hedge is set for a second, parallel attempt; retry for an attempt after a failure; placedAnew for one in the place of
+	// an attempt whose server may no longer receive it.
+	hedge      bool
+	retry      bool
+	placedAnew bool
 }
 
 // selector selects a backend server.
@@ -60,9 +62,11 @@
 	service string
 	address string
 	// id identifies the server instance; empty if servers have no identifiers.
-	id     string
-	region string
-	domain string
+	id string
+	// incarnation is the number of the run of the server.
+	incarnation uint64
+	region      string
+	domain      string
 	// cold is set if the server was in cold start when it was selected.
 	cold bool
 	// pickDetails is the data on which the selection was based, for the log.
--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -34,11 +34,13 @@
 // are not probed, because those servers queue a health check like any request until a slot is free.
 type loadProber struct {
 	client     *http.Client
-	dialect    *Dialect
 	clock      clock
 	healthPath func(service string) string
 	counters   *telemetry.Metrics
 	path       *serverPath
+	statements *statementReader
+	// target finds a server of the engine by its address.
+	target func(address string) (balance.ProbeTarget, bool)
 
 	// probeSlots is a semaphore that limits the concurrent selections that probe.
 	probeSlots chan struct{}
@@ -49,8 +51,10 @@
 
 func newLoadProber(d *daemon) *loadProber {
 	return &loadProber{
-		client:  &http.Client{Transport: d.path.transport, CheckRedirect: noRedirect},
-		dialect: d.path.dialect, clock: d.clock, counters: d.counters, probeSlots: make(chan struct{}, maxProbingSelections), mutedUntil: map[string]time.Duration{},
+		client:     &http.Client{Transport: d.path.transport, CheckRedirect: noRedirect},
+		statements: d.path.statementReader(),
+		target:     func(address string) (balance.ProbeTarget, bool) { return d.backends.engine.Current().Target(address) },
+		clock:      d.clock, counters: d.counters, probeSlots: make(chan struct{}, maxProbingSelections), mutedUntil: map[string]time.Duration{},
 		healthPath: func(service string) string {
 			if t := d.lease.Current().catalogue.routes; t != nil && t.Services[service] != nil {
 				return t.Services[service].HealthPath
@@ -126,7 +130,7 @@
 }
 
 // pathTargets returns the servers that can be probed to learn whether any can be reached: those whose health checks answer
-// at once or, if there are none, all.
+// at once or, if there are none, all. Servers that are leaving or paused are left out.
 func (p *loadProber) pathTargets(servers map[string]*controlpb.BackendServer) []pathTarget {
 	var quick, slow []pathTarget
 	for _, s := range servers {
@@ -134,7 +138,11 @@
 		if path == "" || s.GetState() == controlpb.BackendState_BACKEND_DRAINING {
 			continue
 		}
-		if t := (pathTarget{address: s.GetAddress(), path: path}); p.isMuted(s.GetService()) {
+		server, known := p.target(s.GetAddress())
+		if known && server.Standing(p.clock.now()).ForbidsSending() {
+			continue
+		}
+		if t := (pathTarget{address: s.GetAddress(), path: path, server: server, known: known}); p.isMuted(s.GetService()) {
 			slow = append(slow, t)
 		} else {
 			quick = append(quick, t)
@@ -154,7 +162,8 @@
 
 // probe probes one server and records its reading. It reports whether the response contained a usable load report.
 func (p *loadProber) probe(service, path string, t balance.ProbeTarget) bool {
-	ctx, cancel := context.WithTimeout(withProbeGate(context.Background()), loadProbeTimeout)
+	check := func() error { return checkStanding(t, p.clock.now()) }
+	ctx, cancel := context.WithTimeout(withProbeGate(context.Background(), check), loadProbeTimeout)
 	defer cancel()
 	sent := p.clock.now()
 	p.counters.UnlabeledCounter("probes").Inc(1)
@@ -165,12 +174,12 @@
 		p.counters.UnlabeledCounter("probes_unanswered").Inc(1)
 		return false
 	}
-	report := p.dialect.ParseReport(response.Header)
+	report := p.statements.read(t, probed(t), response)
 	if report.Slots == 0 {
 		p.mute(service)
 		return false
 	}
-	if response.StatusCode != http.StatusOK || (report.Server != "" && report.Server != t.ID) {
+	if response.StatusCode != http.StatusOK || (report.Server != "" && report.Server != t.ID) { // also if it names a server, but none is expected
 		return false
 	}
 	t.Observe(balance.Reading{At: sent, InFlight: report.InFlight, Slowness: report.Slowness, ColdRemaining: report.ColdRemaining})
--- a/gateway/loadprobe_test.go
+++ b/gateway/loadprobe_test.go
@@ -34,7 +34,7 @@
 	transport := newTransport(catalogueConnectionLimits)
 	t.Cleanup(transport.CloseIdleConnections)
 	return &loadProber{
-		client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, dialect: nativeDialect, clock: newClock(),
+		client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, statements: &statementReader{dialect: nativeDialect}, clock: newClock(),
 		healthPath: func(string) string { return "/healthz" }, counters: telemetry.NewMetrics(), probeSlots: make(chan struct{}, maxProbingSelections), mutedUntil: map[string]time.Duration{},
 	}
 }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -52,6 +52,7 @@
 	ReasonBackendFailed      Reason = "backend_failed"
 	ReasonPoison             Reason = "poison"
 	ReasonServersUnreachable Reason = "servers_unreachable"
+	ReasonServersPaused      Reason = "servers_paused"
 )
 
 // reasonInfo is the status and the default value of Ran of the refusals with one reason.
@@ -88,6 +89,7 @@
 	ReasonBackendFailed:      {http.StatusBadGateway, RanUnknown},
 	ReasonPoison:             {http.StatusServiceUnavailable, RanNo},
 	ReasonServersUnreachable: {http.StatusServiceUnavailable, RanNo},
+	ReasonServersPaused:      {http.StatusServiceUnavailable, RanNo},
 }
 
 // Refusal is the error for a request to which the gateway responds itself, without a response of a backend server.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -151,7 +151,8 @@
 // attempts at servers are permitted.
 func (r *runner) relayInstead(a *attempt) (selection, bool) {
 	written := r.mayHaveRun || a.result.kind != resultUnreachable && a.result.kind != resultNotSent
-	if r.p.relay == nil || r.c.relayed != nil || written {
+	paused := r.refusal != nil && r.refusal.Reason == ReasonServersPaused && !r.p.serverPath().isDoubtful()
+	if r.p.relay == nil || r.c.relayed != nil || written || paused {
 		return nil, false
 	}
 	s := r.pickRelay()
@@ -194,6 +195,7 @@
 		if err := p.checkResponse(c, a, response); err != nil {
 			return err
 		}
+		p.recordRelayedLeaving(response.Header.Get(headerRelayLeaving))
 		a.response, a.result.kind = response, resultAnswered
 		if response.StatusCode >= http.StatusInternalServerError {
 			a.result.kind = resultFailed
--- a/gateway/relaywire.go
+++ b/gateway/relaywire.go
@@ -21,6 +21,8 @@
 	headerRelayOutcome     = relayHeaderPrefix + "Outcome"
 	headerRelayReason      = relayHeaderPrefix + "Reason"
 	headerRelayRetryAfter  = relayHeaderPrefix + "Retry-After-Ms"
+	// headerRelayLeaving names the server that answered, if it said that it leaves.
+	headerRelayLeaving = relayHeaderPrefix + "Server-Leaving"
 )
 
 // Values of headerRelayOutcome.
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -31,6 +31,8 @@
 	// run it.
 	relays []string
 	used   int
+	// placedAnew counts the attempts whose server could no longer receive them.
+	placedAnew int
 	// mayHaveRun is set if any attempt so far may have run the request.
 	mayHaveRun bool
 	// refusal is the last refusal of the selector.
@@ -178,6 +180,33 @@
 	return s, true
 }
 
+// maxPlacedAnew is the number of attempts of one request that are placed anew without being charged.
+const maxPlacedAnew = 8
+
+// mayPlaceAnew reports whether an attempt ended because its server may no longer receive it, so that the next one is not
+// charged.
+func (r *runner) mayPlaceAnew(a *attempt) bool {
+	var forbidden *SendForbiddenError
+	if a.result.kind != resultNotSent || !errors.As(a.err, &forbidden) || r.placedAnew >= maxPlacedAnew {
+		return false
+	}
+	switch forbidden.Reason {
+	case forbiddenServerPaused, forbiddenServerLeaving, forbiddenServerGone:
+		return true
+	}
+	return false
+}
+
+// placeAnew selects a server or another gateway in the place of an attempt whose server may no longer receive it.
+func (r *runner) placeAnew(a *attempt) (selection, bool) {
+	r.placedAnew++
+	s, refusal := r.pick(&query{placedAnew: true})
+	if refusal != nil {
+		return r.relayInstead(a)
+	}
+	return s, true
+}
+
 // selectFurther selects a server or another gateway for another attempt after a. Passing on a request of which nothing was
 // written yet is not charged, because no server has got it.
 func (r *runner) selectFurther(a *attempt) (selection, bool) {
@@ -185,6 +214,9 @@
 		s := r.pickRelay()
 		return s, s != nil
 	}
+	if r.mayPlaceAnew(a) {
+		return r.placeAnew(a)
+	}
 	if r.retriesLeft == 0 {
 		return r.relayInstead(a)
 	}
@@ -233,6 +265,8 @@
 			return "domain_out"
 		case forbiddenSelectionOutdated:
 			return "selection_outdated"
+		case forbiddenServerPaused, forbiddenServerLeaving, forbiddenServerGone:
+			return "placed_anew"
 		case forbiddenAttemptEnded:
 			return "not_sent"
 		}
--- a/gateway/selector.go
+++ b/gateway/selector.go
@@ -86,6 +86,8 @@
 		return balance.AttemptHedge
 	case q.retry:
 		return balance.AttemptRetry
+	case q.placedAnew:
+		return balance.AttemptPlacedAnew
 	}
 	return balance.AttemptFirst
 }
@@ -97,6 +99,8 @@
 		return nil
 	case balance.ReasonNoServer:
 		return refuse(ReasonNoServer, "no backend server of the service may receive the request").withRetryAfter(retryAfterLong)
+	case balance.ReasonPaused:
+		return refuse(ReasonServersPaused, "every permitted backend server has asked for a pause").withRetryAfter(r.RetryAfter)
 	case balance.ReasonServiceLimit:
 		return refuse(ReasonLimitService, "the service is at its limit at this gateway").withRetryAfter(r.RetryAfter)
 	case balance.ReasonMemberLimit:
@@ -123,7 +127,17 @@
 
 // Server implements selection.
 func (s *engineSelection) Server() backendServer {
-	return backendServer{service: s.service, address: s.attempt.Address, id: s.attempt.ID, region: s.attempt.Region, domain: s.attempt.FailureDomain, cold: s.attempt.State == balance.StateCold, pickDetails: s.attempt.Details}
+	return backendServer{service: s.service, address: s.attempt.Address, id: s.attempt.ID, incarnation: s.attempt.Incarnation(), region: s.attempt.Region, domain: s.attempt.FailureDomain, cold: s.attempt.State == balance.StateCold, pickDetails: s.attempt.Details}
+}
+
+// RecordStatement implements statementTarget.
+func (s *engineSelection) RecordStatement(now time.Duration, st balance.Statement) balance.StatementEffect {
+	return s.attempt.RecordStatement(now, st)
+}
+
+// Standing implements statementTarget.
+func (s *engineSelection) Standing(now time.Duration) balance.Standing {
+	return s.attempt.Standing(now)
 }
 
 // Done implements selection.
--- a/gateway/serverpath.go
+++ b/gateway/serverpath.go
@@ -21,12 +21,15 @@
 
 // serverPath watches whether this gateway reaches backend servers at all. A nil serverPath always reaches them.
 type serverPath struct {
-	reach    *balance.Reachability
-	clock    clock
-	client   *http.Client
-	targets  func() []pathTarget
-	log      *telemetry.Logger
-	counters *telemetry.Metrics
+	reach   *balance.Reachability
+	clock   clock
+	client  *http.Client
+	targets func() []pathTarget
+	// target finds a server of the engine by its address; nil if servers are not watched.
+	target     func(address string) (balance.ProbeTarget, bool)
+	statements *statementReader
+	log        *telemetry.Logger
+	counters   *telemetry.Metrics
 	// onCutOff is called when the gateway is cut off from all servers.
 	onCutOff func()
 
@@ -45,6 +48,17 @@
 type pathTarget struct {
 	address string
 	path    string
+	// server is the server in the engine; known is false if it is not there.
+	server balance.ProbeTarget
+	known  bool
+}
+
+// check returns an error if the server may not be probed.
+func (t pathTarget) check(now time.Duration) error {
+	if !t.known {
+		return nil
+	}
+	return checkStanding(t.server, now)
 }
 
 func newServerPath(c clock, transport http.RoundTripper, log *telemetry.Logger, counters *telemetry.Metrics) *serverPath {
@@ -110,12 +124,16 @@
 }
 
 func (s *serverPath) probe(ctx context.Context, t pathTarget) {
-	ctx, cancel := context.WithTimeout(withProbeGate(ctx), pathProbeTimeout)
+	check := func() error { return t.check(s.clock.now()) }
+	ctx, cancel := context.WithTimeout(withProbeGate(ctx, check), pathProbeTimeout)
 	defer cancel()
 	s.counters.UnlabeledCounter("path_probes").Inc(1)
 	s.asked(t.address)
-	_, err := getProbe(ctx, s.client, t.address, t.path)
+	response, err := getProbe(ctx, s.client, t.address, t.path)
 	s.ended(t.address, err)
+	if err == nil && t.known {
+		s.statements.read(t.server, probed(t.server), response)
+	}
 }
 
 // dialContext opens a connection, like net.Dialer.DialContext.
@@ -132,11 +150,19 @@
 	}
 }
 
-// asked records that a probe was sent or a connection is being opened.
+// asked records that a probe was sent, a connection is being opened, or one has failed. Servers that are leaving or paused do
+// not count, because they may refuse connections.
 func (s *serverPath) asked(address string) {
-	if s != nil {
-		s.reach.Asked(address, s.clock.now())
+	if s == nil {
+		return
 	}
+	now := s.clock.now()
+	if s.target != nil {
+		if t, known := s.target(address); known && t.Standing(now).ForbidsSending() {
+			return
+		}
+	}
+	s.reach.Asked(address, now)
 }
 
 // ended records how a probe or an attempt ended. A timeout of ours proves nothing by itself; what was asked stays unanswered.
@@ -146,7 +172,7 @@
 	case err == nil:
 		s.reach.Answered(s.clock.now())
 	case !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled):
-		s.reach.Asked(address, s.clock.now())
+		s.asked(address)
 	}
 }
 
@@ -158,7 +184,7 @@
 	}
 	var unreachable *UnreachableError
 	if errors.As(err, &unreachable) {
-		s.reach.Asked(a.server.address, s.clock.now())
+		s.asked(a.server.address)
 		return
 	}
 	s.ended(a.server.address, err)
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -76,6 +76,7 @@
 	transport := d.path.transport.(*http.Transport)
 	path := newServerPath(d.clock, transport, d.log, d.counters)
 	path.targets = func() []pathTarget { return prober.pathTargets(d.lease.Current().catalogue.servers) }
+	path.target, path.statements = prober.target, prober.statements
 	transport.DialContext = path.watchDials(transport.DialContext)
 	path.onCutOff = transport.CloseIdleConnections // they may hang, and a request must not be written on one later
 	prober.path = path
--- a/gateway/stateprobe.go
+++ b/gateway/stateprobe.go
@@ -94,5 +94,5 @@
 	if r.state != balance.StateDraining {
 		s.registry.RecordEvidence(address, sent)
 	}
-	s.engine.Apply(balance.StateReported{Address: address, At: sent, State: r.state, InFlight: r.inFlight, Slots: r.slots})
+	s.engine.Apply(balance.StateReported{Address: address, Incarnation: server.Record.GetIncarnation(), At: sent, State: r.state, InFlight: r.inFlight, Slots: r.slots})
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -34,6 +34,9 @@
 	declared := p.prepareResponseHeader(c.w.Header(), a.response)
 	if c.relayed != nil {
 		c.w.Header().Set(headerRelayOutcome, relayAnswered)
+		if a.result.Leaving {
+			c.w.Header().Set(headerRelayLeaving, a.server.relayedName())
+		}
 	}
 	c.w.WriteHeader(a.response.StatusCode)
 	s := copyBody(c.w, a.response)
