testbed: let the stand-in server say that it leaves and turn requests away, also falsely

cause: the stand-in announces every state that it reports, and its Retry-After follows from its queue only. change: faults say=STATE (in responses only) and turn-away=RETRY_AFTER (any text, 503 to all requests).

--- a/testbed/backend/backend_test.go
+++ b/testbed/backend/backend_test.go
@@ -170,3 +170,24 @@
 		t.Errorf("status %d", status)
 	}
 }
+
+// Guards against a fault that does not reach the responses, and against one that is announced.
+func TestLeavingAndRetryAfterAreSaidInResponsesOnly(t *testing.T) {
+	s, _, _ := start(t, Options{Service: "s", Slots: 1, ServiceTime: time.Millisecond, RetryAfter: 1})
+	url := "http://" + s.options.Address
+	waitUntil(t, "the server answers", func() bool {
+		r, err := http.Post(url+"/.standin/fault?say=draining&turn-away=-7", "", nil)
+		return err == nil && r.Body.Close() == nil && r.StatusCode == http.StatusNoContent
+	})
+	r, err := http.Get(url + "/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusServiceUnavailable || r.Header.Get("Retry-After") != "-7" || r.Header.Get(StateHeader) != "draining" || r.Header.Get(NotRunHeader) != "true" {
+		t.Errorf("status %d, header %v", r.StatusCode, r.Header)
+	}
+	if state := s.Counts().State; state != "ready" {
+		t.Errorf("the server announces %s", state)
+	}
+}
--- a/testbed/backend/faults.go
+++ b/testbed/backend/faults.go
@@ -22,6 +22,10 @@
 	hideColdStart   bool
 	// stateOverride is announced and reported instead of the actual state; empty for no override.
 	stateOverride string
+	// saidState is the state in responses instead of the reported one; empty for no override. It is not announced.
+	saidState string
+	// turnAway is the Retry-After with which all requests are turned away; empty if they are not. It need not be valid.
+	turnAway string
 }
 
 func (f *faults) setSlowdown(factor float64) {
@@ -63,6 +67,22 @@
 	return actual
 }
 
+// stateInResponse returns the state in responses, given the reported one.
+func (f *faults) stateInResponse(reported string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.saidState != "" {
+		return f.saidState
+	}
+	return reported
+}
+
+func (f *faults) retryAfter() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.turnAway
+}
+
 func (f *faults) update(change func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -70,7 +90,7 @@
 }
 
 // serveFault sets the faults named in the query: slowness=FACTOR, failing=BOOL, report=MODE, state=STATE (empty for the
-// actual one; announced at once), silent=BOOL (reports "ready" during a cold start), warm=true (ends the cold start).
+// actual one; announced at once), say=STATE (in responses only), turn-away=RETRY_AFTER (503 to all requests), silent=BOOL (reports "ready" during a cold start), warm=true (ends the cold start).
 func (s *Server) serveFault(w http.ResponseWriter, r *http.Request) {
 	for name, values := range r.URL.Query() {
 		if !s.setFault(name, values[0]) {
@@ -97,6 +117,10 @@
 	case "state":
 		f.update(func() { f.stateOverride = value })
 		s.announcer.wakeUp()
+	case "say":
+		f.update(func() { f.saidState = value })
+	case "turn-away":
+		f.update(func() { f.turnAway = value })
 	case "warm":
 		s.coldStart.end()
 		s.announcer.wakeUp()
--- a/testbed/backend/request.go
+++ b/testbed/backend/request.go
@@ -39,6 +39,11 @@
 		s.shedRequest(w, r)
 		return
 	}
+	if text := s.faults.retryAfter(); text != "" {
+		w.Header().Set("Retry-After", text)
+		s.shedRequest(w, r)
+		return
+	}
 	if s.faults.isFailing() {
 		s.respondFailing(w)
 		return
@@ -108,7 +113,7 @@
 	s.record(s.newEvent(r, journal.Shed))
 	s.setHeaders(w)
 	w.Header().Set(NotRunHeader, "true")
-	if s.options.RetryAfter > 0 {
+	if s.options.RetryAfter > 0 && w.Header().Get("Retry-After") == "" {
 		w.Header().Set("Retry-After", strconv.Itoa(s.options.RetryAfter))
 	}
 	http.Error(w, "overloaded", http.StatusServiceUnavailable)
@@ -171,7 +176,7 @@
 }
 
 func (s *Server) setHeaders(w http.ResponseWriter) {
-	w.Header().Set(StateHeader, s.state())
+	w.Header().Set(StateHeader, s.faults.stateInResponse(s.state()))
 	w.Header().Set(LoadHeader, s.loadReport.header(time.Now(), s.inFlight(), s.options.Slots))
 }
 
--- a/testbed/policybench/gateway.go
+++ b/testbed/policybench/gateway.go
@@ -206,6 +206,9 @@
 	o.Latency = g.sim.clock.now - a.start
 	if o.Kind == balance.OutcomeNotRun {
 		o.RetryAfter = retryAfter
+		if g.simple == nil {
+			a.engineAttempt.RecordStatement(g.sim.clock.now, balance.Statement{Pause: retryAfter})
+		}
 	}
 	a.done(o)
 	r.removeAttempt(a)
