--- a/balance/load.go
+++ b/balance/load.go
@@ -19,30 +19,34 @@
 	readingAt  atomicTime
 	slowness   atomicFloat
 	slownessAt atomicTime
-	// reportedColdUntil is the time until which the server counts as cold because a reading reported a cold start.
-	reportedColdUntil atomicTime
 	// nextColdSendAt is the earliest time of the next request to the server while it is cold.
 	nextColdSendAt atomicTime
-	evidenceAt     atomicTime
 	sendUntil      atomicTime
+
+	// The fields from here to backoffUntil are read for every candidate of a pick and share a cache line.
+
+	// final holds what cannot be taken back for this incarnation: finalLeaving, and finalRemoved while it is not listed.
+	final atomic.Uint32
+	// reportedState is the state in the newest response; it is valid until the server's next announcement.
+	reportedState atomic.Uint32
 	// pausedUntil is the time until which the server wants nothing from this gateway.
-	pausedUntil atomicTime
-	// backoffUntil is the time until which a server that shed load without pausing receives nothing.
-	backoffUntil     atomicTime
+	pausedUntil      atomicTime
 	unreachableUntil atomicTime
+	evidenceAt       atomicTime
 	ejectedUntil     atomicTime
+	// reportedColdUntil is the time until which the server counts as cold because a reading reported a cold start.
+	reportedColdUntil atomicTime
 	// returnRampStart is when the last gradual return to the full share began; 0 for none.
 	returnRampStart atomicTime
+	// backoffUntil is the time until which a server that shed load without pausing receives nothing.
+	backoffUntil atomicTime
+
+	// seed spreads the ends of pauses.
+	seed uint64
 	// connectFailures counts consecutive failures to open a connection.
 	connectFailures atomic.Int32
 	// consecutiveBackoffs counts the backoffs since the last complete response.
 	consecutiveBackoffs atomic.Int32
-	// final holds what cannot be taken back for this incarnation: finalLeaving, and finalRemoved while it is not listed.
-	final atomic.Uint32
-	// seed spreads the ends of pauses.
-	seed uint64
-	// reportedState is the state in the newest response; it is valid until the server's next announcement.
-	reportedState atomic.Uint32
 
 	latency  latency
 	report   report
