--- a/balance/properties_test.go
+++ b/balance/properties_test.go
@@ -16,8 +16,10 @@
 	servers map[string]Server
 	// leaving holds the servers of which any response reported that they are draining.
 	leaving map[string]bool
-	out     map[string]bool
-	open    []Attempt
+	// pauses holds the earliest ends of the pauses that servers asked for.
+	pauses map[string]time.Duration
+	out    map[string]bool
+	open   []Attempt
 	// completeResponses counts the complete responses of each server; they bound the limit of a cold start.
 	completeResponses map[string]int64
 }
@@ -42,6 +44,7 @@
 	w.servers[s.Address] = s
 	if s.Incarnation != old.Incarnation {
 		delete(w.leaving, s.Address)
+		delete(w.pauses, s.Address)
 	}
 	w.engine.Apply(ServerChanged{s})
 }
@@ -59,6 +62,8 @@
 	switch {
 	case s.State > StateCold, w.leaving[a.Address]:
 		w.t.Fatalf("picked %s in state %d", a.Address, s.State)
+	case w.now < w.pauses[a.Address]:
+		w.t.Fatalf("picked %s, which pauses until %s", a.Address, w.pauses[a.Address])
 	case w.out[s.FailureDomain]:
 		w.t.Fatalf("picked %s in failure domain %s, which is out", a.Address, s.FailureDomain)
 	case !slices.Contains(regions, s.Region):
@@ -74,6 +79,31 @@
 	}
 }
 
+// say lets a server say something of itself in the response header of an open attempt, which may be of an older incarnation.
+func (w *worldModel) say() {
+	if len(w.open) == 0 {
+		return
+	}
+	a := w.open[rapid.IntRange(0, len(w.open)-1).Draw(w.t, "attempt")]
+	st := Statement{Leaving: rapid.Bool().Draw(w.t, "leaving"), Pause: time.Duration(rapid.IntRange(0, 3000).Draw(w.t, "pause")) * time.Millisecond}
+	a.RecordStatement(w.now, st)
+	if w.servers[a.Address].Incarnation != a.candidate.server.Incarnation {
+		return
+	}
+	if st.Leaving {
+		w.leaving[a.Address] = true
+	}
+	w.pauses[a.Address] = max(w.pauses[a.Address], w.now+st.Pause)
+}
+
+// relist removes a server and lists it again in the same incarnation, which changes nothing that it said.
+func (w *worldModel) relist() {
+	s, known := w.servers[testServer(rapid.IntRange(0, 8).Draw(w.t, "server")).Address]
+	if known {
+		w.engine.ApplyAll([]Event{ServerRemoved{s.Address}, ServerChanged{s}})
+	}
+}
+
 func (w *worldModel) endAttempt() {
 	if len(w.open) == 0 {
 		return
@@ -131,10 +161,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &worldModel{
 			t: t, engine: New(Config{Region: "r", FailureDomain: "d0"}), now: second,
-			servers: map[string]Server{}, leaving: map[string]bool{}, completeResponses: map[string]int64{},
+			servers: map[string]Server{}, leaving: map[string]bool{}, pauses: map[string]time.Duration{}, completeResponses: map[string]int64{},
 		}
-		steps := []func(){w.announce, w.pick, w.pick, w.pick, w.endAttempt, w.endAttempt, w.tick, w.setDomainsOut}
-		for _, s := range rapid.SliceOfN(rapid.IntRange(0, len(steps)-1), 1, 120).Draw(t, "steps") {
+		steps := []func(){w.announce, w.pick, w.pick, w.pick, w.endAttempt, w.endAttempt, w.tick, w.setDomainsOut, w.say, w.relist}
+		for _, s := range rapid.SliceOfN(rapid.IntRange(0, len(steps)-1), 60, 120).Draw(t, "steps") {
 			steps[s]()
 		}
 	})
