--- a/gateway/copiedrefusal_test.go
+++ b/gateway/copiedrefusal_test.go
@@ -168,7 +168,7 @@
 		f := &copyFixture{pathFixture: newPathFixture(t, address), server: server, spare: &copyingServer{}}
 		f.dialect = echoDialect
 		p := newTestLoadProber(t)
-		p.client.Transport, p.dialect = f.transport, echoDialect
+		p.client.Transport, p.statements.dialect = f.transport, echoDialect
 		target := newOneServerEngine(p, address).Current().ProbeTargets(&balance.Query{Now: p.clock.now(), Service: "labels", AnyRegion: true}, false)[0]
 		p.probe("labels", "/healthz", target)
 		f.expectTruth(t, "POST", "/free", "second")
@@ -177,7 +177,7 @@
 		write(c, "HTTP/1.1 200 OK\r\n"+testIDHeader+": other\r\n"+headerLoad+": 0/2\r\nContent-Length: 0\r\n\r\n")
 	})
 	p := newTestLoadProber(t)
-	p.dialect = echoDialect
+	p.statements.dialect = echoDialect
 	target := newOneServerEngine(p, stale).Current().ProbeTargets(&balance.Query{Now: p.clock.now(), Service: "labels", AnyRegion: true}, false)[0]
 	if p.probe("labels", "/healthz", target) {
 		t.Error("the response to another request counts as a reading")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -156,7 +156,8 @@
 // attempts at servers are permitted.
 func (r *runner) relayInstead(a *attempt) (selection, bool) {
 	unsent := r.arrivals == 0 && (a.result.kind == resultUnreachable || a.result.kind == resultNotSent)
-	if r.p.relay == nil || r.c.relayed != nil || !unsent {
+	paused := r.refusal != nil && r.refusal.Reason == ReasonServersPaused && !r.p.serverPath().isDoubtful()
+	if r.p.relay == nil || r.c.relayed != nil || !unsent || paused {
 		return nil, false
 	}
 	s := r.pickRelay()
@@ -221,6 +222,7 @@
 			return err
 		}
 		s.responded = true
+		p.recordRelayedLeaving(response.Header.Get(headerRelayLeaving))
 		a.response, a.result.kind = response, resultAnswered
 		if response.StatusCode >= http.StatusInternalServerError {
 			a.result.kind = resultFailed
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -31,6 +31,8 @@
 	relays []string
 	// arrivals counts how often the request reached a server, also where the server rejected it, here and at relays.
 	arrivals int
+	// placedAnew counts the attempts whose server could no longer receive them.
+	placedAnew int
 	// mayHaveRun is set if any attempt so far may have run the request.
 	mayHaveRun bool
 	// refusal is the last refusal of the selector.
@@ -187,12 +189,42 @@
 	return s, true
 }
 
+// maxPlacedAnew is the number of attempts of one request that are placed anew without being charged.
+const maxPlacedAnew = 8
+
+// mayPlaceAnew reports whether an attempt ended because its server may no longer receive it, so that the next one is not
+// charged.
+func (r *runner) mayPlaceAnew(a *attempt) bool {
+	var forbidden *SendForbiddenError
+	if a.result.kind != resultNotSent || !errors.As(a.err, &forbidden) || r.placedAnew >= maxPlacedAnew {
+		return false
+	}
+	switch forbidden.Reason {
+	case forbiddenServerPaused, forbiddenServerLeaving, forbiddenServerGone:
+		return true
+	}
+	return false
+}
+
+// placeAnew selects a server or another gateway in the place of an attempt whose server may no longer receive it.
+func (r *runner) placeAnew(a *attempt) (selection, bool) {
+	r.placedAnew++
+	s, refusal := r.pick(&query{placedAnew: true})
+	if refusal != nil {
+		return r.relayInstead(a)
+	}
+	return s, true
+}
+
 // selectFurther selects a server or another gateway for another attempt after a. Passing on a request that has reached no
 // server yet is not charged.
 func (r *runner) selectFurther(a *attempt) (selection, bool) {
 	if a.isRelay() && a.relayArrivals == 0 {
 		return r.selectAfterRelay()
 	}
+	if r.mayPlaceAnew(a) {
+		return r.placeAnew(a)
+	}
 	if r.retriesLeft == 0 {
 		return r.relayInstead(a)
 	}
@@ -241,6 +273,8 @@
 			return "domain_out"
 		case forbiddenSelectionOutdated:
 			return "selection_outdated"
+		case forbiddenServerPaused, forbiddenServerLeaving, forbiddenServerGone:
+			return "placed_anew"
 		case forbiddenAttemptEnded:
 			return "not_sent"
 		}
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -79,6 +79,7 @@
 	transport := d.path.transport.(*http.Transport)
 	path := newServerPath(d.clock, transport, d.log, d.counters)
 	path.targets = func() []pathTarget { return prober.pathTargets(d.lease.Current().catalogue.servers) }
+	path.target, path.statements = prober.target, prober.statements
 	transport.DialContext = path.watchDials(transport.DialContext)
 	path.connecting = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		DisableKeepAlives: true, DisableCompression: true,
