Serve requests that callers send ahead side by side

Each further request without a body becomes a connection of its own to the same http.Server; responses are written in the order of the requests. Requests that are not idempotent wait for their turn. Anything unusual (chunks, Expect, bare LF, two lengths, ...) is left to net/http.

--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"heatherwall.example/gateway/pipeline"
 )
 
 // Limits of the announce and admin listeners.
@@ -19,6 +21,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
+		ConnContext:       pipeline.ConnContext,
 	}
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -14,6 +14,7 @@
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/document"
+	"heatherwall.example/gateway/pipeline"
 	"heatherwall.example/routes"
 )
 
@@ -71,6 +72,7 @@
 	(*requestPath).admit,
 	(*requestPath).authenticate,
 	(*requestPath).matchRule,
+	(*requestPath).awaitEarlierRequests,
 	(*requestPath).checkHomeRegion,
 	(*requestPath).checkIdempotencyKey,
 	(*requestPath).readCallTreeLimits,
@@ -121,6 +123,21 @@
 	return nil
 }
 
+// awaitEarlierRequests delays a request that is not idempotent until all earlier ones of its connection have been answered:
+// if the connection ends before, the caller knows that the request did not run.
+func (p *requestPath) awaitEarlierRequests(c *call) *Refusal {
+	if c.rule.Idempotent {
+		return nil
+	}
+	if err := pipeline.AwaitTurn(c.r.Context()); err != nil {
+		return refuse(ReasonDraining, "the connection ended before the turn of the request")
+	}
+	if p.draining.Load() {
+		return refuse(ReasonDraining, "this gateway is stopping").withRetryAfter(retryAfterShort)
+	}
+	return nil
+}
+
 // checkHomeRegion runs before the body is read, so that no body is stored outside the home regions of its request.
 func (p *requestPath) checkHomeRegion(c *call) *Refusal {
 	if c.placement.Home.Contains(p.region) {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -15,10 +15,16 @@
 func (d *daemon) drain() {
 	d.log.Log(eventDraining)
 	d.path.stopping.Store(true)
+	if d.ahead != nil {
+		d.ahead.Stop()
+	}
 	time.Sleep(time.Duration(d.settings.DrainNoticeMs) * time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.DrainSeconds)*time.Second)
 	defer cancel()
 	d.path.draining.Store(true)
+	if d.ahead != nil {
+		d.ahead.Wait(ctx) // a server that shuts down ends a connection after its next response
+	}
 	d.shutdown(ctx, "callers", "relay")
 	finished := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/gateway/pipeline/main_test.go
@@ -0,0 +1,9 @@
+package pipeline
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 
+	"heatherwall.example/gateway/pipeline"
 	"heatherwall.example/telemetry"
 )
 
@@ -67,7 +68,7 @@
 	inFlight := p.inFlight.Add(1)
 	p.counters.UnlabeledCounter("requests").Inc(1)
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	if p.stopping.Load() {
+	if p.stopping.Load() && pipeline.MayClose(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{w: w, r: r, ctx: r.Context(), arrived: p.clock.now(), requestID: p.requestID(r)}
--- a/gateway/routing.go
+++ b/gateway/routing.go
@@ -14,6 +14,7 @@
 	(*requestPath).awaitConfiguration,
 	(*requestPath).admit,
 	(*requestPath).matchRoute,
+	(*requestPath).awaitEarlierRequests,
 	(*requestPath).readRouteLimits,
 	(*requestPath).readBody,
 	(*requestPath).checkPoison,
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -15,6 +15,7 @@
 	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/gossippb"
+	"heatherwall.example/gateway/pipeline"
 	"heatherwall.example/settings"
 	"heatherwall.example/telemetry"
 )
@@ -90,8 +91,10 @@
 	path     *requestPath
 	prober   *httpStateProber
 
-	listeners  map[string]net.Listener
-	servers    map[string]*http.Server
+	listeners map[string]net.Listener
+	servers   map[string]*http.Server
+	// ahead is the listener for callers, which reads requests ahead; nil if callers use TLS.
+	ahead      *pipeline.Listener
 	peerServer *grpc.Server
 	goroutines sync.WaitGroup
 }
@@ -195,6 +198,10 @@
 			return &ListenError{Listener: name, Address: l.Address, Err: err}
 		}
 		d.listeners[name] = listener
+		if name == "callers" && l.TLS == nil {
+			d.ahead = pipeline.NewListener(listener, pipeline.DefaultLimits, d.countReadAhead)
+			d.listeners[name] = d.ahead
+		}
 		if name == "peer" || l.TLS == nil {
 			continue
 		}
@@ -223,6 +230,10 @@
 	return c, nil
 }
 
+func (d *daemon) countReadAhead(event string) {
+	d.counters.Counter("read_ahead", "event", event).Inc(1)
+}
+
 func (d *daemon) closeListeners() {
 	for _, l := range d.listeners {
 		_ = l.Close()
@@ -285,6 +296,10 @@
 
 // serveHTTP serves on a listener, with TLS if the server has a TLS configuration. It returns when the server is closed.
 func serveHTTP(s *http.Server, l net.Listener) {
+	if ahead, ok := l.(*pipeline.Listener); ok {
+		pipeline.Serve(s, ahead)
+		return
+	}
 	if s.TLSConfig != nil {
 		_ = s.ServeTLS(l, "", "")
 		return
