--- a/gateway/pipelining_test.go
+++ b/gateway/pipelining_test.go
@@ -29,6 +29,7 @@
 		return len(arrived)
 	}
 	release := make(chan struct{})
+	answer := sync.OnceFunc(func() { close(release) })
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		count(r.URL.Path)
 		if r.Method == http.MethodGet {
@@ -37,6 +38,7 @@
 		_, _ = io.WriteString(w, r.URL.Path)
 	}))
 	defer backend.Close()
+	defer answer()
 	g.announce(t, "announce", serverAnnouncement(backend.Listener.Addr().String()))
 
 	conn, err := net.Dial("tcp", g.Callers)
@@ -58,7 +60,7 @@
 	if got := count(""); got != 3 {
 		t.Errorf("%d requests arrived before the first response, want 3: %v", got, arrived)
 	}
-	close(release)
+	answer()
 	r := bufio.NewReader(conn)
 	for _, want := range []string{"/read/1", "/read/2", "/issue/3", "/read/4"} {
 		response, err := http.ReadResponse(r, nil)
