End the drain within the grace time and take no request that it would cut

cause: report of other operators: in a planned stop, requests that came late in the grace were passed on and cut.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -76,6 +76,7 @@
 	(*requestPath).checkHomeRegion,
 	(*requestPath).checkIdempotencyKey,
 	(*requestPath).readCallTreeLimits,
+	(*requestPath).checkDrainEnd,
 	(*requestPath).readBody,
 	(*requestPath).checkPoison,
 	(*requestPath).takeClaim,
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -11,15 +11,18 @@
 
 // drain stops serving callers without interrupting a request. First /readyz fails; requests that arrive in the grace period
 // (DrainNoticeMs) are still served, with Connection: close. Then the caller listener closes and requests in flight may finish
-// for at most DrainSeconds; connections that are still open afterwards are closed.
+// until the end of DrainTime; connections that are still open afterwards are closed. A request that could last longer is
+// refused when it arrives, so that none is cut.
 func (d *daemon) drain() {
-	d.log.Log(eventDraining)
+	end := time.Now().Add(d.settings.DrainTime())
+	d.log.Log(eventDraining, telemetry.F("until", end))
+	d.path.drainEnd.Store(&end)
 	d.path.stopping.Store(true)
 	if d.ahead != nil {
 		d.ahead.Stop()
 	}
-	time.Sleep(time.Duration(d.settings.DrainNoticeMs) * time.Millisecond)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.DrainSeconds)*time.Second)
+	time.Sleep(min(time.Duration(d.settings.DrainNoticeMs)*time.Millisecond, d.settings.DrainTime()/2))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	d.path.draining.Store(true)
 	if d.ahead != nil {
@@ -37,6 +40,14 @@
 	}
 }
 
+// checkDrainEnd refuses a request that could last longer than the drain of this gateway.
+func (p *requestPath) checkDrainEnd(c *call) *Refusal {
+	if end := p.drainEnd.Load(); end != nil && c.deadline.After(*end) {
+		return refuse(ReasonDraining, "this gateway stops before the deadline of the request").withRetryAfter(retryAfterShort)
+	}
+	return nil
+}
+
 // shutdown closes the listeners of the named servers and waits for their requests in flight until ctx ends.
 func (d *daemon) shutdown(ctx context.Context, names ...string) {
 	var ended sync.WaitGroup
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -182,6 +182,12 @@
 }
 
 func startGateway(t *testing.T, c *certificates, name string, replicas ...*controlStub) *testGateway {
+	t.Helper()
+	return startGatewayWith(t, c, name, func(*settings.Gateway) {}, replicas...)
+}
+
+// startGatewayWith starts a gateway with changed settings.
+func startGatewayWith(t *testing.T, c *certificates, name string, change func(*settings.Gateway), replicas ...*controlStub) *testGateway {
 	t.Helper()
 	any := settings.Listener{Address: "127.0.0.1:0"}
 	s := &settings.Gateway{
@@ -192,6 +198,7 @@
 	for i, r := range replicas {
 		s.Control = append(s.Control, settings.Replica{Name: fmt.Sprintf("control-%d", i+1), Address: r.address, Region: "north", FailureDomain: "north-a"})
 	}
+	change(s)
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &testGateway{stop: cancel, ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
 	ready := make(chan Addresses, 1)
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -15,6 +15,7 @@
 	(*requestPath).admit,
 	(*requestPath).matchRelayedRoute,
 	(*requestPath).readRelayedLimits,
+	(*requestPath).checkDrainEnd,
 	(*requestPath).readBody,
 	(*requestPath).checkPoison,
 }
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -52,7 +52,9 @@
 	// stopping makes /readyz fail; requests are still served, with Connection: close.
 	stopping atomic.Bool
 	// draining is set while new requests are refused.
-	draining         atomic.Bool
+	draining atomic.Bool
+	// drainEnd is when connections that are still open are closed; nil before the stop.
+	drainEnd         atomic.Pointer[time.Time]
 	inFlight         atomic.Int64
 	inFlightByDomain domainCounts
 	load             loadMeter
--- a/gateway/routing.go
+++ b/gateway/routing.go
@@ -16,6 +16,7 @@
 	(*requestPath).matchRoute,
 	(*requestPath).awaitEarlierRequests,
 	(*requestPath).readRouteLimits,
+	(*requestPath).checkDrainEnd,
 	(*requestPath).readBody,
 	(*requestPath).checkPoison,
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 
 	"go.yaml.in/yaml/v3"
 )
@@ -127,6 +128,9 @@
 	DrainNoticeMs int `yaml:"drain_notice_ms"`
 	// DrainSeconds limits how long shutdown waits for requests in flight; the default is 30.
 	DrainSeconds int `yaml:"drain_seconds"`
+	// GraceSeconds is the time from the signal to stop after which the process is killed. The drain ends before, and no
+	// request is taken that may last longer. 0 means that nothing kills the process.
+	GraceSeconds float64 `yaml:"grace_seconds"`
 }
 
 // Defaults for fields that are left out.
@@ -137,6 +141,23 @@
 	DefaultLogLevel      = "info"
 )
 
+const (
+	// maxGraceSeconds is the longest permitted GraceSeconds.
+	maxGraceSeconds = 3600
+	// exitMargin is the time before the end of GraceSeconds that is left for the exit of the process.
+	exitMargin = 400 * time.Millisecond
+)
+
+// DrainTime returns the time from the signal to stop until connections that are still open are closed.
+func (g *Gateway) DrainTime() time.Duration {
+	drain := time.Duration(g.DrainNoticeMs)*time.Millisecond + time.Duration(g.DrainSeconds)*time.Second
+	if g.GraceSeconds == 0 {
+		return drain
+	}
+	grace := time.Duration(g.GraceSeconds * float64(time.Second))
+	return max(min(drain, grace-exitMargin), 0)
+}
+
 // ParseControl reads and checks the settings of a control replica. The error is an *InvalidError that lists every problem.
 func ParseControl(file string, text []byte) (*Control, error) {
 	s := &Control{}
@@ -181,6 +202,9 @@
 	s.MaxRequests = c.intOrDefault("max_requests", s.MaxRequests, DefaultMaxRequests)
 	s.DrainNoticeMs = c.intOrDefault("drain_notice_ms", s.DrainNoticeMs, DefaultDrainNoticeMs)
 	s.DrainSeconds = c.intOrDefault("drain_seconds", s.DrainSeconds, DefaultDrainSeconds)
+	if !(s.GraceSeconds >= 0 && s.GraceSeconds <= maxGraceSeconds) {
+		c.addProblem("grace_seconds", "expected a number of seconds, an hour at most")
+	}
 	if err := c.err(); err != nil {
 		return nil, err
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 )
 
 const validGateway = `name: gw-1
@@ -75,3 +76,23 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// Guards against a drain that lasts longer than the process may run after the signal to stop.
+func TestDrainTimeStaysWithinTheGraceTime(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"drain_notice_ms: 2000\ndrain_seconds: 3\n":                    5 * time.Second,
+		"drain_notice_ms: 2000\ndrain_seconds: 3\ngrace_seconds: 10\n": 5 * time.Second,
+		"drain_notice_ms: 2000\ngrace_seconds: 6\n":                    6*time.Second - exitMargin,
+		"grace_seconds: 0.1\n":                                         0,
+	} {
+		s, err := ParseGateway("gw.yaml", []byte(validGateway+text))
+		if err != nil || s.DrainTime() != want {
+			t.Errorf("%q: %v, %v; want %v", text, s.DrainTime(), err, want)
+		}
+	}
+	for _, bad := range []string{"-1", "3601", ".nan"} {
+		if _, err := ParseGateway("gw.yaml", []byte(validGateway+"grace_seconds: "+bad+"\n")); err == nil {
+			t.Errorf("grace_seconds %s was accepted", bad)
+		}
+	}
+}
