Read short bodies whole before the header is passed on

cause: looked for after the report of cut heads and with requests sent ahead in mind: a server that cut off a body of a few kilobytes made the gateway close the caller's connection, although nothing had been passed on before, and an idempotent request was not sent to another server. change: a body of known length up to 16 KiB is read first. If it ends early, the attempt is broken without a response. before: TestCutShortBody: the caller's connection ends in both cases after: the idempotent request gets the whole answer of the second server, the other 502 with ran unknown. A head that is cut at any byte, closed or reset, gave 502 before already (TestCutResponseHeadIsNoResponse). conclusion: kept

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -133,6 +133,7 @@
 		a.response = response
 		a.result.ServerReport = report
 		a.result.kind = p.classifyResponse(response)
+		a.readSmallBody(c)
 	}
 	a.result.latency = time.Since(started)
 	if a.result.kind == resultBroken && time.Until(c.deadline) < deadlineSlack {
@@ -147,6 +148,26 @@
 	p.logAttempt(c, a)
 }
 
+// maxWholeBodyBytes is the length of the longest body that is read before the header is passed on to the caller.
+const maxWholeBodyBytes = 16 << 10
+
+// readSmallBody reads a short body of known length. If it ends early, the attempt has no response, so that an idempotent
+// request can be sent again and the caller's connection stays open; after the header was passed on, the connection would
+// have to be closed, and with it all requests that the caller has sent ahead.
+func (a *attempt) readSmallBody(c *call) {
+	r := a.response
+	if r.ContentLength <= 0 || r.ContentLength > maxWholeBodyBytes || len(r.Trailer) > 0 {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	_ = r.Body.Close() // read to its end or discarded
+	if err != nil {
+		a.response, a.err, a.result.kind = nil, err, interruptionResult(c)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+}
+
 // serverPath returns the watch over the path to servers; nil if there is none.
 func (p *requestPath) serverPath() *serverPath {
 	if p.relay == nil {
