Found a cluster on three disks instead of one

The ID of a member is new in each run of its process. A founder that comes back empty founds again only if every other seed is still at its first start.

--- a/control/discovery.go
+++ b/control/discovery.go
@@ -25,17 +25,6 @@
 	return heartbeatTicks
 }
 
-// isBootstrapReplica reports whether this replica creates the configuration group of a cluster that starts for the first
-// time. All replicas then have the same seeds, and exactly one replica has the lowest address.
-func (r *replica) isBootstrapReplica() bool {
-	d := r.settings.Discovery
-	if d == nil || !d.FirstStart {
-		return false
-	}
-	seeds := d.PeerAddresses()
-	return len(seeds) > 0 && seeds[0] == r.settings.Peer.AdvertisedAddress()
-}
-
 // candidateAddresses returns the addresses of other replicas to ask for the cluster ID or to join: the configured peers
 // or, with discovery, the seeds and the members of the configuration group.
 func (r *replica) candidateAddresses() []string {
--- a/control/events.go
+++ b/control/events.go
@@ -9,7 +9,9 @@
 	eventStopped = telemetry.Define(1002, "replica_stopped", telemetry.Info,
 		"The replica transferred its leaderships and closed its logs.")
 	eventGroupBootstrapped = telemetry.Define(1003, "group_bootstrapped", telemetry.Info,
-		"The replica created the configuration group as its only voter.")
+		"The replica created the configuration group; the numbers of its voters and of those that hold the first membership are in the fields.")
+	eventFoundingAccepted = telemetry.Define(1006, "founding_accepted", telemetry.Info,
+		"The replica is an initial voter of a new configuration group and holds its first membership.")
 	eventJoining = telemetry.Define(1004, "replica_joining", telemetry.Info,
 		"The replica asks a group to add its identity.")
 	eventLeadershipGained = telemetry.Define(1010, "leadership_gained", telemetry.Info,
--- a/control/identity.go
+++ b/control/identity.go
@@ -6,6 +6,7 @@
 	"net"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"time"
 
 	"heatherwall.example/api"
@@ -37,12 +38,15 @@
 // loadOrCreateIdentity loads the identity from the data folder. If there is none, it bootstraps the cluster, or waits
 // until a peer returns the cluster ID; meanwhile it answers probes of a bootstrapping peer.
 func (r *replica) loadOrCreateIdentity(ctx context.Context, listener *net.TCPListener) (wal.Identity, error) {
-	bootstrap := r.options.Bootstrap || r.isBootstrapReplica()
 	saved, err := wal.LoadIdentity(r.settings.DataFolder)
 	var missing *wal.NoIdentityError
 	switch {
-	case errors.As(err, &missing) && bootstrap:
+	case errors.As(err, &missing) && r.options.Bootstrap:
 		return r.bootstrap(ctx, wal.Identity{})
+	case errors.As(err, &missing) && r.isFounder():
+		stop := r.serveProbes(listener)
+		defer stop()
+		return r.foundOrJoin(ctx, wal.Identity{})
 	case errors.As(err, &missing):
 		stop := r.serveProbes(listener)
 		defer stop()
@@ -52,15 +56,23 @@
 	case saved.Name != r.settings.Name:
 		return wal.Identity{}, &IdentityError{Certificate: r.settings.Name, Expected: "the owner of the data folder, " + saved.Name}
 	}
-	if !bootstrap {
+	return r.completeBootstrap(ctx, saved)
+}
+
+// completeBootstrap completes a bootstrap that was interrupted after the identity was created.
+func (r *replica) completeBootstrap(ctx context.Context, saved wal.Identity) (wal.Identity, error) {
+	founds := r.isFounder() && r.settings.Discovery.FirstStart
+	if !r.options.Bootstrap && !founds {
 		return saved, nil
 	}
-	// Complete a bootstrap that was interrupted after the identity was created.
 	empty, err := isLogEmpty(r.groupFolder(configurationGroup))
 	if err != nil || !empty {
 		return saved, err
 	}
-	return r.bootstrap(ctx, saved)
+	if r.options.Bootstrap {
+		return r.bootstrap(ctx, saved)
+	}
+	return r.foundOrJoin(ctx, saved)
 }
 
 func isLogEmpty(folder string) (bool, error) {
@@ -82,7 +94,7 @@
 	return l.SetDeadline(time.Now())
 }
 
-// serveProbes answers Probe until stop is called. The other calls return Unavailable.
+// serveProbes answers Probe and Found until stop is called. The other calls return Unavailable.
 func (r *replica) serveProbes(listener *net.TCPListener) (stop func()) {
 	server := api.NewServer(r.tls, maxMessageBytes)
 	controlpb.RegisterPeersServer(server, &peerServer{r: r})
@@ -175,19 +187,44 @@
 }
 
 // discoverCluster asks the candidate addresses for the cluster ID until one of them belongs to a cluster, and creates
-// the identity with that ID.
+// the identity with that ID. Meanwhile the founder may make this replica an initial voter.
 func (r *replica) discoverCluster(ctx context.Context) (wal.Identity, error) {
+	probing, cancel := context.WithCancel(ctx)
+	defer cancel()
+	clusters := make(chan uint64, 1)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { r.probeForCluster(probing, clusters) })
+	for {
+		select {
+		case offer := <-r.offers:
+			id, accepted, err := r.acceptFounding(offer.request)
+			offer.accepted <- accepted
+			if accepted || err != nil {
+				return id, err
+			}
+		case cluster := <-clusters:
+			r.isJoining.Store(true)
+			return wal.CreateIdentityAs(r.settings.DataFolder, r.settings.Name, r.candidateID, cluster)
+		case <-ctx.Done():
+			return wal.Identity{}, ctx.Err()
+		}
+	}
+}
+
+// probeForCluster sends the cluster ID of the first candidate address that belongs to a cluster.
+func (r *replica) probeForCluster(ctx context.Context, clusters chan<- uint64) {
 	for ctx.Err() == nil {
 		for _, address := range r.candidateAddresses() {
 			answer, err := r.probe(ctx, address)
-			if err != nil || answer.ClusterId == 0 {
-				continue
+			if err == nil && answer.ClusterId != 0 {
+				clusters <- answer.ClusterId
+				return
 			}
-			return wal.CreateIdentity(r.settings.DataFolder, r.settings.Name, answer.ClusterId)
 		}
 		sleep(ctx, joinInterval)
 	}
-	return wal.Identity{}, ctx.Err()
 }
 
 func (r *replica) probe(ctx context.Context, address string) (*controlpb.ProbeAnswer, error) {
--- a/control/peers.go
+++ b/control/peers.go
@@ -125,8 +125,8 @@
 	if _, err := s.checkReplica(ctx); err != nil {
 		return nil, err
 	}
-	if s.r.loop == nil {
-		return &controlpb.ProbeAnswer{Name: s.r.settings.Name}, nil
+	if !s.r.opened.Load() {
+		return s.r.answerWithoutCluster()
 	}
 	groups, err := s.r.groupStatus(ctx)
 	if err != nil {
@@ -135,6 +135,16 @@
 	return &controlpb.ProbeAnswer{Name: s.r.settings.Name, ClusterId: s.r.loop.clusterID, Groups: groups}, nil
 }
 
+// answerWithoutCluster is the answer to a probe while this replica belongs to no cluster.
+func (r *replica) answerWithoutCluster() (*controlpb.ProbeAnswer, error) {
+	d := r.settings.Discovery
+	answer := &controlpb.ProbeAnswer{Name: r.settings.Name, Candidate: r.selfMember(r.candidateID), FirstStart: d != nil && d.FirstStart}
+	if r.isJoining.Load() { // read last: an identity may have been created since
+		return nil, notOpenStatus()
+	}
+	return answer, nil
+}
+
 // Join proposes the next membership change that adds the calling replica to a group led here. The caller repeats the
 // call until it is in the membership.
 func (s *peerServer) Join(ctx context.Context, r *controlpb.JoinRequest) (*controlpb.JoinAnswer, error) {
--- a/raft/wal/identity.go
+++ b/raft/wal/identity.go
@@ -40,8 +40,17 @@
 	return CreateIdentityWith(OS{}, dir, name, clusterID)
 }
 
+// CreateIdentityAs is like CreateIdentity but uses the given replica ID, which no other folder may have had.
+func CreateIdentityAs(dir, name string, id, clusterID uint64) (Identity, error) {
+	return createIdentity(OS{}, dir, Identity{ID: id, ClusterID: clusterID, Name: name})
+}
+
 // CreateIdentityWith is like CreateIdentity but uses the given file system.
 func CreateIdentityWith(fs FileSystem, dir, name string, clusterID uint64) (Identity, error) {
+	return createIdentity(fs, dir, Identity{ID: randomID(), ClusterID: clusterID, Name: name})
+}
+
+func createIdentity(fs FileSystem, dir string, identity Identity) (Identity, error) {
 	if err := fs.MkdirAll(dir); err != nil {
 		return Identity{}, &IOError{Operation: "create folder", Cause: err}
 	}
@@ -55,7 +64,6 @@
 	if len(names) > 0 {
 		return Identity{}, &CorruptError{File: dir, Detail: "the folder is not empty but holds no identity"}
 	}
-	identity := Identity{ID: randomID(), ClusterID: clusterID, Name: name}
 	return identity, writeFileAtomically(fs, dir, identityName, identity.encode())
 }
 
