--- a/balance/config.go
+++ b/balance/config.go
@@ -60,6 +60,9 @@
 	RetryBurst int64
 	// NearFullFactor is the factor by which work takes longer at a server that is nearly full; default 1.
 	NearFullFactor float64
+	// ReuseWindow is the time between two contacts of a server within which its idle connection is reused. A gateway with
+	// few requests prefers as few servers for probes as it contacts so often; 0 for a fixed number of servers.
+	ReuseWindow time.Duration
 }
 
 // Defaults of Config.
--- a/balance/engine.go
+++ b/balance/engine.go
@@ -24,6 +24,10 @@
 	serviceNames   []string
 	usageByService map[string]serviceUsage
 	lastDecay      time.Duration
+	// sinceDecay is the time between the last two decays.
+	sinceDecay time.Duration
+	// countedAttempts holds the first attempts of each service that its request rate includes.
+	countedAttempts map[string]uint64
 	// workTimes is scratch space of updateTypical.
 	workTimes []float64
 }
@@ -48,12 +52,13 @@
 // New returns an engine without servers.
 func New(c Config) *Engine {
 	e := &Engine{
-		config:         c.withDefaults(),
-		servers:        map[string]*serverRecord{},
-		services:       map[string]*serviceLoad{},
-		members:        map[string]*memberLoad{},
-		domainsOut:     map[string]bool{},
-		usageByService: map[string]serviceUsage{},
+		config:          c.withDefaults(),
+		servers:         map[string]*serverRecord{},
+		services:        map[string]*serviceLoad{},
+		members:         map[string]*memberLoad{},
+		domainsOut:      map[string]bool{},
+		usageByService:  map[string]serviceUsage{},
+		countedAttempts: map[string]uint64{},
 	}
 	e.publish()
 	return e
--- a/balance/load.go
+++ b/balance/load.go
@@ -59,8 +59,12 @@
 	limit    atomic.Int64
 	// firstAttempts counts first attempts; an increase shows that the service is in use.
 	firstAttempts atomic.Uint64
-	retries       tokenBudget
-	hedges        tokenBudget
+	// requestRate is the smoothed number of first attempts per second; 0 while unknown.
+	requestRate atomicFloat
+	// slownessExcess is the mean of the reported slowness, less 1.
+	slownessExcess atomicFloat
+	retries        tokenBudget
+	hedges         tokenBudget
 	// typicalWork is the median work time of the service's servers in ns; 0 while unknown.
 	typicalWork atomicFloat
 	// meanOthers is the mean number of requests that other gateways have in flight at a server.
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -117,16 +117,28 @@
 	return int64(c.server.MaxInFlight)
 }
 
-// choose returns the best candidate. If the query asks for it, servers with a fresh reading are preferred.
+// choose returns the best candidate. If the query asks for it, servers with a fresh reading are preferred, unless all of
+// them are disturbed and an unknown server is likely to be faster.
 func (s *Snapshot) choose(v *serviceView, q *Query) choice {
 	if !q.PreferProbed {
 		return s.chooseAcrossTiers(v, q)
 	}
-	if best := s.chooseAcrossTiers(v, q); best.candidate != nil {
+	best := s.chooseAcrossTiers(v, q)
+	if best.candidate != nil && !s.isDisturbed(best.candidate, q.Now) {
 		return best
 	}
-	q.PreferProbed = false // no eligible server has a fresh reading; compare by latency history alone
-	return s.chooseAcrossTiers(v, q)
+	q.PreferProbed = false // compare by latency history alone
+	unknown := s.chooseAcrossTiers(v, q)
+	if best.candidate == nil || unknown.candidate != nil && unknown.expected*v.load.usualSlowness() < best.expected {
+		return unknown
+	}
+	q.PreferProbed = true
+	return best
+}
+
+// isDisturbed reports whether the last reading of a server says that work takes longer there at the moment.
+func (s *Snapshot) isDisturbed(c *candidate, now time.Duration) bool {
+	return c.load.currentSlowness(now) >= maxIdleSlowness
 }
 
 // chooseAcrossTiers returns the best candidate of all tiers. It samples the own region first, and other regions only when
@@ -136,7 +148,7 @@
 	s.sample(v, v.tiers[tierDomain], q, 0, &best)
 	s.sample(v, v.tiers[tierRegion], q, float64(s.config.DomainCost), &best)
 	spill := spillMargin * float64(s.config.SpillCost)
-	if best.candidate != nil && best.expected <= spill {
+	if best.candidate != nil && (best.expected <= spill || isInTime(q, &best)) {
 		return best
 	}
 	if q.Kind == AttemptHedge && (s.hasLocalServers(v) || best.candidate != nil) {
@@ -149,6 +161,16 @@
 	return best
 }
 
+// inTimeShare is the share of the time to the latency target up to which an expected latency counts as in time; the rest
+// allows for its spread.
+const inTimeShare = 0.8
+
+// isInTime reports whether a request is expected to reach its latency target at the best server of the own region. Then
+// nothing is gained by a faster one in another region, and traffic between regions is billed.
+func isInTime(q *Query, best *choice) bool {
+	return q.Target > 0 && !q.Late && best.expected <= inTimeShare*float64(q.Target)
+}
+
 // hasLocalServers reports whether the service has servers in the own region. If so, no hedge is sent to another region,
 // where it would come too late.
 func (s *Snapshot) hasLocalServers(v *serviceView) bool {
--- a/balance/reading.go
+++ b/balance/reading.go
@@ -20,9 +20,13 @@
 	ownDomainProbes   = 2
 	maxProbes         = 3
 	secondRoundProbes = 5
-	// preferredServers is the number of servers of a tier that a gateway probes first. Others are probed when none of
-	// those is idle. With a larger number, a gateway would open a new connection for most probes.
+	// preferredServers is the largest number of servers of a tier that a gateway probes first. Others are probed when none
+	// of those is idle. With a larger number, a gateway would open a new connection for most probes.
 	preferredServers = 8
+	// minPreferredPerProbe is the smallest number of preferred servers for each probe of a round.
+	minPreferredPerProbe = 2
+	// usualSlownessWeight is the weight of one reading in the usual slowness of a service.
+	usualSlownessWeight = 0.02
 	// maxIdleSlowness is the slowness below which a server counts as undisturbed.
 	maxIdleSlowness = 1.5
 )
@@ -66,9 +70,15 @@
 	if r.Slowness > 0 {
 		l.slowness.store(r.Slowness)
 		l.slownessAt.raise(r.At)
+		if v := t.snapshot.services[t.Service]; v != nil {
+			v.load.slownessExcess.blend(r.Slowness-1, usualSlownessWeight)
+		}
 	}
 }
 
+// usualSlowness returns the mean slowness in the readings of a service, which is that of a server without a reading.
+func (l *serviceLoad) usualSlowness() float64 { return 1 + max(l.slownessExcess.load(), 0) }
+
 // ProbeTargets returns the servers to probe before a selection: a few of the own failure domain, others of the region,
 // and those of other regions only if the region has none. Servers with a fresh reading are left out. secondRound returns
 // further servers, up to secondRoundProbes of all that the request permits; it is meant for times at which those probed
@@ -78,7 +88,11 @@
 	if v == nil {
 		return nil
 	}
-	r := probeRound{maxOwnDomain: ownDomainProbes, maxTotal: maxProbes, preferred: preferredServers}
+	r := probeRound{maxOwnDomain: ownDomainProbes, maxTotal: maxProbes}
+	if len(v.tiers[tierDomain]) >= preferredServers {
+		r.maxTotal = ownDomainProbes // two of many nearby servers are enough to avoid a disturbed one in most cases
+	}
+	r.preferred = s.preferredCount(v, r.maxTotal)
 	if secondRound {
 		r = probeRound{maxOwnDomain: secondRoundProbes, maxTotal: secondRoundProbes, preferred: math.MaxInt, skipFresh: true}
 	}
@@ -91,6 +105,17 @@
 	return r.targets
 }
 
+// preferredCount returns how many servers of a tier a gateway probes first: as many as it contacts within the time for
+// which an idle connection is reused.
+func (s *Snapshot) preferredCount(v *serviceView, probes int) int {
+	rate := v.load.requestRate.load()
+	if s.config.ReuseWindow == 0 || rate == 0 {
+		return preferredServers
+	}
+	contacts := rate * float64(probes) * s.config.ReuseWindow.Seconds()
+	return int(min(max(math.Ceil(contacts), float64(minPreferredPerProbe*probes)), preferredServers))
+}
+
 // probeRound is one round of probes before a selection.
 type probeRound struct {
 	// maxOwnDomain and maxTotal bound the servers of the own failure domain and those of all tiers.
--- a/balance/tick.go
+++ b/balance/tick.go
@@ -29,6 +29,7 @@
 	e.now = max(e.now, now)
 	decay := e.now-e.lastDecay >= decayInterval
 	if decay {
+		e.sinceDecay = e.now - e.lastDecay
 		e.lastDecay = e.now
 	}
 	for _, name := range e.serviceNames {
@@ -47,9 +48,25 @@
 	}
 	if decay {
 		load.latencies.decay()
+		e.updateRequestRate(name, load)
 	}
 }
 
+// rateWeight is the weight of one interval in the request rate of a service.
+const rateWeight = 0.1
+
+// updateRequestRate updates the request rate of a service from the first attempts since the last call.
+func (e *Engine) updateRequestRate(name string, load *serviceLoad) {
+	n := load.firstAttempts.Load()
+	rate := float64(n-e.countedAttempts[name]) / e.sinceDecay.Seconds()
+	e.countedAttempts[name] = n
+	if load.requestRate.load() == 0 {
+		load.requestRate.store(rate)
+		return
+	}
+	load.requestRate.blend(rate, rateWeight)
+}
+
 // updateTypical updates the typical work time from the median over the servers, which a few slow servers do not change,
 // and the mean number of requests of other gateways at a server.
 func (e *Engine) updateTypical(records []*serverRecord, load *serviceLoad) {
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -52,6 +52,7 @@
 		DomainCost: s.Catalogue.DomainCost(), SpillCost: s.Catalogue.SpillCost(),
 		RetryShare: s.Catalogue.Retry.Ratio * retryRatioFraction, RetryBurst: 1,
 		NearFullFactor: nearFullLatencyFactor,
+		ReuseWindow:    catalogueConnectionLimits.idleTimeout / 2,
 		// Servers report that they are cold. Detection would mistake a server slowed by a noisy neighbour for a cold one.
 		Switches: balance.Switches{NoFallbackDetection: true},
 	})
