--- a/balance/engine.go
+++ b/balance/engine.go
@@ -1,8 +1,6 @@
 package balance
 
 import (
-	"cmp"
-	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -256,36 +254,38 @@
 	}
 	e.indexByService()
 	for _, name := range e.serviceNames {
-		for _, r := range e.byService[name] {
-			e.addCandidate(s, r)
-		}
-		if e.config.Name != "" {
-			s.services[name].sortByRank()
-		}
+		s.services[name] = e.buildView(name, s.byAddress)
 	}
 	e.current.Store(s)
 }
 
-func (e *Engine) addCandidate(s *Snapshot, r *serverRecord) {
-	v := s.services[r.server.Service]
-	if v == nil {
-		v = &serviceView{load: e.ensureService(r.server.Service)}
-		s.services[r.server.Service] = v
-	}
-	t := e.tier(r.server)
-	c := candidate{server: r.server, load: r.load, slots: slotCount(r.server), tier: t, cost: e.networkCost(r.server), rank: r.rank}
-	s.byAddress[r.server.Address] = &c
-	if e.isSelectable(r) {
-		v.tiers[t] = append(v.tiers[t], c)
+// buildView builds the view of a service and adds its servers to byAddress. The candidates of all tiers share one array,
+// which is as large as needed: a gateway builds hundreds of views while servers start.
+func (e *Engine) buildView(name string, byAddress map[string]*candidate) *serviceView {
+	v := &serviceView{load: e.ensureService(name)}
+	records := e.byService[name]
+	all := make([]candidate, 0, len(records))
+	for t := range tierCount {
+		begin := len(all)
+		for _, r := range records {
+			if e.tier(r.server) == t && e.isSelectable(r) {
+				all = append(all, e.candidate(r, t))
+				byAddress[r.server.Address] = &all[len(all)-1]
+			}
+		}
+		v.tiers[t] = all[begin:len(all):len(all)]
 	}
+	for _, r := range records {
+		if byAddress[r.server.Address] == nil { // listed, but no query may pick it
+			c := e.candidate(r, e.tier(r.server))
+			byAddress[r.server.Address] = &c
+		}
+	}
+	return v
 }
 
-// sortByRank sorts the servers of each tier by the order in which this gateway probes them. The order is a hash, so that
-// each server is preferred by some gateways.
-func (v *serviceView) sortByRank() {
-	for _, tier := range v.tiers {
-		slices.SortStableFunc(tier, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
-	}
+func (e *Engine) candidate(r *serverRecord, tier int) candidate {
+	return candidate{server: r.server, load: r.load, slots: slotCount(r.server), tier: tier, cost: e.networkCost(r.server)}
 }
 
 func slotCount(s Server) int64 { return int64(max(s.Slots, 1)) }
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -32,8 +32,6 @@
 	tier   int
 	// cost is the network cost of a request to the server.
 	cost time.Duration
-	// rank orders the servers of a tier for probes.
-	rank uint64
 }
 
 // HedgeAfter returns how long to wait for a response of a service before sending a hedge; ok is false if too few
--- a/balance/tick.go
+++ b/balance/tick.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -171,7 +172,9 @@
 	})
 }
 
-// indexByService groups the records by service, and sorts the services by name and their servers by address.
+// indexByService groups the records by service, and sorts the services by name and their servers by address. The servers
+// of a gateway with a name are sorted by its own rank first, which is the order in which it probes them: a hash, so that
+// each server is preferred by some gateways.
 func (e *Engine) indexByService() {
 	e.byService = map[string][]*serverRecord{}
 	for _, r := range e.servers {
@@ -179,9 +182,16 @@
 	}
 	e.serviceNames = e.serviceNames[:0]
 	for name, list := range e.byService {
-		slices.SortFunc(list, func(a, b *serverRecord) int { return strings.Compare(a.server.Address, b.server.Address) })
+		slices.SortFunc(list, e.compareRecords)
 		e.serviceNames = append(e.serviceNames, name)
 		e.ensureService(name)
 	}
 	slices.Sort(e.serviceNames)
 }
+
+func (e *Engine) compareRecords(a, b *serverRecord) int {
+	if e.config.Name != "" && a.rank != b.rank {
+		return cmp.Compare(a.rank, b.rank)
+	}
+	return strings.Compare(a.server.Address, b.server.Address)
+}
--- a/control/watch.go
+++ b/control/watch.go
@@ -200,17 +200,33 @@
 	return membership.GetMembers()
 }
 
-// pushChanges sends changes of the catalogue until ctx ends or the stream fails.
+// pushInterval is the shortest time between two pushes to a gateway. While many backend servers start or flap, one push
+// carries the changes of this time, because each costs a gateway a new view of all servers.
+const pushInterval = 150 * time.Millisecond
+
+// pushChanges sends changes of the catalogue until ctx ends or the stream fails. A change after a quiet time is sent at
+// once.
 func (w *gatewayWatch) pushChanges(ctx context.Context) {
 	changed := w.r.catalogueChanges.subscribe()
 	defer w.r.catalogueChanges.unsubscribe(changed)
+	pause := time.NewTimer(0)
+	defer pause.Stop()
+	paused := true
 	for {
+		changes := changed
+		if paused {
+			changes = nil // they wait in the channel
+		}
 		var err error
 		select {
 		case <-ctx.Done():
 			return
-		case <-changed:
+		case <-pause.C:
+			paused = false
+		case <-changes:
 			err = w.pushChange(ctx)
+			paused = true
+			pause.Reset(pushInterval)
 		case <-w.wake:
 			err = w.pushRouteParts(ctx)
 		}
--- a/gateway/backends.go
+++ b/gateway/backends.go
@@ -87,7 +87,7 @@
 // configure applies the catalogue and the gateway list of a lease.
 func (b *catalogueBackends) configure(l *lease) {
 	b.do(func(now time.Duration) {
-		gatewaysChanged := gatewayNamesInRegion(b.gateways, b.region) != gatewayNamesInRegion(l.gateways, b.region)
+		gatewaysChanged := !haveSameNames(b.gateways, l.gateways, b.region)
 		routesChanged := b.view.routes != l.catalogue.routes
 		b.view, b.gateways = l.catalogue, l.gateways
 		b.view.servers = b.withoutOdd(l.catalogue.servers)
@@ -150,14 +150,25 @@
 	b.pending = b.pending[:0]
 }
 
-func gatewayNamesInRegion(list []*controlpb.GatewayStatus, region string) string {
-	names := ""
-	for _, g := range list {
-		if g.GetRegion() == region {
-			names += g.GetName() + " "
+// haveSameNames reports whether two lists of gateways, each sorted by name, have the same names in a region.
+func haveSameNames(a, b []*controlpb.GatewayStatus, region string) bool {
+	for {
+		a, b = skipOtherRegions(a, region), skipOtherRegions(b, region)
+		if len(a) == 0 || len(b) == 0 {
+			return len(a) == len(b)
+		}
+		if a[0].GetName() != b[0].GetName() {
+			return false
 		}
+		a, b = a[1:], b[1:]
+	}
+}
+
+func skipOtherRegions(list []*controlpb.GatewayStatus, region string) []*controlpb.GatewayStatus {
+	for len(list) > 0 && list[0].GetRegion() != region {
+		list = list[1:]
 	}
-	return names
+	return list
 }
 
 // removeStaleRecords removes servers that are no longer in the catalogue, or that have another address or incarnation there.
--- a/gateway/cataloguelease.go
+++ b/gateway/cataloguelease.go
@@ -54,8 +54,8 @@
 	next := view
 	next.index = d.GetIndex()
 	next.servers = map[string]*controlpb.BackendServer{}
-	if !full {
-		maps.Copy(next.servers, view.servers)
+	if !full && view.servers != nil {
+		next.servers = maps.Clone(view.servers)
 	}
 	for _, s := range d.GetServers() {
 		next.servers[s.GetId()] = s
