--- a/gateway/loadprobe.go
+++ b/gateway/loadprobe.go
@@ -15,8 +15,9 @@
 	// probeSettleTime is how long a selection waits for more responses after each response. Servers of the own region
 	// respond within a few milliseconds.
 	probeSettleTime = 6 * time.Millisecond
-	// firstProbeTimeout limits the wait of a selection for the first response, which may come from another region.
-	firstProbeTimeout = 40 * time.Millisecond
+	// firstProbeTimeout limits the wait of a selection for the first response. It allows a server in another region to answer
+	// on a new connection, which takes two round trips: without a reading, one request in four goes to a disturbed server.
+	firstProbeTimeout = 70 * time.Millisecond
 	// loadProbeTimeout is the timeout of one probe. A response that arrives later is too old to be used.
 	loadProbeTimeout = 300 * time.Millisecond
 	// muteDuration is how long a service is not probed after a response without a load report.
