--- a/balance/reading.go
+++ b/balance/reading.go
@@ -94,7 +94,7 @@
 	}
 	r.preferred = s.preferredCount(v, r.maxTotal)
 	if secondRound {
-		r = probeRound{maxOwnDomain: secondRoundProbes, maxTotal: secondRoundProbes, preferred: math.MaxInt, skipFresh: true}
+		r = probeRound{maxOwnDomain: secondRoundProbes, maxTotal: secondRoundProbes, preferred: s.secondRoundCount(r.preferred), skipFresh: true}
 	}
 	if !s.hasPermittedInTier(v, tierDomain, q) && !s.hasPermittedInTier(v, tierRegion, q) {
 		s.addTargets(v, tierOther, q, &r, r.maxTotal)
@@ -116,6 +116,18 @@
 	return int(min(max(math.Ceil(contacts), float64(minPreferredPerProbe*probes)), preferredServers))
 }
 
+// secondRoundFactor is the number of servers among which a second round chooses, as a multiple of those probed first.
+const secondRoundFactor = 2
+
+// secondRoundCount returns the number of servers of a tier among which a second round chooses. It is all of them, unless
+// the connections of a gateway with few requests have to be reused.
+func (s *Snapshot) secondRoundCount(preferred int) int {
+	if s.config.ReuseWindow == 0 {
+		return math.MaxInt
+	}
+	return secondRoundFactor*preferred + secondRoundProbes
+}
+
 // probeRound is one round of probes before a selection.
 type probeRound struct {
 	// maxOwnDomain and maxTotal bound the servers of the own failure domain and those of all tiers.
