--- a/gateway/pipeline/framer.go
+++ b/gateway/pipeline/framer.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"strconv"
+	"net/http"
 	"strings"
 )
 
@@ -113,33 +113,57 @@
 	if end < 0 {
 		return head{}, headIncomplete
 	}
-	h := head{length: len(known)}
-	lines := strings.Split(string(p[:end]), "\r\n")
-	if !isUsualRequestLine(lines[0]) {
+	line, rest, _ := bytes.Cut(p[:end], crlf)
+	if !isUsualRequestLine(line) {
 		return head{}, headUnusual
 	}
+	h, usual := parseFields(rest)
+	if !usual {
+		return head{}, headUnusual
+	}
+	h.length = len(known)
+	return h, headComplete
+}
+
+// parseFields reads the length of the body from the lines of a head. usual is false if another parser may find another
+// length.
+func parseFields(lines []byte) (h head, usual bool) {
 	lengths := 0
-	for _, line := range lines[1:] {
-		name, value, ok := strings.Cut(line, ":")
-		if !ok || !isToken(name) {
-			return head{}, headUnusual // also a folded line
+	for len(lines) > 0 {
+		var line []byte
+		line, lines, _ = bytes.Cut(lines, crlf)
+		name, value, ok := bytes.Cut(line, colon)
+		if !ok || !isToken(name) { // also a folded line
+			return head{}, false
 		}
-		switch strings.ToLower(name) {
-		case "transfer-encoding", "expect", "upgrade", "http2-settings":
-			return head{}, headUnusual
-		case "connection":
-			if !strings.EqualFold(strings.TrimSpace(value), "keep-alive") {
-				return head{}, headUnusual
-			}
-		case "content-length":
-			n, valid := parseContentLength(value)
-			if lengths++; !valid || lengths > 1 {
-				return head{}, headUnusual
+		switch {
+		case isOneOf(name, "transfer-encoding", "expect", "upgrade", "http2-settings"):
+			return head{}, false
+		case isOneOf(name, "connection") && !isOneOf(bytes.TrimSpace(value), "keep-alive"):
+			return head{}, false
+		case isOneOf(name, "content-length"):
+			h.contentLength, ok = parseContentLength(value)
+			if lengths++; !ok || lengths > 1 {
+				return head{}, false
 			}
-			h.contentLength = n
 		}
 	}
-	return h, headComplete
+	return h, true
+}
+
+var (
+	crlf  = []byte("\r\n")
+	colon = []byte(":")
+)
+
+// isOneOf reports whether s equals one of the lower-case texts, in any case.
+func isOneOf(s []byte, texts ...string) bool {
+	for _, text := range texts {
+		if len(s) == len(text) && strings.EqualFold(string(s), text) {
+			return true
+		}
+	}
+	return false
 }
 
 // hasBareControl reports whether p has a LF without a CR before it, a CR that something else follows, or a NUL.
@@ -156,29 +180,35 @@
 }
 
 // isUsualRequestLine reports whether a line has a method, a path and the version HTTP/1.1, each separated by one space.
-func isUsualRequestLine(line string) bool {
-	parts := strings.Split(line, " ")
-	return len(parts) == 3 && isToken(parts[0]) && parts[0] != "CONNECT" && strings.HasPrefix(parts[1], "/") && parts[2] == "HTTP/1.1"
+func isUsualRequestLine(line []byte) bool {
+	method, rest, _ := bytes.Cut(line, []byte(" "))
+	target, version, ok := bytes.Cut(rest, []byte(" "))
+	return ok && isToken(method) && string(method) != http.MethodConnect && len(target) > 0 && target[0] == '/' && string(version) == "HTTP/1.1"
 }
 
 // parseContentLength parses a Content-Length of at most 18 digits.
-func parseContentLength(value string) (int64, bool) {
-	text := strings.Trim(value, " \t")
-	if text == "" || len(text) > 18 || strings.Trim(text, "0123456789") != "" {
+func parseContentLength(value []byte) (int64, bool) {
+	digits := bytes.Trim(value, " \t")
+	if len(digits) == 0 || len(digits) > 18 {
 		return 0, false
 	}
-	n, err := strconv.ParseInt(text, 10, 64)
-	return n, err == nil
+	n := int64(0)
+	for _, d := range digits {
+		if d < '0' || d > '9' {
+			return 0, false
+		}
+		n = 10*n + int64(d-'0')
+	}
+	return n, true
 }
 
 // isToken reports whether s is a token of RFC 9110, section 5.6.2.
-func isToken(s string) bool {
-	for i := range len(s) {
-		c := s[i]
+func isToken(s []byte) bool {
+	for _, c := range s {
 		isAlphanumeric := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
 		if !isAlphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
 			return false
 		}
 	}
-	return s != ""
+	return len(s) > 0
 }
