--- a/gateway/cuthead_test.go
+++ b/gateway/cuthead_test.go
@@ -10,7 +10,7 @@
 // Guards against a response whose head a server cuts off, by a close or a reset at any byte, that reaches the caller as a
 // complete response with an empty or a short body.
 func TestCutResponseHeadIsNoResponse(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length: 12\r\nX-Last: z\r\n\r\n"
+	const head = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 12\r\nX-Last: z\r\n\r\n"
 	for name, end := range map[string]func(net.Conn){"closed": func(c net.Conn) { _ = c.Close() }, "reset": reset} {
 		t.Run(name, func(t *testing.T) {
 			cut := 0
--- a/gateway/loadprobe_test.go
+++ b/gateway/loadprobe_test.go
@@ -121,13 +121,16 @@
 	for _, brief := range []bool{true, false} {
 		asked.Store(0)
 		p.refresh(t.Context(), e.Current(), &balance.Query{Now: p.clock.now(), Service: "labels", AnyRegion: true, Late: true}, brief)
-		switch n := int(asked.Load()); {
-		case brief:
-			first = n
-		case n <= first:
-			t.Errorf("%d servers probed for a late request that does not poll, %d for one that polls; want more for the first", n, first)
+		if brief {
+			time.Sleep(100 * time.Millisecond) // lets the readings of the first pass expire, and late probes arrive
+			first = int(asked.Load())
+			continue
 		}
-		time.Sleep(100 * time.Millisecond) // lets the readings of the first pass expire
+		// A selection waits for answers for a limited time only; on a busy machine, its probes arrive after that.
+		eventually(t, "a late request that does not poll probes more servers than one that polls", func() bool { return int(asked.Load()) > first })
+	}
+	if first > 3 {
+		t.Errorf("%d servers probed for a request that polls, want 3 at most", first)
 	}
 	if first == 0 {
 		t.Error("no server was probed for a request that polls")
