--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// aheadChunkBytes is the size of one read ahead; a connection holds at most twice as many unserved bytes.
+	// aheadChunkBytes is the size of one read ahead. A connection holds at most so many bytes and an incomplete head.
 	aheadChunkBytes = 4 << 10
 	// lingerTimeout limits how long a closed connection reads what the client had sent ahead. Closing with unread bytes
 	// would reset the connection and could destroy the last response on its way.
@@ -53,7 +53,7 @@
 	if err := c.writeResponses(); err != nil {
 		return 0, err
 	}
-	if len(c.ahead) > 0 {
+	if len(c.ahead) > 0 && !c.isClosed() {
 		n := copy(p, c.ahead)
 		n = c.framer.advance(p[:n])
 		c.ahead = c.ahead[n:]
@@ -63,9 +63,13 @@
 		return 0, c.readErr
 	}
 	n, err := c.Conn.Read(p)
+	if c.isClosed() { // the connection may still be open for a moment, see closeAfterReading
+		return 0, net.ErrClosed
+	}
 	taken := c.framer.advance(p[:n])
 	if taken < n {
 		c.ahead = append(c.ahead[:0], p[taken:n]...)
+		c.markReadAhead()
 	}
 	return taken, err
 }
@@ -295,12 +299,19 @@
 		return net.ErrClosed
 	}
 	if linger {
+		_ = c.Conn.SetReadDeadline(time.Now()) // ends a pending read
 		go c.closeAfterReading()
 		return nil
 	}
 	return c.Conn.Close()
 }
 
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // closeAfterReading closes the connection after the client has read the last response, or after lingerTimeout.
 func (c *conn) closeAfterReading() {
 	_ = c.CloseWrite()
