Call the first membership of a cluster its bootstrap, as elsewhere

cause: read as a newcomer: Found, found and founder stand beside bootstrap, which the field and the older code say, and 'found' is taken for 'find'. change: names and texts only, of the call Found (new in this sitting), event 1006, files, tests and pages. conclusion: kept; samecode's report is in the next commit's message or the landing note

--- a/control/founding.go
+++ b/control/bootstrap.go
@@ -13,71 +13,71 @@
 	"heatherwall.example/telemetry"
 )
 
-// With discovery, the seed with the lowest address is the founder of the cluster. It asks the other seeds for the members
+// With discovery, the seed with the lowest address bootstraps the cluster. It asks the other seeds for the members
 // that they would be, stores the first membership of the configuration group with up to initialVoters of them, and starts
 // once a majority of these holds it as well. So no single disk can lose the cluster, and nothing is acknowledged before.
 const (
 	// initialVoters is the number of voters of a new cluster.
 	initialVoters = 3
-	// foundingInterval is the time between two rounds of probes.
-	foundingInterval = 50 * time.Millisecond
-	// foundingProbeTimeout is the timeout of one probe or call of Found.
-	foundingProbeTimeout = 300 * time.Millisecond
-	// foundingWait is how long the founder waits for all other seeds; then one other is enough.
-	foundingWait = 700 * time.Millisecond
-	// foundAloneAfter is the time after which the founder starts alone, because no other seed answers.
-	foundAloneAfter = 10 * time.Second
+	// bootstrapInterval is the time between two rounds of probes.
+	bootstrapInterval = 50 * time.Millisecond
+	// bootstrapProbeTimeout is the timeout of one probe or call of Bootstrap.
+	bootstrapProbeTimeout = 300 * time.Millisecond
+	// bootstrapWait is how long the bootstrap replica waits for all other seeds; then one other is enough.
+	bootstrapWait = 700 * time.Millisecond
+	// bootstrapAloneAfter is the time after which the bootstrap replica starts alone, because no other seed answers.
+	bootstrapAloneAfter = 10 * time.Second
 	// acceptanceWait limits the wait until a majority of the initial voters holds the first membership.
 	acceptanceWait = 5 * time.Second
 )
 
 // seedAnswers sorts what the other seeds answered in one round of probes.
 type seedAnswers struct {
-	// founded is set if a seed belongs to a cluster.
-	founded bool
+	// hasCluster is set if a seed belongs to a cluster.
+	hasCluster bool
 	// candidates are the members that seeds at their first start would be.
 	candidates []*raftpb.Member
-	// older counts the seeds whose build cannot take part in a founding.
+	// older counts the seeds whose build cannot take part in a bootstrap.
 	older int
 	asked int
 }
 
-// foundingStep is what the founder does after a round of probes.
-type foundingStep int
+// bootstrapStep is what the bootstrap replica does after a round of probes.
+type bootstrapStep int
 
 const (
-	waitForSeeds foundingStep = iota
+	waitForSeeds bootstrapStep = iota
 	joinCluster
-	foundWithCandidates
-	foundAlone
+	bootstrapWithCandidates
+	bootstrapAlone
 )
 
-// next decides what the founder does after having waited for the given time. firstStart is false for a founder that lost
+// next decides what the bootstrap replica does after having waited for the given time. firstStart is false if it has lost
 // its data folder. No cluster exists yet if every other seed is still at its first start, because the first membership
-// needs one of them; the founder then founds again, as nobody else would.
-func (a *seedAnswers) next(firstStart bool, waited time.Duration) foundingStep {
+// needs one of them; the replica then bootstraps again, as nobody else would.
+func (a *seedAnswers) next(firstStart bool, waited time.Duration) bootstrapStep {
 	switch {
-	case a.founded:
+	case a.hasCluster:
 		return joinCluster
 	case a.asked > 0 && len(a.candidates) == a.asked:
-		return foundWithCandidates
+		return bootstrapWithCandidates
 	case !firstStart:
 		return waitForSeeds
 	case a.asked == 0:
-		return foundAlone
-	case waited < foundingWait:
+		return bootstrapAlone
+	case waited < bootstrapWait:
 		return waitForSeeds
 	case len(a.candidates) > 0:
-		return foundWithCandidates
-	case a.older > 0, waited >= foundAloneAfter:
-		return foundAlone
+		return bootstrapWithCandidates
+	case a.older > 0, waited >= bootstrapAloneAfter:
+		return bootstrapAlone
 	}
 	return waitForSeeds
 }
 
-// isFounder reports whether this replica has the lowest address of the seeds. All replicas have the same seeds when they
-// start for the first time, so that exactly one of them is the founder.
-func (r *replica) isFounder() bool {
+// isBootstrapReplica reports whether this replica has the lowest address of the seeds. All replicas have the same seeds when they
+// start for the first time, so that exactly one of them is the bootstrap replica.
+func (r *replica) isBootstrapReplica() bool {
 	seeds := r.seedAddresses()
 	return len(seeds) > 0 && seeds[0] == r.settings.Peer.AdvertisedAddress()
 }
@@ -90,9 +90,9 @@
 	return nil
 }
 
-// foundOrJoin creates the configuration group, or joins the cluster that a seed belongs to. saved is the identity of an
-// interrupted founding, or empty.
-func (r *replica) foundOrJoin(ctx context.Context, saved wal.Identity) (wal.Identity, error) {
+// bootstrapOrJoin creates the configuration group, or joins the cluster that a seed belongs to. saved is the identity of an
+// interrupted bootstrap, or empty.
+func (r *replica) bootstrapOrJoin(ctx context.Context, saved wal.Identity) (wal.Identity, error) {
 	started := time.Now()
 	for ctx.Err() == nil {
 		answers := r.probeSeeds(ctx)
@@ -102,12 +102,12 @@
 				return saved, nil
 			}
 			return r.discoverCluster(ctx)
-		case foundWithCandidates:
-			return r.found(ctx, saved, answers.candidates)
-		case foundAlone:
-			return r.found(ctx, saved, nil)
+		case bootstrapWithCandidates:
+			return r.bootstrapWith(ctx, saved, answers.candidates)
+		case bootstrapAlone:
+			return r.bootstrapWith(ctx, saved, nil)
 		case waitForSeeds:
-			sleep(ctx, foundingInterval)
+			sleep(ctx, bootstrapInterval)
 		}
 	}
 	return wal.Identity{}, ctx.Err()
@@ -115,18 +115,18 @@
 
 // probeSeeds asks all other seeds in parallel.
 func (r *replica) probeSeeds(ctx context.Context) *seedAnswers {
-	ctx, cancel := context.WithTimeout(ctx, foundingProbeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, bootstrapProbeTimeout)
 	defer cancel()
 	isOwn := func(a string) bool { return a == r.settings.Peer.AdvertisedAddress() }
 	others := slices.DeleteFunc(slices.Clone(r.seedAddresses()), isOwn)
-	found := make([]*controlpb.ProbeAnswer, len(others))
+	received := make([]*controlpb.ProbeAnswer, len(others))
 	var wg sync.WaitGroup
 	for i, address := range others {
-		wg.Go(func() { found[i], _ = r.probe(ctx, address) }) // a seed that does not answer is asked again
+		wg.Go(func() { received[i], _ = r.probe(ctx, address) }) // a seed that does not answer is asked again
 	}
 	wg.Wait()
 	answers := &seedAnswers{asked: len(others)}
-	for _, a := range found {
+	for _, a := range received {
 		answers.add(a)
 	}
 	return answers
@@ -137,7 +137,7 @@
 	switch {
 	case answer == nil:
 	case answer.ClusterId != 0:
-		a.founded = true
+		a.hasCluster = true
 	case answer.Candidate == nil:
 		a.older++
 	case answer.FirstStart:
@@ -145,8 +145,8 @@
 	}
 }
 
-// found stores the first membership here, before any candidate gets it, and then gives it to the candidates.
-func (r *replica) found(ctx context.Context, saved wal.Identity, candidates []*raftpb.Member) (wal.Identity, error) {
+// bootstrapWith stores the first membership here, before any candidate gets it, and then gives it to the candidates.
+func (r *replica) bootstrapWith(ctx context.Context, saved wal.Identity, candidates []*raftpb.Member) (wal.Identity, error) {
 	r.isJoining.Store(true)
 	id := saved
 	if id.ID == 0 {
@@ -169,14 +169,14 @@
 func (r *replica) awaitAcceptance(ctx context.Context, cluster uint64, voters []*raftpb.Member) int {
 	ctx, cancel := context.WithTimeout(ctx, acceptanceWait)
 	defer cancel()
-	request := &controlpb.FoundRequest{ClusterId: cluster, Voters: voters}
+	request := &controlpb.BootstrapRequest{ClusterId: cluster, Voters: voters}
 	accepted := make([]bool, len(voters))
 	accepted[0] = true // this replica
 	for {
 		var wg sync.WaitGroup
 		for i, v := range voters {
 			if !accepted[i] {
-				wg.Go(func() { accepted[i] = r.offerFounding(ctx, v.Address, request) })
+				wg.Go(func() { accepted[i] = r.offerBootstrap(ctx, v.Address, request) })
 			}
 		}
 		wg.Wait()
@@ -189,40 +189,40 @@
 		if n > len(voters)/2 || ctx.Err() != nil {
 			return n
 		}
-		sleep(ctx, foundingInterval)
+		sleep(ctx, bootstrapInterval)
 	}
 }
 
-// offerFounding reports whether the replica at an address holds the first membership.
-func (r *replica) offerFounding(ctx context.Context, address string, request *controlpb.FoundRequest) bool {
-	ctx, cancel := context.WithTimeout(ctx, foundingProbeTimeout)
+// offerBootstrap reports whether the replica at an address holds the first membership.
+func (r *replica) offerBootstrap(ctx context.Context, address string, request *controlpb.BootstrapRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, bootstrapProbeTimeout)
 	defer cancel()
 	conn, err := r.peerDialer().dial(address)
 	if err != nil {
 		return false
 	}
 	defer conn.Close()
-	answer, err := controlpb.NewPeersClient(conn).Found(ctx, request)
+	answer, err := controlpb.NewPeersClient(conn).Bootstrap(ctx, request)
 	return err == nil && answer.Accepted
 }
 
-// foundingOffer is a call of Found for a replica that has no identity yet.
-type foundingOffer struct {
-	request *controlpb.FoundRequest
+// bootstrapOffer is a call of Bootstrap for a replica that has no identity yet.
+type bootstrapOffer struct {
+	request *controlpb.BootstrapRequest
 	// accepted receives whether the first membership was stored.
 	accepted chan bool
 }
 
-// Found stores the first membership of the configuration group if this replica is one of its voters and belongs to no
+// Bootstrap stores the first membership of the configuration group if this replica is one of its voters and belongs to no
 // cluster. A repeated call is accepted again.
-func (s *peerServer) Found(ctx context.Context, request *controlpb.FoundRequest) (*controlpb.FoundAnswer, error) {
+func (s *peerServer) Bootstrap(ctx context.Context, request *controlpb.BootstrapRequest) (*controlpb.BootstrapAnswer, error) {
 	if _, err := s.checkReplica(ctx); err != nil {
 		return nil, err
 	}
 	if s.r.opened.Load() {
-		return &controlpb.FoundAnswer{Accepted: s.r.holdsFounding(ctx, request)}, nil
+		return &controlpb.BootstrapAnswer{Accepted: s.r.holdsBootstrap(ctx, request)}, nil
 	}
-	offer := foundingOffer{request: request, accepted: make(chan bool, 1)}
+	offer := bootstrapOffer{request: request, accepted: make(chan bool, 1)}
 	select {
 	case s.r.offers <- offer:
 	case <-ctx.Done():
@@ -230,14 +230,14 @@
 	}
 	select {
 	case accepted := <-offer.accepted:
-		return &controlpb.FoundAnswer{Accepted: accepted}, nil
+		return &controlpb.BootstrapAnswer{Accepted: accepted}, nil
 	case <-ctx.Done():
 		return nil, notOpenStatus()
 	}
 }
 
-// holdsFounding reports whether this replica belongs to the cluster as one of the initial voters and has its log.
-func (r *replica) holdsFounding(ctx context.Context, request *controlpb.FoundRequest) bool {
+// holdsBootstrap reports whether this replica belongs to the cluster as one of the initial voters and has its log.
+func (r *replica) holdsBootstrap(ctx context.Context, request *controlpb.BootstrapRequest) bool {
 	self := r.loop.self
 	if request.ClusterId != r.loop.clusterID || !slices.ContainsFunc(request.Voters, func(m *raftpb.Member) bool { return m.Id == self.Id }) {
 		return false
@@ -248,9 +248,9 @@
 	return holds && err == nil
 }
 
-// acceptFounding stores the identity and the first membership of an offer for this replica. It returns false if the offer
+// acceptBootstrap stores the identity and the first membership of an offer for this replica. It returns false if the offer
 // is meant for another run of the process, whose data may have been lost.
-func (r *replica) acceptFounding(request *controlpb.FoundRequest) (wal.Identity, bool, error) {
+func (r *replica) acceptBootstrap(request *controlpb.BootstrapRequest) (wal.Identity, bool, error) {
 	if request.ClusterId == 0 || !slices.ContainsFunc(request.Voters, func(m *raftpb.Member) bool { return m.Id == r.candidateID && m.Name == r.settings.Name }) {
 		return wal.Identity{}, false, nil
 	}
@@ -263,6 +263,6 @@
 	if err := initializeGroupLog(r.groupFolder(configurationGroup), voters); err != nil {
 		return id, false, err
 	}
-	r.log.Log(eventFoundingAccepted, telemetry.F("id", id.ID), telemetry.F("cluster", id.ClusterID), telemetry.F("voters", len(voters)))
+	r.log.Log(eventBootstrapAccepted, telemetry.F("id", id.ID), telemetry.F("cluster", id.ClusterID), telemetry.F("voters", len(voters)))
 	return id, true, nil
 }
--- a/control/events.go
+++ b/control/events.go
@@ -10,7 +10,7 @@
 		"The replica transferred its leaderships and closed its logs.")
 	eventGroupBootstrapped = telemetry.Define(1003, "group_bootstrapped", telemetry.Info,
 		"The replica created the configuration group; the numbers of its voters and of those that hold the first membership are in the fields.")
-	eventFoundingAccepted = telemetry.Define(1006, "founding_accepted", telemetry.Info,
+	eventBootstrapAccepted = telemetry.Define(1006, "bootstrap_accepted", telemetry.Info,
 		"The replica is an initial voter of a new configuration group and holds its first membership.")
 	eventJoining = telemetry.Define(1004, "replica_joining", telemetry.Info,
 		"The replica asks a group to add its identity.")
--- a/control/identity.go
+++ b/control/identity.go
@@ -43,10 +43,10 @@
 	switch {
 	case errors.As(err, &missing) && r.options.Bootstrap:
 		return r.bootstrap(ctx, wal.Identity{})
-	case errors.As(err, &missing) && r.isFounder():
+	case errors.As(err, &missing) && r.isBootstrapReplica():
 		stop := r.serveProbes(listener)
 		defer stop()
-		return r.foundOrJoin(ctx, wal.Identity{})
+		return r.bootstrapOrJoin(ctx, wal.Identity{})
 	case errors.As(err, &missing):
 		stop := r.serveProbes(listener)
 		defer stop()
@@ -61,8 +61,8 @@
 
 // completeBootstrap completes a bootstrap that was interrupted after the identity was created.
 func (r *replica) completeBootstrap(ctx context.Context, saved wal.Identity) (wal.Identity, error) {
-	founds := r.isFounder() && r.settings.Discovery.FirstStart
-	if !r.options.Bootstrap && !founds {
+	bootstraps := r.isBootstrapReplica() && r.settings.Discovery.FirstStart
+	if !r.options.Bootstrap && !bootstraps {
 		return saved, nil
 	}
 	empty, err := isLogEmpty(r.groupFolder(configurationGroup))
@@ -72,7 +72,7 @@
 	if r.options.Bootstrap {
 		return r.bootstrap(ctx, saved)
 	}
-	return r.foundOrJoin(ctx, saved)
+	return r.bootstrapOrJoin(ctx, saved)
 }
 
 func isLogEmpty(folder string) (bool, error) {
@@ -94,7 +94,7 @@
 	return l.SetDeadline(time.Now())
 }
 
-// serveProbes answers Probe and Found until stop is called. The other calls return Unavailable.
+// serveProbes answers Probe and Bootstrap until stop is called. The other calls return Unavailable.
 func (r *replica) serveProbes(listener *net.TCPListener) (stop func()) {
 	server := api.NewServer(r.tls, maxMessageBytes)
 	controlpb.RegisterPeersServer(server, &peerServer{r: r})
@@ -187,7 +187,7 @@
 }
 
 // discoverCluster asks the candidate addresses for the cluster ID until one of them belongs to a cluster, and creates
-// the identity with that ID. Meanwhile the founder may make this replica an initial voter.
+// the identity with that ID. Meanwhile the bootstrap replica may make this replica an initial voter.
 func (r *replica) discoverCluster(ctx context.Context) (wal.Identity, error) {
 	probing, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -199,7 +199,7 @@
 	for {
 		select {
 		case offer := <-r.offers:
-			id, accepted, err := r.acceptFounding(offer.request)
+			id, accepted, err := r.acceptBootstrap(offer.request)
 			offer.accepted <- accepted
 			if accepted || err != nil {
 				return id, err
--- a/control/replica.go
+++ b/control/replica.go
@@ -53,12 +53,12 @@
 	catalogueChanges changeNotifier
 
 	// candidateID is the ID that this replica takes when it joins a cluster. It is new in each run of the process, so that a
-	// founder cannot give it to a replica that has lost its data since.
+	// bootstrap replica cannot give it to a replica that has lost its data since.
 	candidateID uint64
 	// isJoining is set before the identity is created, so that nobody is told then that this replica belongs to no cluster.
 	isJoining atomic.Bool
-	// offers passes calls of Found to the goroutine that looks for a cluster.
-	offers chan foundingOffer
+	// offers passes calls of Bootstrap to the goroutine that looks for a cluster.
+	offers chan bootstrapOffer
 
 	loop          *loop
 	transport     *transport
@@ -132,7 +132,7 @@
 	return &replica{
 		settings: s, log: log, counters: newCounters(), tls: tlsConfig,
 		batches: map[uint64]*claimBatch{}, outbox: map[string]peerPayload{}, creatingClaimGroups: map[string]bool{}, stopping: make(chan struct{}),
-		servers: newServerReports(), candidateID: randomUint63() | 1, offers: make(chan foundingOffer),
+		servers: newServerReports(), candidateID: randomUint63() | 1, offers: make(chan bootstrapOffer),
 	}
 }
 
