Let the test of hedges wait until the first attempt has reached its server

The dump has the handler of the fast server in its wait for the cancellation, and none of the slow server: the first attempt was cancelled before it was sent, because the hedge follows after 1 ms.

--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -436,14 +436,27 @@
 
 // Guards against forwarding the later response of two hedged attempts, and against an attempt that is not cancelled.
 func TestFirstHedgedResponseCancelsOtherAttempt(t *testing.T) {
-	canceled := make(chan struct{})
-	slow := startBackend(t, func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done(); close(canceled) })
+	received, canceled := make(chan struct{}), make(chan struct{})
+	await := func(what string, c <-chan struct{}) {
+		select {
+		case <-c:
+		case <-time.After(testTimeout):
+			t.Errorf("not reached: %s", what)
+		}
+	}
+	slow := startBackend(t, func(w http.ResponseWriter, r *http.Request) { close(received); <-r.Context().Done(); close(canceled) })
 	f := newPathFixture(t, slow, startBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, "fast")
 		_ = http.NewResponseController(w).Flush()
-		<-canceled // the response ends only after the other attempt was cancelled
+		await("the other attempt is cancelled", canceled) // the response ends only after that
 	}))
 	f.servers.hedge = time.Millisecond
+	picks := 0
+	f.servers.onPick = func() {
+		if picks++; picks == 2 { // the hedge; the first attempt could otherwise be cancelled before it is sent
+			await("the first attempt reaches its server", received)
+		}
+	}
 	f.expect(t, f.request(t, "GET", "/hedged", ""), 200, "fast")
 }
 
