--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -75,8 +74,8 @@
 	return waitForSeeds
 }
 
-// isBootstrapReplica reports whether this replica has the lowest address of the seeds. All replicas have the same seeds when they
-// start for the first time, so that exactly one of them is the bootstrap replica.
+// isBootstrapReplica reports whether this replica has the lowest address of the seeds. All replicas have the same seeds
+// when they start for the first time, so that exactly one of them is the bootstrap replica.
 func (r *replica) isBootstrapReplica() bool {
 	seeds := r.seedAddresses()
 	return len(seeds) > 0 && seeds[0] == r.settings.Peer.AdvertisedAddress()
@@ -259,10 +258,9 @@
 	if err != nil {
 		return id, false, err
 	}
-	voters := slices.SortedFunc(slices.Values(request.Voters), func(a, b *raftpb.Member) int { return cmp.Compare(a.Id, b.Id) })
-	if err := initializeGroupLog(r.groupFolder(configurationGroup), voters); err != nil {
+	if err := initializeGroupLog(r.groupFolder(configurationGroup), request.Voters); err != nil {
 		return id, false, err
 	}
-	r.log.Log(eventBootstrapAccepted, telemetry.F("id", id.ID), telemetry.F("cluster", id.ClusterID), telemetry.F("voters", len(voters)))
+	r.log.Log(eventBootstrapAccepted, telemetry.F("id", id.ID), telemetry.F("cluster", id.ClusterID), telemetry.F("voters", len(request.Voters)))
 	return id, true, nil
 }
--- a/control/identity.go
+++ b/control/identity.go
@@ -190,7 +190,6 @@
 // the identity with that ID. Meanwhile the bootstrap replica may make this replica an initial voter.
 func (r *replica) discoverCluster(ctx context.Context) (wal.Identity, error) {
 	probing, cancel := context.WithCancel(ctx)
-	defer cancel()
 	clusters := make(chan uint64, 1)
 	var wg sync.WaitGroup
 	defer wg.Wait()
