--- a/review/tool/replacement.go
+++ b/review/tool/replacement.go
@@ -123,6 +123,14 @@
 	c.order(c.controls[0], "call=config.put", configVersion(1))
 	c.awaitReady(20 * time.Second)
 	time.Sleep(10 * time.Second) // every replica has become a voter
+	rs, h := &runs{}, &history{}
+	for i, z := range []string{"rennes-a", "rennes-a", "vannes-a", "vannes-a"} {
+		w := c.newWorker(rs, fmt.Sprintf("i-%d", i+1), "one", z)
+		w.start()
+		<-w.acked
+	}
+	stop := make(chan struct{})
+	clients := c.traffic(h, 6, 100*time.Millisecond, "GET", "a.example", "/x/1", stop)
 	if e.plays("replacement") {
 		c.replaceCore(c.controls[4])
 	}
@@ -138,10 +146,22 @@
 		}
 		r.logf("finistere has no power")
 	}
+	lostAt := r.now()
 	time.Sleep(contactMs)
 	_, ok := c.tryOrder("call=config.put", configVersion(3), 20*time.Second)
+	time.Sleep(lostAt + 42*time.Second - r.now())
+	close(stop)
+	clients.Wait()
+	r.dump(h, rs)
+	statuses := map[int]int{}
+	for _, a := range h.all() {
+		if a.sent > lostAt+37*time.Second && a.gateway != c.gateways[0].name {
+			statuses[a.status]++
+		}
+	}
+	r.logf("requests through the gateways of the other regions from 37 to 42 s after the loss, by status: %v", statuses)
 	if !ok {
-		return fmt.Sprintf("Acks: with one region without power, a valid configuration had no acknowledgement in 20 s, %v allowed", ackMs)
+		return fmt.Sprintf("Acks: with one region without power, a valid configuration had no acknowledgement in 20 s, %v allowed; from 37 to 42 s after the loss, requests at the gateways of the other regions got (by status) %v", ackMs, statuses)
 	}
 	return ""
 }
