--- a/review/tool/client.go
+++ b/review/tool/client.go
@@ -63,7 +63,8 @@
 	if err != nil {
 		cannotRun("request: %v", err)
 	}
-	r.GetBody = nil // no resend by the library
+	// With a body and no GetBody, the library sends nothing again by itself.
+	r.Body, r.GetBody = io.NopCloser(strings.NewReader(body)), nil
 	r.Host = host
 	r.Header.Set("X-Attempt-Id", a.id)
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
