--- a/review/tool/replacement.go
+++ b/review/tool/replacement.go
@@ -106,9 +106,9 @@
 	_, put := c.tryOrder("call=config.put", configVersion(3), 15*time.Second)
 	switch {
 	case read && !strings.Contains(text, `"version":2,`):
-		return "LOST: the configuration that is read back is not the acknowledged one: " + text[:min(40, len(text))]
+		return "CONFIG: the configuration that is read back is not the acknowledged one: " + text[:min(40, len(text))]
 	case !read:
-		return fmt.Sprintf("LOST: the acknowledged configuration does not come back in the 15 s that begin 15 s after the machine is back; a new one is acknowledged: %v", put)
+		return fmt.Sprintf("CONFIG: the acknowledged configuration does not come back in the 15 s that begin 15 s after the machine is back; a new one is acknowledged: %v", put)
 	case !put:
 		return "no new configuration is acknowledged"
 	}
