--- a/review/tool/client.go
+++ b/review/tool/client.go
@@ -66,8 +66,8 @@
 	// With a body and no GetBody, the library sends nothing again by itself.
 	r.Body, r.GetBody = io.NopCloser(strings.NewReader(body)), nil
 	r.Host = host
-	r.Header.Set("X-Attempt-Id", a.id)
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set(headerAttempt, a.id)
+	r.Header.Set(headerDeadline, fmt.Sprint(deadline.Milliseconds()))
 	if answer, err := client.Do(r); err != nil {
 		a.err = err.Error()
 	} else {
@@ -76,7 +76,7 @@
 		if err != nil {
 			a.err = err.Error()
 		} else {
-			a.status, a.signed, a.body = answer.StatusCode, answer.Header.Get("X-Server-Signature"), string(text)
+			a.status, a.signed, a.body = answer.StatusCode, answer.Header.Get(headerSignature), string(text)
 		}
 	}
 	a.answered = c.record.now()
--- a/review/tool/cluster.go
+++ b/review/tool/cluster.go
@@ -295,7 +295,7 @@
 // status is 0 without a response.
 func (c *cluster) callOnce(n *node, query, body string) (status int, text string) {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	r, err := client.Post("http://"+c.controlAddress(n)+"/heatherwall/rpc?"+query, "application/json", strings.NewReader(body))
+	r, err := client.Post("http://"+c.controlAddress(n)+callPath+query, "application/json", strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
--- a/review/tool/evacuation.go
+++ b/review/tool/evacuation.go
@@ -6,11 +6,6 @@
 	"time"
 )
 
-const configOne = `{"version":1,"routes":[{"name":"r","hostname":"a.example","path_prefix":"/x/","type":"safe","timeout_ms":2000,"target_latency_ms":500,"priority":1,"service":"one","max_attempts":2,"allowed_regions":[]},` +
-	`{"name":"u","hostname":"a.example","path_prefix":"/u/","type":"unsafe","timeout_ms":2000,"target_latency_ms":500,"priority":1,"service":"one","max_attempts":2,"allowed_regions":[]}],` +
-	`"services":[{"name":"one","health_path":"/healthz","max_conns":220,"protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":8.0}],` +
-	`"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
-
 const (
 	evacMs    = 5000 * time.Millisecond
 	contactMs = 3000 * time.Millisecond
--- a/review/tool/worker.go
+++ b/review/tool/worker.go
@@ -84,7 +84,7 @@
 }
 
 func (w *worker) body() string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","concurrency":%d,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
+	return fmt.Sprintf(heartbeatFormat,
 		w.service, w.address, w.zone, w.slots, w.state.Load(), w.sequence.Add(1), w.born)
 }
 
@@ -93,7 +93,7 @@
 	at := rand.IntN(len(w.c.controls))
 	for {
 		for range len(w.c.controls) {
-			status, _ := w.c.callOnce(w.c.controls[at], "call=instances.heartbeat&of="+w.id, w.body())
+			status, _ := w.c.callOnce(w.c.controls[at], heartbeatCall+w.id, w.body())
 			if status == http.StatusOK {
 				w.once.Do(func() { close(w.acked) })
 				break
@@ -110,17 +110,17 @@
 
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	h := out.Header()
-	h.Set("X-Instance-Id", w.id)
-	h.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d,100", w.running.Load(), w.slots))
+	h.Set(headerInstance, w.id)
+	h.Set(headerLoad, fmt.Sprintf("%d,0,%d,100", w.running.Load(), w.slots))
 	if r.URL.Path == "/healthz" {
 		if w.state.Load() != "ready" {
 			out.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	attempt := r.Header.Get("X-Attempt-Id")
-	h.Set("X-Attempt-Id", attempt)
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
+	attempt := r.Header.Get(headerAttempt)
+	h.Set(headerAttempt, attempt)
+	if expected := r.Header.Get(headerExpected); expected != "" && expected != w.id {
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -130,7 +130,7 @@
 	}
 	if w.running.Add(1) > int64(w.slots) {
 		w.running.Add(-1)
-		h.Set("X-Not-Executed", "1")
+		h.Set(headerNotRun, "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -144,6 +144,6 @@
 	case <-r.Context().Done():
 		return
 	}
-	h.Set("X-Server-Signature", "sig-"+w.id+"-"+attempt)
+	h.Set(headerSignature, "sig-"+w.id+"-"+attempt)
 	_, _ = io.WriteString(out, "answer to "+attempt+" "+strings.Repeat("x", 100))
 }
