--- a/review/tool/cluster.go
+++ b/review/tool/cluster.go
@@ -104,6 +104,9 @@
 	}
 }
 
+// lastHost is the highest last number of the addresses of a cluster.
+const lastHost = 200
+
 // freePort returns a port that is free on every address of the cluster.
 func freePort(base string) int {
 	for range 50 {
@@ -113,9 +116,7 @@
 		}
 		port := l.Addr().(*net.TCPAddr).Port
 		_ = l.Close()
-		all, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", port))
-		if err == nil {
-			_ = all.Close()
+		if isFree(base, port) {
 			return port
 		}
 	}
@@ -123,6 +124,17 @@
 	return 0
 }
 
+func isFree(base string, port int) bool {
+	for host := 1; host <= lastHost; host++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", base, host, port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
 func newCluster(binary string, controls, gateways int, r *record) *cluster {
 	folder, err := os.MkdirTemp("", "review-")
 	if err != nil {
