control: demote silent voters, so that replaced replicas leave the quorum

cause: a silent voter was removed only at the moment when a learner had caught up, and only after 6 s of silence. The successor catches up sooner and was promoted beside the lost voter, which nothing looked at again. A demotion is REMOVE and ADD_LEARNER, which earlier builds know. Without a lost voter the quorum is never larger, so the others lose nothing by a demotion.

--- a/control/discovery.go
+++ b/control/discovery.go
@@ -74,7 +74,7 @@
 
 // mayHaveBeenRemoved reports whether the group has had no leader for so long that this replica may have been removed.
 func (r *replica) mayHaveBeenRemoved(g *group) bool {
-	return r.settings.Discovery != nil && !g.leaderSeenAt.IsZero() && time.Since(g.leaderSeenAt) > rejoinAfter
+	return !g.leaderSeenAt.IsZero() && time.Since(g.leaderSeenAt) > rejoinAfter
 }
 
 // recordLeaderSeen sets leaderSeenAt to now if a leader is known or nothing has been recorded yet.
--- a/control/group.go
+++ b/control/group.go
@@ -63,6 +63,8 @@
 	bytesSinceSnapshot   int
 	lastSnapshotBytes    int
 	isLeader             bool
+	// demoting is the voter that this leader has removed and not yet added again as a learner; nil if there is none.
+	demoting *raftpb.Member
 	// leaderSeenAt is when a leader was last known.
 	leaderSeenAt time.Time
 
@@ -272,12 +274,4 @@
 }
 
 // voterCount returns the number of voters in the committed membership that this replica knows.
-func (g *group) voterCount() int {
-	n := 0
-	for _, m := range g.node.Status().CommittedMembership.GetMembers() {
-		if !m.Learner {
-			n++
-		}
-	}
-	return n
-}
+func (g *group) voterCount() int { return countVoters(g.node.Status().CommittedMembership) }
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,43 +28,66 @@
 
 func (m *recordingMachine) Restore([]byte) error { return nil }
 
-// network connects the loops of three replicas of one group; a disconnected replica neither sends nor receives.
+// network connects the loops of the replicas of one group; a disconnected replica neither sends nor receives.
 type network struct {
 	loops        map[uint64]*loop
 	disconnected map[uint64]bool
 	inFlight     []*raftpb.Message
+	// random returns the random part, in ticks, of an election timeout of a replica.
+	random func(id uint64, limit int) int
 }
 
 func newNetwork(t testing.TB) *network {
 	t.Helper()
-	n := &network{loops: map[uint64]*loop{}, disconnected: map[uint64]bool{}}
-	members := []*raftpb.Member{{Id: 1, Name: "a"}, {Id: 2, Name: "b"}, {Id: 3, Name: "c"}}
+	// Replica 1 has the shortest election timeout, so that it leads in every run.
+	return newNetworkOf(t, 3, func(id uint64, _ int) int { return int(id-1) * 3 })
+}
+
+// newNetworkOf returns a network of replicas with the IDs 1 to size, all of them voters.
+func newNetworkOf(t testing.TB, size uint64, random func(id uint64, limit int) int) *network {
+	t.Helper()
+	n := &network{loops: map[uint64]*loop{}, disconnected: map[uint64]bool{}, random: random}
+	var members []*raftpb.Member
+	for id := uint64(1); id <= size; id++ {
+		members = append(members, networkMember(id))
+	}
 	for _, m := range members {
-		storage := raft.NewMemoryStorage(raft.BootstrapSnapshot(members, nil))
-		// Replica 1 has the shortest election timeout, so that it leads in every run.
-		node, err := raft.New(raft.Config{
-			ID: m.Id, Group: configurationGroup, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
-			Storage: storage, Rand: func(int) int { return int(m.Id-1) * 3 },
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		l := newLoop(m, 1, telemetry.NewLogger(io.Discard, telemetry.Error), newCounters())
-		l.send = func(_ *group, messages []*raftpb.Message) { n.inFlight = append(n.inFlight, messages...) }
-		g := newGroup(configurationGroup, "", m.Id, node, storage, &recordingMachine{})
-		g.applied = raft.BootstrapIndex
-		l.addGroup(g)
-		n.loops[m.Id] = l
+		n.addReplica(t, m, raft.BootstrapSnapshot(members, nil))
 	}
 	return n
 }
 
+func networkMember(id uint64) *raftpb.Member {
+	return &raftpb.Member{Id: id, Name: fmt.Sprintf("replica-%d", id)}
+}
+
+// addReplica starts a replica from a snapshot; a replica without one has to join.
+func (n *network) addReplica(t testing.TB, m *raftpb.Member, snapshot *raftpb.Snapshot) {
+	t.Helper()
+	storage := raft.NewMemoryStorage(snapshot)
+	node, err := raft.New(raft.Config{
+		ID: m.Id, Group: configurationGroup, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		Storage: storage, Rand: func(limit int) int { return int(m.Id-1) * 3 % limit },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newLoop(m, 1, telemetry.NewLogger(io.Discard, telemetry.Error), newCounters())
+	l.send = func(_ *group, messages []*raftpb.Message) { n.inFlight = append(n.inFlight, messages...) }
+	g := newGroup(configurationGroup, "", m.Id, node, storage, &recordingMachine{})
+	g.applied = snapshot.GetIndex()
+	l.addGroup(g)
+	n.loops[m.Id] = l
+}
+
+func (n *network) ids() []uint64 { return slices.Sorted(maps.Keys(n.loops)) }
+
 func (n *network) group(id uint64) *group { return n.loops[id].groups[configurationGroup] }
 
 func (n *network) runUntilIdle(t *testing.T) {
 	t.Helper()
 	for {
-		for _, id := range []uint64{1, 2, 3} {
+		for _, id := range n.ids() {
 			if err := n.loops[id].processReadyGroups(); err != nil {
 				t.Fatal(err)
 			}
--- a/control/membership.go
+++ b/control/membership.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/raftpb"
 	"heatherwall.example/raft"
@@ -9,7 +11,7 @@
 
 // handleJoin proposes the next membership change that adds a replica to a group. A replica that lost its data folder
 // returns with a new identity. Its old identity is removed first, because it can never vote again but still counts
-// towards the quorum size. promoteLearners makes the learner a voter once it has synced everything committed.
+// towards the quorum size. maintainMembership makes the learner a voter once it has synced everything committed.
 func (l *loop) handleJoin(r *controlpb.JoinRequest) *controlpb.JoinAnswer {
 	answer := &controlpb.JoinAnswer{ClusterId: l.clusterID}
 	g, ok := l.groups[r.Group]
@@ -41,41 +43,99 @@
 	return &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_ADD_LEARNER, Member: joining}
 }
 
-func (l *loop) proposeMembershipChange(g *group, change *raftpb.MembershipChange) {
-	// An error means that another membership change is in progress; the joining replica asks again.
+// proposeMembershipChange reports whether the change was proposed. It is not while another change is in progress; callers
+// try again later.
+func (l *loop) proposeMembershipChange(g *group, change *raftpb.MembershipChange) bool {
 	if err := g.node.ProposeMembership(change); err != nil {
-		return
+		return false
 	}
 	l.log.Log(eventMembershipChangeProposed, telemetry.F("group", g.id), telemetry.F("change", change.Type.String()),
 		telemetry.F("replica", change.Member.Name), telemetry.F("id", change.Member.Id))
+	return true
 }
 
-// replaceVoterAfterTicks is the time without a message from a voter, in ticks, after which a caught-up learner may
-// replace it. A restart of an instance is shorter, so that restarted replicas remain voters.
-const replaceVoterAfterTicks = 60
+const (
+	// demoteVoterAfterTicks is the time without a message from a voter, in ticks, after which the voter is demoted. Together
+	// with an election it is shorter than the 4 s after which an instance that replaces a lost one counts as caught up:
+	// from then on the group has to bear the next loss.
+	demoteVoterAfterTicks = 20
+	// removeLearnerAfterTicks is the time without a message from a learner, in ticks, after which the learner is removed. A
+	// learner costs no quorum, only heartbeats, so an instance that returns within this time needs no request to join.
+	removeLearnerAfterTicks = 300
+	// minVoters is the number of voters that a demotion leaves, unless a learner is ready to take the place: two voters of
+	// three keep every entry on two disks.
+	minVoters = 3
+)
 
-// promoteLearners makes a learner a voter once it has synced everything committed so far. A voter that has been silent
-// for more than replaceVoterAfterTicks is removed first. Otherwise the number of voters would grow with each replaced
-// replica, until lost replicas were the majority.
-func (l *loop) promoteLearners(g *group) {
+// maintainMembership keeps the voters of a group led here equal to the replicas in contact: it demotes voters that are
+// silent and promotes learners that have synced everything committed. A lost voter that stayed would count towards the
+// quorum size for good, and each replaced instance would leave one more.
+//
+// A demotion takes two changes, REMOVE and ADD_LEARNER, which replicas of earlier builds know as well. The leader sends to
+// a learner again as soon as it returns, so that it is a voter again within a few heartbeats. If the leader is lost
+// between the two changes, the replica asks to join; see mayHaveBeenRemoved.
+func (l *loop) maintainMembership(g *group) {
 	if !g.isLeader {
+		g.demoting = nil
 		return
 	}
 	st := g.node.Status()
+	change := nextMaintenanceChange(st, g.demoting)
+	if change == nil || !l.proposeMembershipChange(g, change) {
+		return
+	}
+	g.demoting = nil
+	if change.Type == raftpb.MembershipChangeType_MEMBERSHIP_REMOVE && !change.Member.Learner {
+		g.demoting = change.Member
+	}
+}
+
+// nextMaintenanceChange returns the next change that maintainMembership proposes, or nil if there is none. demoting is the
+// voter whose demotion has begun, or nil. A lost voter is demoted before a learner is promoted: without it the quorum is
+// never larger, with one more voter it may be.
+func nextMaintenanceChange(st raft.Status, demoting *raftpb.Member) *raftpb.MembershipChange {
+	if st.MembershipPending {
+		return nil
+	}
+	if demoting != nil && !isMember(st.Membership, demoting) {
+		return &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_ADD_LEARNER, Member: demoting}
+	}
+	ready := caughtUpLearner(st)
+	if lost := voterToReplace(st); lost != nil && (ready != nil || countVoters(st.Membership) > minVoters) {
+		return &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_REMOVE, Member: lost}
+	}
+	if ready != nil {
+		return &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_PROMOTE, Member: ready}
+	}
+	if gone := expiredLearner(st); gone != nil {
+		return &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_REMOVE, Member: gone}
+	}
+	return nil
+}
+
+// isMember reports whether the membership contains a member with the ID or the name of m.
+func isMember(membership *raftpb.Membership, m *raftpb.Member) bool {
+	return slices.ContainsFunc(membership.GetMembers(), func(other *raftpb.Member) bool { return other.Id == m.Id || other.Name == m.Name })
+}
+
+// caughtUpLearner returns a learner that has synced everything committed, or nil.
+func caughtUpLearner(st raft.Status) *raftpb.Member {
 	for _, replica := range st.Replicas {
-		if !replica.Learner || replica.Match < st.Commit {
-			continue
+		if replica.Learner && replica.Match >= st.Commit {
+			return findMember(st.Membership, replica.ID)
 		}
-		if lost := voterToReplace(st); lost != nil {
-			l.proposeMembershipChange(g, &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_REMOVE, Member: lost})
-			return
+	}
+	return nil
+}
+
+// expiredLearner returns a learner that has been silent for more than removeLearnerAfterTicks, or nil.
+func expiredLearner(st raft.Status) *raftpb.Member {
+	for _, replica := range st.Replicas {
+		if replica.Learner && replica.TicksSinceLastMessage > removeLearnerAfterTicks {
+			return findMember(st.Membership, replica.ID)
 		}
-		l.proposeMembershipChange(g, &raftpb.MembershipChange{
-			Type:   raftpb.MembershipChangeType_MEMBERSHIP_PROMOTE,
-			Member: findMember(st.Membership, replica.ID),
-		})
-		return
 	}
+	return nil
 }
 
 // voterToReplace returns the voter that has been silent for the longest time, or nil if no voter is replaceable.
@@ -91,10 +151,19 @@
 	return lost
 }
 
-// isReplaceable reports whether a caught-up learner may replace the member: it is a voter and has been silent for more
-// than replaceVoterAfterTicks.
+// isReplaceable reports whether the member is a voter and has been silent for more than demoteVoterAfterTicks.
 func isReplaceable(m *raftpb.Member, silentTicks uint64) bool {
-	return !m.Learner && silentTicks > replaceVoterAfterTicks
+	return !m.Learner && silentTicks > demoteVoterAfterTicks
+}
+
+func countVoters(membership *raftpb.Membership) int {
+	n := 0
+	for _, m := range membership.GetMembers() {
+		if !m.Learner {
+			n++
+		}
+	}
+	return n
 }
 
 func findMember(membership *raftpb.Membership, id uint64) *raftpb.Member {
--- a/control/replica.go
+++ b/control/replica.go
@@ -279,7 +279,7 @@
 	clear(r.outbox)
 }
 
-// runPeriodicTasks runs after each tick. It sends reports, promotes learners, maintains claim groups, expires backend
+// runPeriodicTasks runs after each tick. It sends reports, maintains the voters of the groups, maintains claim groups, expires backend
 // servers, raises the retention floors and adapts the memory limit.
 func (r *replica) runPeriodicTasks(now time.Time) {
 	if r.reportDue.Swap(false) || r.directory.hasRecentNewGateway(now) || now.Sub(r.reportedAt) >= r.effectiveReportInterval() {
@@ -287,7 +287,7 @@
 		r.queueReports(now)
 	}
 	for _, g := range r.loop.ordered {
-		r.loop.promoteLearners(g)
+		r.loop.maintainMembership(g)
 	}
 	r.maintainClaimGroups()
 	r.expireSilentServers(now)
--- a/raft/simulation_test.go
+++ b/raft/simulation_test.go
@@ -56,6 +56,8 @@
 	partitioned map[uint64]bool
 	// replacements maps the ID of each replica that has lost its disk to the ID of the replica that replaces it.
 	replacements map[uint64]uint64
+	// demotions holds the replicas that were voters, have been removed and are to become voters again.
+	demotions map[uint64]bool
 	// crashPerMille is the probability, in 1/1,000, of a crash at each call of shouldCrash.
 	crashPerMille int
 }
@@ -66,7 +68,7 @@
 		cluster: newCluster(t, size), t: t, random: random, nextID: 100,
 		leaders: map[uint64]uint64{}, committed: map[uint64]*raftpb.Entry{}, committedBy: map[uint64]uint64{},
 		writes: map[string]*operation{}, reads: map[uint64]*operation{},
-		paused: map[uint64]bool{}, partitioned: map[uint64]bool{}, replacements: map[uint64]uint64{}, crashPerMille: random.Intn(20),
+		paused: map[uint64]bool{}, partitioned: map[uint64]bool{}, replacements: map[uint64]uint64{}, demotions: map[uint64]bool{}, crashPerMille: random.Intn(20),
 	}
 	s.cluster.random = random.Intn
 	s.isDropped = func(m *raftpb.Message) bool { return s.partitioned[m.From] != s.partitioned[m.To] || s.paused[m.To] }
@@ -219,11 +221,55 @@
 		s.read(s.randomHost())
 	case n < 15:
 		ignoreExpectedError(s.t, h.node.TransferLeadership(s.randomHost().id))
+	case n < 16:
+		s.proposeDemotion(h)
 	default:
 		s.proposeRepair(h)
 	}
 }
 
+// minVoters is the number of voters that a demotion leaves.
+const minVoters = 3
+
+// proposeDemotion removes a random voter other than h, which returns as a learner with its old log and becomes a voter
+// again.
+func (s *simulation) proposeDemotion(h *host) {
+	all := voters(h.node.membership())
+	if len(all) <= minVoters {
+		return
+	}
+	id := all[s.random.Intn(len(all))]
+	if _, lost := s.replacements[id]; lost || id == h.id {
+		return
+	}
+	err := h.node.ProposeMembership(&raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_REMOVE, Member: memberOf(id)})
+	if err == nil {
+		s.demotions[id] = true
+	}
+	ignoreExpectedError(s.t, err)
+}
+
+// proposePromotion proposes the next membership change that makes demoted replicas voters again.
+func (s *simulation) proposePromotion(h *host) {
+	for _, id := range slices.Sorted(maps.Keys(s.demotions)) {
+		change := &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_PROMOTE, Member: memberOf(id)}
+		member := findMember(h.node.membership(), id)
+		switch {
+		case s.hosts[id] == nil: // it has lost its disk since and is being replaced
+			delete(s.demotions, id)
+			return
+		case member == nil:
+			change.Type = raftpb.MembershipChangeType_MEMBERSHIP_ADD_LEARNER
+		case !member.Learner:
+			if h.node.role == Leader && h.node.hasCommittedInTerm() && h.node.memberships.latest().index <= h.node.log.committed {
+				delete(s.demotions, id)
+			}
+			return
+		}
+		ignoreExpectedError(s.t, h.node.ProposeMembership(change))
+	}
+}
+
 // ignoreExpectedError ignores errors that report that a replica cannot serve a request now. An InvariantError fails the
 // test.
 func ignoreExpectedError(t *rapid.T, err error) {
@@ -304,8 +350,11 @@
 }
 
 // proposeRepair proposes the next membership change that replaces a lost replica: remove the lost one, add the new one as a
-// learner, promote it.
+// learner, promote it. Without a lost replica it promotes demoted ones.
 func (s *simulation) proposeRepair(h *host) {
+	if len(s.replacements) == 0 {
+		s.proposePromotion(h)
+	}
 	for lost, replacement := range s.replacements {
 		change := &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_REMOVE, Member: memberOf(lost)}
 		member := findMember(h.node.membership(), replacement)
@@ -336,7 +385,7 @@
 			s.proposeRepair(s.hosts[id])
 		}
 		s.tick(1)
-		if len(s.replacements) == 0 && s.hasConverged() {
+		if len(s.replacements) == 0 && len(s.demotions) == 0 && s.hasConverged() {
 			return
 		}
 		s.write(s.randomHost())
