platform, controlstate: a late copy of an evacuation order changes nothing

cause: evacuation orders had no place in time: a replica that was frozen reads an old evacuate.end from its socket and passes it to the leader, which appends it behind the acknowledged evacuate.start. Ruled out: an old state served to gateways (the domain stays in use for good). Entries of earlier builds carry no index and apply as before.

--- a/control/catalogue.go
+++ b/control/catalogue.go
@@ -97,13 +97,28 @@
 	return table, nil
 }
 
-// SetDomainOut takes a failure domain out of service or back in. The error is an *UnavailableError.
-func (c *Catalogue) SetDomainOut(ctx context.Context, domain string, out bool) error {
-	err := c.commitEntry(ctx, controlstate.EncodeSetDomainOutEntry(domain, out))
-	c.r.log.Log(eventDomainSet, telemetry.F("failure_domain", domain), telemetry.F("out", out), telemetry.ErrorField(err))
+// SetDomainOut takes a failure domain out of service or back in. decidedAt is a log index from AppliedIndex that the
+// operator was given after it had decided: the command has no effect if another one for the failure domain was committed
+// after that index, so that a delayed copy never undoes a later command.
+// Errors: *controlstate.SupersededError, *UnavailableError.
+func (c *Catalogue) SetDomainOut(ctx context.Context, domain string, out bool, decidedAt uint64) error {
+	err := c.commitEntry(ctx, controlstate.EncodeSetDomainOutEntry(domain, out, decidedAt))
+	c.r.log.Log(eventDomainSet, telemetry.F("failure_domain", domain), telemetry.F("out", out), telemetry.F("decided_at", decidedAt), telemetry.ErrorField(err))
 	return err
 }
 
+// AppliedIndex returns the index of the last log entry that this replica has applied; it is never 0. The error is an
+// *UnavailableError.
+func (c *Catalogue) AppliedIndex(ctx context.Context) (uint64, error) {
+	index, err := runInLoop(ctx, c.r.loop, func(finish func(uint64, error)) {
+		finish(c.r.loop.groups[configurationGroup].applied, nil)
+	})
+	if err == nil && index == 0 {
+		err = &NotOpenError{}
+	}
+	return index, wrapUnavailable(err)
+}
+
 // ReportServer processes a report of a backend server. It returns once the changes in the report are committed. A report
 // without changes only updates the time of the last report on this replica, and a report older than the known one is
 // ignored. Errors: *routes.InvalidServerError, *OwnAddressError, *UnavailableError.
@@ -140,10 +155,18 @@
 // commitEntry proposes an idempotent entry and waits until it is committed and applied here.
 func (c *Catalogue) commitEntry(ctx context.Context, entry []byte) error {
 	return c.retryUntilLeader(ctx, func(done func(error)) {
-		c.r.loop.groups[configurationGroup].proposeOrForward(entry, func(_ any, err error) { done(err) })
+		c.r.loop.groups[configurationGroup].proposeOrForward(entry, func(result any, err error) { done(cmp.Or(err, commandError(result))) })
 	})
 }
 
+// commandError returns the error with which the state machine answered a command; nil if the command was applied.
+func commandError(result any) error {
+	if r, ok := result.(controlstate.ConfigurationResult); ok {
+		return r.Err
+	}
+	return nil
+}
+
 // retryUntilLeader runs an idempotent task in the loop and repeats it while no leader accepts it, until ctx ends.
 func (c *Catalogue) retryUntilLeader(ctx context.Context, task func(done func(error))) error {
 	for {
@@ -163,7 +186,8 @@
 // wrapUnavailable wraps the error of a command that was not decided.
 func wrapUnavailable(err error) error {
 	var own *OwnAddressError
-	if err == nil || errors.As(err, &own) {
+	var superseded *controlstate.SupersededError
+	if err == nil || errors.As(err, &own) || errors.As(err, &superseded) {
 		return err
 	}
 	return &UnavailableError{Cause: err}
--- a/controlstate/catalogue_commands.go
+++ b/controlstate/catalogue_commands.go
@@ -15,9 +15,11 @@
 	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_PutRoutes{PutRoutes: t}})
 }
 
-// EncodeSetDomainOutEntry returns the encoded log entry that takes a failure domain out of service or back in.
-func EncodeSetDomainOutEntry(domain string, out bool) []byte {
-	set := &statepb.SetDomainOut{FailureDomain: domain, Out: out}
+// EncodeSetDomainOutEntry returns the encoded log entry that takes a failure domain out of service or back in. decidedAt
+// is a log index that a replica had applied when the operator sent the command: the entry has no effect if a later command
+// for the failure domain comes first in the log. 0 stands for a command without this condition.
+func EncodeSetDomainOutEntry(domain string, out bool, decidedAt uint64) []byte {
+	set := &statepb.SetDomainOut{FailureDomain: domain, Out: out, DecidedAt: decidedAt}
 	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_SetDomainOut{SetDomainOut: set}})
 }
 
@@ -33,31 +35,41 @@
 	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_PoisonReports{PoisonReports: list}})
 }
 
-// applyCatalogue applies the catalogue command of an entry and reports whether the entry contains one.
-func (c *Configuration) applyCatalogue(index uint64, e *statepb.ConfigurationEntry) bool {
+// applyCatalogue applies the catalogue command of an entry and reports whether the entry contains one. The error is nil or
+// a *SupersededError.
+func (c *Configuration) applyCatalogue(index uint64, e *statepb.ConfigurationEntry) (bool, error) {
 	switch command := e.GetCommand().(type) {
 	case *statepb.ConfigurationEntry_PutRoutes:
 		c.catalogue.putRoutes(index, command.PutRoutes)
 	case *statepb.ConfigurationEntry_SetDomainOut:
-		c.applySetDomainOut(index, command.SetDomainOut)
+		return true, c.applySetDomainOut(index, command.SetDomainOut)
 	case *statepb.ConfigurationEntry_ServerReports:
 		c.catalogue.applyReports(index, command.ServerReports.GetReports())
 	case *statepb.ConfigurationEntry_PoisonReports:
 		c.catalogue.addCrashCounts(index, command.PoisonReports.GetReports())
 	default:
-		return false
+		return false, nil
 	}
-	return true
+	return true, nil
 }
 
-func (c *Configuration) applySetDomainOut(index uint64, set *statepb.SetDomainOut) {
-	at, found := slices.BinarySearch(c.domainsOut, set.GetFailureDomain())
+// applySetDomainOut takes a failure domain out of service or back in, unless a later command than the one known to the
+// sender has decided otherwise. A command may reach a replica long after its sender has given it up there and has sent
+// others. Each command that succeeds is recorded, also one that changes nothing, so that no earlier one undoes it.
+func (c *Configuration) applySetDomainOut(index uint64, set *statepb.SetDomainOut) error {
+	domain := set.GetFailureDomain()
+	at, found := slices.BinarySearch(c.domainsOut, domain)
+	last := c.domainCommands[domain]
+	if found != set.GetOut() && set.GetDecidedAt() > 0 && last > set.GetDecidedAt() {
+		return &SupersededError{FailureDomain: domain, DecidedAt: set.GetDecidedAt(), Last: last}
+	}
+	c.domainCommands[domain] = index
 	if found == set.GetOut() {
-		return
+		return nil
 	}
 	c.domainsOut = slices.Clone(c.domainsOut)
 	if set.GetOut() {
-		c.domainsOut = slices.Insert(c.domainsOut, at, set.GetFailureDomain())
+		c.domainsOut = slices.Insert(c.domainsOut, at, domain)
 	} else {
 		c.domainsOut = slices.Delete(c.domainsOut, at, at+1)
 	}
@@ -65,6 +77,7 @@
 	if c.config != nil {
 		c.config = c.config.WithDomainsOut(c.domainsOut)
 	}
+	return nil
 }
 
 // RouteTable returns the current route table; nil before the first one.
--- a/controlstate/catalogue_test.go
+++ b/controlstate/catalogue_test.go
@@ -1,7 +1,9 @@
 package controlstate
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -107,16 +109,57 @@
 // Guards against duplicates and a wrong order in the list of failure domains that are out of service.
 func TestDomainsOut(t *testing.T) {
 	c := NewConfiguration()
-	applyAll(t, c, EncodeSetDomainOutEntry("b", true), EncodeSetDomainOutEntry("a", true), EncodeSetDomainOutEntry("b", true))
+	applyAll(t, c, EncodeSetDomainOutEntry("b", true, 0), EncodeSetDomainOutEntry("a", true, 0), EncodeSetDomainOutEntry("b", true, 0))
 	if got := fmt.Sprint(c.DomainsOut()); got != "[a b]" {
 		t.Errorf("domains out %s", got)
 	}
-	applyAll(t, c, EncodeSetDomainOutEntry("a", false), EncodeSetDomainOutEntry("a", false))
+	applyAll(t, c, EncodeSetDomainOutEntry("a", false, 0), EncodeSetDomainOutEntry("a", false, 0))
 	if got := fmt.Sprint(c.DomainsOut()); got != "[b]" {
 		t.Errorf("domains out %s", got)
 	}
 }
 
+// Guards against an evacuation that a delayed copy of an earlier command ends, or begins again after its end.
+func TestEarlierDomainCommandIsSuperseded(t *testing.T) {
+	const domain = "a"
+	// decided returns a command that was decided when the last applied index was the given one.
+	decided := func(out bool, at uint64) []byte { return EncodeSetDomainOutEntry(domain, out, at) }
+	for name, c := range map[string]struct {
+		// entries have the indexes 1, 2, ...; late is the delayed copy behind them.
+		entries [][]byte
+		late    []byte
+		out     bool
+		refused bool
+	}{
+		"end, then begun again":           {[][]byte{decided(true, 1), decided(false, 1), decided(true, 2)}, decided(false, 1), true, true},
+		"begun, then ended":               {[][]byte{decided(true, 1), decided(false, 1)}, decided(true, 1), false, true},
+		"end, never acknowledged":         {[][]byte{decided(true, 1), decided(true, 1)}, decided(false, 1), true, true},
+		"same command twice":              {[][]byte{decided(true, 1), decided(false, 1)}, decided(false, 1), false, false},
+		"command of an earlier build":     {[][]byte{decided(true, 1)}, decided(false, 0), false, false},
+		"after one of an earlier build":   {[][]byte{decided(false, 0), decided(true, 0)}, decided(false, 1), true, true},
+		"decided after the last command":  {[][]byte{decided(true, 1), decided(false, 1)}, decided(true, 2), true, false},
+		"commands for another domain":     {[][]byte{EncodeSetDomainOutEntry("b", true, 1), EncodeSetDomainOutEntry("b", false, 1)}, decided(true, 1), true, false},
+		"equal, decided before the last":  {[][]byte{decided(true, 1), decided(true, 1)}, decided(true, 1), true, false},
+		"equal one is recorded, then end": {[][]byte{decided(true, 1), decided(true, 1), decided(true, 1)}, decided(false, 2), true, true},
+	} {
+		for _, restart := range []bool{false, true} {
+			s := NewConfiguration()
+			applyAll(t, s, c.entries...)
+			if restart {
+				var err error
+				if s, err = RestoreConfiguration(s.Snapshot()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			err := s.Apply(s.AppliedIndex()+1, c.late).Err
+			var superseded *SupersededError
+			if errors.As(err, &superseded) != c.refused || slices.Contains(s.DomainsOut(), domain) != c.out {
+				t.Errorf("%s, restart %v: %v, domains out %v; want out %v, refused %v", name, restart, err, s.DomainsOut(), c.out, c.refused)
+			}
+		}
+	}
+}
+
 // gatewayCatalogue is the catalogue that a gateway builds from deltas.
 type gatewayCatalogue struct {
 	index   uint64
@@ -162,7 +205,7 @@
 			case 1:
 				entry = EncodeServerReportsEntry([]*statepb.ServerReport{endedReport(&statepb.ServerEnd{Id: id, Incarnation: incarnation})})
 			case 2:
-				entry = EncodeSetDomainOutEntry(id, rapid.Bool().Draw(rt, "out"))
+				entry = EncodeSetDomainOutEntry(id, rapid.Bool().Draw(rt, "out"), 0)
 			default:
 				address := fmt.Sprint(rapid.IntRange(0, 3).Draw(rt, "address"))
 				sequence := uint64(rapid.IntRange(1, 9).Draw(rt, "sequence"))
--- a/controlstate/configuration.go
+++ b/controlstate/configuration.go
@@ -41,8 +41,10 @@
 	outcomes outcomeLog
 	history  []*controlpb.HistoryEntry
 	// domainsOut is sorted.
-	domainsOut  []string
-	claimGroups []*statepb.ClaimGroup
+	domainsOut []string
+	// domainCommands holds the log index of the last command for each failure domain; see applySetDomainOut.
+	domainCommands map[string]uint64
+	claimGroups    []*statepb.ClaimGroup
 	// claimRegions holds the claim region of each service that ever had one, even after the service is removed. If a
 	// service could return with another region, a resend could be claimed in two regions.
 	claimRegions map[string]string
@@ -61,13 +63,13 @@
 	Repeated bool
 	// ClaimGroup is the claim group of the region, newly created or already existing; nil for other commands.
 	ClaimGroup *statepb.ClaimGroup
-	// Err is nil, *EntryError, *AlreadyAppliedError or *ClaimGroupError.
+	// Err is nil, *EntryError, *AlreadyAppliedError, *ClaimGroupError or *SupersededError.
 	Err error
 }
 
 // NewConfiguration returns the empty state.
 func NewConfiguration() *Configuration {
-	return &Configuration{sections: newSectionStore(), outcomes: newOutcomeLog(), claimRegions: map[string]string{}, catalogue: newCatalogue()}
+	return &Configuration{sections: newSectionStore(), outcomes: newOutcomeLog(), claimRegions: map[string]string{}, domainCommands: map[string]uint64{}, catalogue: newCatalogue()}
 }
 
 // Apply applies the log entry at an index. Indexes must increase; an entry at or below the last applied index is
@@ -92,8 +94,8 @@
 	case *statepb.ConfigurationEntry_CreateClaimGroup:
 		return c.createClaimGroup(command.CreateClaimGroup)
 	}
-	if c.applyCatalogue(index, &e) {
-		return ConfigurationResult{}
+	if known, err := c.applyCatalogue(index, &e); known {
+		return ConfigurationResult{Err: err}
 	}
 	return ConfigurationResult{Err: &EntryError{Index: index}}
 }
--- a/controlstate/configuration_snapshot.go
+++ b/controlstate/configuration_snapshot.go
@@ -28,6 +28,9 @@
 		region := &statepb.ServiceRegion{Service: service, Region: c.claimRegions[service]}
 		s.ClaimRegions = append(s.ClaimRegions, region)
 	}
+	for _, domain := range slices.Sorted(maps.Keys(c.domainCommands)) {
+		s.DomainCommands = append(s.DomainCommands, &statepb.DomainCommand{FailureDomain: domain, Index: c.domainCommands[domain]})
+	}
 	return encode(s)
 }
 
@@ -52,6 +55,9 @@
 	for _, r := range s.GetClaimRegions() {
 		c.claimRegions[r.GetService()] = r.GetRegion()
 	}
+	for _, d := range s.GetDomainCommands() {
+		c.domainCommands[d.GetFailureDomain()] = d.GetIndex()
+	}
 	c.catalogue = restoreCatalogue(s.GetCatalogue())
 	return c, c.recompile()
 }
--- a/controlstate/errors.go
+++ b/controlstate/errors.go
@@ -27,6 +27,17 @@
 	return fmt.Sprintf("log entry %d is already applied: the last applied index is %d", e.Index, e.Applied)
 }
 
+// SupersededError reports a command for a failure domain that was decided before the last one. The state does not change.
+type SupersededError struct {
+	FailureDomain string
+	// DecidedAt is the log index that the sender of the command knew, Last that of the last command.
+	DecidedAt, Last uint64
+}
+
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("failure domain %q: the command was decided at index %d, before the last one at index %d", e.FailureDomain, e.DecidedAt, e.Last)
+}
+
 // ClaimGroupError reports a claim group that cannot be created. The state does not change.
 type ClaimGroupError struct {
 	Region string
--- a/controlstate/odd_test.go
+++ b/controlstate/odd_test.go
@@ -37,7 +37,7 @@
 	case 4:
 		return EncodePoisonReportsEntry([]*controlpb.PoisonReport{{Crashes: uint32(oneOf(r, oddNumbers))}, {Fingerprint: []byte(oneOf(r, oddTexts))}})
 	}
-	return EncodeSetDomainOutEntry(oneOf(r, oddTexts), r.IntN(2) == 0)
+	return EncodeSetDomainOutEntry(oneOf(r, oddTexts), r.IntN(2) == 0, 0)
 }
 
 // damage changes a few bytes of an entry, which may then hold invalid UTF-8, a truncated message or no command.
