gateway: read at most 16 KiB of the header of a response

cause: each answer was bounded, but a header of 256 KiB in many short lines of distinct names takes several megabytes once parsed, in every request that waits at a faulty server.

--- a/gateway/backendconn.go
+++ b/gateway/backendconn.go
@@ -16,10 +16,12 @@
 
 // Limits of connections to backend servers.
 const (
-	dialTimeout              = time.Second
-	idleConnectionTimeout    = 30 * time.Second
-	maxIdlePerServer         = 32
-	maxResponseHeaderBytes   = 256 << 10
+	dialTimeout           = time.Second
+	idleConnectionTimeout = 30 * time.Second
+	maxIdlePerServer      = 32
+	// maxResponseHeaderBytes includes interim responses. A header of many short lines takes about twenty times its size in
+	// memory, in each request that waits.
+	maxResponseHeaderBytes   = 16 << 10
 	backendKeepAliveInterval = 15 * time.Second
 )
 
--- a/testbed/harness/usage.go
+++ b/testbed/harness/usage.go
@@ -18,6 +18,8 @@
 	CPU time.Duration
 	// ResidentBytes is the resident memory in bytes.
 	ResidentBytes int64
+	// PeakResidentBytes is the largest resident memory so far, in bytes.
+	PeakResidentBytes int64
 	// WrittenBytes is the number of bytes passed to write and send calls, to files and sockets together.
 	WrittenBytes int64
 	At           time.Time
@@ -52,11 +54,13 @@
 	const userField, systemField = 11, 12
 	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
 	ticks := parseInt(t, fields[userField]) + parseInt(t, fields[systemField])
+	status := readFile(t, folder+"status")
 	return Usage{
-		CPU:           time.Duration(ticks) * time.Second / clockTicks,
-		ResidentBytes: parseInt(t, firstFieldAfter(t, readFile(t, folder+"status"), "VmRSS:")) << 10,
-		WrittenBytes:  parseInt(t, firstFieldAfter(t, readFile(t, folder+"io"), "wchar:")),
-		At:            time.Now(),
+		CPU:               time.Duration(ticks) * time.Second / clockTicks,
+		ResidentBytes:     parseInt(t, firstFieldAfter(t, status, "VmRSS:")) << 10,
+		PeakResidentBytes: parseInt(t, firstFieldAfter(t, status, "VmHWM:")) << 10,
+		WrittenBytes:      parseInt(t, firstFieldAfter(t, readFile(t, folder+"io"), "wchar:")),
+		At:                time.Now(),
 	}
 }
 
