control: send route tables before a renewal is confirmed

cause: a replica pushed nothing to a gateway before it had confirmed its first renewal. While replicas commit a table of thousands of routes they confirm nothing for up to a second; a gateway that reconnects after a cut or a freeze then leaves for another replica and waits again. Ruled out by measurement at 117 gateways: the transfer itself (0.25 s), a planned stop (the lease goes on), a stalled leader (1.7 s at most).

--- a/control/routesender.go
+++ b/control/routesender.go
@@ -59,8 +59,12 @@
 
 // sendRouteParts sends parts of route tables until the gateway is up to date or has to acknowledge some. The caller holds
 // mu.
+//
+// Tables are sent before a quorum has confirmed that this replica is current: a table that it has applied is committed, and
+// only one with a higher version than the gateway's is sent, so it is newer even if it is not the newest. A confirmation may
+// take long while replicas commit a large table, and the gateway then moves on to another replica.
 func (w *gatewayWatch) sendRouteParts(ctx context.Context) error {
-	for w.routes != nil && w.confirmed && w.routes.canSend() {
+	for w.routes != nil && (w.confirmed || w.joined) && w.routes.canSend() {
 		if w.routes.step == nil {
 			if err := w.beginRouteStep(ctx); err != nil || w.routes.step == nil {
 				return err
--- a/control/watch.go
+++ b/control/watch.go
@@ -37,9 +37,11 @@
 	mu sync.Mutex
 	// catalogueIndex is the index of the catalogue that the gateway has after all answers sent so far.
 	catalogueIndex uint64
-	// confirmed is set when the first renewal is confirmed. Nothing is pushed before, because this replica's state may be
-	// older than the gateway's.
-	confirmed      bool
+	// confirmed is set when the first renewal is confirmed. Before that only route tables are pushed, because the rest of
+	// this replica's state may be older than the gateway's.
+	confirmed bool
+	// joined is set if the gateway has had a catalogue of this cluster before, and accepts route parts from the start.
+	joined         bool
 	sentMembership *raftpb.Membership
 	// routes is nil for a gateway that does not accept route tables in parts.
 	routes *routeSender
@@ -87,11 +89,15 @@
 func (w *gatewayWatch) begin(ctx context.Context, request *controlpb.RenewRequest) error {
 	w.mu.Lock()
 	w.catalogueIndex = request.GetCatalogueIndex()
+	w.joined = w.catalogueIndex != 0
 	if request.GetAcceptsRouteParts() {
 		w.routes = &routeSender{position: request.GetRoutes()}
 	}
 	w.mu.Unlock()
-	return w.sendReplicas(ctx)
+	if err := w.sendReplicas(ctx); err != nil {
+		return err
+	}
+	return w.pushRouteParts(ctx)
 }
 
 // acknowledgeRoutes notes the progress of the gateway and lets pushChanges send further parts.
@@ -247,7 +253,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.confirmed {
-		return nil
+		return w.sendRouteParts(ctx)
 	}
 	// Passing the current revision leaves the document out of the answer: only answers to renewals contain it.
 	answer, err := w.buildDelta(ctx, w.r.configuration.revision())
