--- a/control/replica.go
+++ b/control/replica.go
@@ -279,8 +279,8 @@
 	clear(r.outbox)
 }
 
-// runPeriodicTasks runs after each tick. It sends reports, maintains the voters of the groups, maintains claim groups, expires backend
-// servers, raises the retention floors and adapts the memory limit.
+// runPeriodicTasks runs after each tick. It sends reports, maintains the voters of the groups and the claim groups, expires
+// backend servers, raises the retention floors and adapts the memory limit.
 func (r *replica) runPeriodicTasks(now time.Time) {
 	if r.reportDue.Swap(false) || r.directory.hasRecentNewGateway(now) || now.Sub(r.reportedAt) >= r.effectiveReportInterval() {
 		r.reportedAt = now
--- a/control/watch.go
+++ b/control/watch.go
@@ -40,7 +40,8 @@
 	// confirmed is set when the first renewal is confirmed. Before that only route tables are pushed, because the rest of
 	// this replica's state may be older than the gateway's.
 	confirmed bool
-	// joined is set if the gateway has had a catalogue of this cluster before, and accepts route parts from the start.
+	// joined is set if the gateway has a catalogue already. It accepts route parts from the start; one without a catalogue
+	// does not know yet which cluster it belongs to.
 	joined         bool
 	sentMembership *raftpb.Membership
 	// routes is nil for a gateway that does not accept route tables in parts.
