--- a/control/group_test.go
+++ b/control/group_test.go
@@ -67,7 +67,7 @@
 	storage := raft.NewMemoryStorage(snapshot)
 	node, err := raft.New(raft.Config{
 		ID: m.Id, Group: configurationGroup, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
-		Storage: storage, Rand: func(limit int) int { return int(m.Id-1) * 3 % limit },
+		Storage: storage, Rand: func(limit int) int { return n.random(m.Id, limit) },
 	})
 	if err != nil {
 		t.Fatal(err)
