gateway: serve no route table that a majority of the control group may have replaced

cause: callers were served as an older route table says up to 33 s after a newer one was acknowledged. A majority without a newer one confirms the table; otherwise requests are refused as not run until it has arrived. Without a majority the gateway is cut off and serves on. The setting catalogue.apply_ms is the bound of the platform, 2 s by default why: an acknowledged table is in the logs of a majority, and two majorities share a voter.

--- a/control/group.go
+++ b/control/group.go
@@ -58,6 +58,9 @@
 	counters *counters
 	events   *telemetry.Logger
 
+	// routes follows the route tables in the log of the configuration group; nil for other groups.
+	routes *routeLog
+
 	applied              uint64
 	entriesSinceSnapshot int
 	bytesSinceSnapshot   int
@@ -144,10 +147,16 @@
 	if err := g.save(rd); err != nil {
 		return false, err
 	}
+	if g.routes != nil {
+		g.routes.recordSaved(rd) // before the messages that acknowledge the entries
+	}
 	l.send(g, rd.Messages)
 	if err := g.apply(rd); err != nil {
 		return false, err
 	}
+	if g.routes != nil {
+		g.routes.recordApplied(g.applied)
+	}
 	g.node.Advance(rd)
 	for _, rs := range rd.ReadStates {
 		if g.activeRound != nil && g.activeRound.id == rs.ID {
--- a/control/replica.go
+++ b/control/replica.go
@@ -64,6 +64,8 @@
 	transport     *transport
 	directory     *gatewayDirectory
 	configuration *configurationMachine
+	// routes follows the route tables in the log of the configuration group.
+	routes routeLog
 	// logs holds the logs of all groups, to close them when the replica stops.
 	logs []*wal.Log
 	// batches holds the claim commands collected in the current loop iteration, by group.
@@ -234,7 +236,11 @@
 	r.loop.send = r.collectMessages
 	r.loop.flush = r.flushOutbox
 	r.configuration = newConfigurationMachine()
-	if _, err := r.openGroup(configurationGroup, "", r.configuration); err != nil {
+	g, err := r.openGroup(configurationGroup, "", r.configuration)
+	if err != nil {
+		return err
+	}
+	if err := r.followRoutes(g); err != nil {
 		return err
 	}
 	if err := r.openClaimGroups(); err != nil {
--- a/controlstate/catalogue_commands.go
+++ b/controlstate/catalogue_commands.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 
+	"google.golang.org/protobuf/encoding/protowire"
+
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/statepb"
 	"heatherwall.example/routes/transfer"
@@ -117,3 +119,31 @@
 func (c *Configuration) NextRouteStep(p *controlpb.RoutePosition) (*transfer.Step, int, error) {
 	return c.catalogue.routeHistory.Next(p)
 }
+
+// putRoutesField and routeVersionField are the numbers of the fields ConfigurationEntry.put_routes and RouteTable.version.
+const (
+	putRoutesField    = 4
+	routeVersionField = 1
+)
+
+// RouteVersionOf returns the version of the route table that an encoded entry puts; 0 if it puts none. It reads only the
+// start of the entry, because a table may have thousands of routes.
+func RouteVersionOf(entry []byte) uint64 {
+	number, kind, n := protowire.ConsumeTag(entry)
+	if n < 0 || number != putRoutesField || kind != protowire.BytesType {
+		return 0
+	}
+	table, length := protowire.ConsumeBytes(entry[n:])
+	if length < 0 {
+		return 0
+	}
+	number, kind, n = protowire.ConsumeTag(table)
+	if n < 0 || number != routeVersionField || kind != protowire.VarintType {
+		return 0
+	}
+	version, length := protowire.ConsumeVarint(table[n:])
+	if length < 0 {
+		return 0
+	}
+	return version
+}
--- a/controlstate/catalogue_test.go
+++ b/controlstate/catalogue_test.go
@@ -53,6 +53,26 @@
 	}
 }
 
+// Guards against a table in the log that is overlooked, and against other entries that are taken for one.
+func TestRouteVersionOfEntry(t *testing.T) {
+	table := &controlpb.RouteTable{Version: 1 << 40, Routes: []*controlpb.Route{{Name: "r"}}, Source: []byte("text")}
+	for name, test := range map[string]struct {
+		entry []byte
+		want  uint64
+	}{
+		"table":          {EncodePutRoutesEntry(table), 1 << 40},
+		"version 0":      {EncodePutRoutesEntry(&controlpb.RouteTable{Routes: table.Routes}), 0},
+		"failure domain": {EncodeSetDomainOutEntry("north-a", true, 7), 0},
+		"servers":        {EncodeServerReportsEntry([]*statepb.ServerReport{presentReport(server("a", "1", 10, 5))}), 0},
+		"cut short":      {EncodePutRoutesEntry(table)[:3], 0},
+		"empty":          {nil, 0},
+	} {
+		if got := RouteVersionOf(test.entry); got != test.want {
+			t.Errorf("%s: version %d; want %d", name, got, test.want)
+		}
+	}
+}
+
 // Guards against applying outdated reports: delayed ones, those of an ended incarnation, and those of a server whose
 // address now belongs to another server.
 func TestOutdatedReports(t *testing.T) {
--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -67,13 +67,13 @@
 
 // serveReady responds with 200 only while this gateway may serve requests.
 func (d *daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	_, valid := d.lease.Valid()
+	l, valid := d.lease.Valid()
 	switch {
 	case d.path.stopping.Load():
 		writeStatus(w, http.StatusServiceUnavailable, string(ReasonDraining))
 	case d.path.joining.Load():
 		writeStatus(w, http.StatusServiceUnavailable, string(ReasonNotReady))
-	case !valid:
+	case !valid || !d.path.routeVerifier.mayServe(l):
 		writeStatus(w, http.StatusServiceUnavailable, string(ReasonConfigurationStale))
 	default:
 		writeStatus(w, http.StatusOK, "ready")
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -30,6 +30,7 @@
 	eventBackendSkipped     = telemetry.Define(2029, "backend_skipped", telemetry.Warn, "A record of the catalogue names no backend server to use and is ignored.")
 	eventReloaded           = telemetry.Define(2004, "settings_reloaded", telemetry.Info, "The settings file has changed; the seed addresses are in the fields.")
 	eventGossipFailed       = telemetry.Define(2030, "gossip_failed", telemetry.Debug, "An exchange with another gateway failed.")
+	eventRoutesChecked      = telemetry.Define(2031, "routes_checked", telemetry.Warn, "No replica confirmed the route table for a while, so all voters were asked for the newest one; logged when the outcome changes. With outdated, requests are refused with configuration_stale.")
 	eventClaimFailed        = telemetry.Define(2040, "claim_failed", telemetry.Warn, "A claim received no answer; the request was refused.")
 	eventCompleteFailed     = telemetry.Define(2041, "complete_failed", telemetry.Warn, "The outcome of a claimed request could not be recorded; the claim stays open.")
 	eventPoisonMarked       = telemetry.Define(2050, "poison_marked", telemetry.Warn, "A request was in flight on two connections that broke (three with a catalogue); it is refused for 60 s.")
--- a/gateway/relay_harness_test.go
+++ b/gateway/relay_harness_test.go
@@ -286,7 +286,7 @@
 		Instance: settings.Instance{Name: name, Region: region, FailureDomain: domain, LogLevel: "info"},
 		Callers:  local, Admin: local, Peer: settings.Listener{Plaintext: true},
 		Control:     []settings.Replica{{Name: "control-1", Address: control.address, Region: region, FailureDomain: domain}},
-		Catalogue:   &settings.GatewayCatalogue{Relay: local, ServeStaleSeconds: 30, Retry: settings.RetryBudget{Ratio: 0.1, Slack: 20, WindowSeconds: 10}},
+		Catalogue:   &settings.GatewayCatalogue{Relay: local, ServeStaleSeconds: 30, ApplyMs: settings.DefaultApplyMs, Retry: settings.RetryBudget{Ratio: 0.1, Slack: 20, WindowSeconds: 10}},
 		MaxRequests: 100, DrainNoticeMs: 1, DrainSeconds: 20,
 	}
 }
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -58,6 +58,21 @@
 	return list
 }
 
+// voters returns the replicas that vote, as far as the membership of the control group is known; otherwise all replicas.
+func (l *replicaList) voters() []settings.Replica {
+	l.mu.Lock()
+	learners := map[string]bool{}
+	for _, m := range l.members {
+		learners[m.GetAddress()] = m.GetLearner()
+	}
+	known := len(l.members) > 0
+	l.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(l.byPreference()), func(p settings.Replica) bool {
+		learner, member := learners[p.Address]
+		return known && (!member || learner)
+	})
+}
+
 // distance returns 0 for a replica in this gateway's failure domain, 1 in its region and 2 elsewhere.
 func (l *replicaList) distance(p settings.Replica) int {
 	switch {
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -33,6 +33,8 @@
 	maxRequests   int64
 	clock         clock
 	configuration configuration
+	// routeVerifier decides whether the route table may be served; nil without a catalogue.
+	routeVerifier *routeVerifier
 	selector      selector
 	claims        claimer
 	claimHolders  *claimHolderIDs
--- a/gateway/routing.go
+++ b/gateway/routing.go
@@ -27,6 +27,9 @@
 // matchRoute selects the route and, at random according to the weights, the service. The home regions of a route
 // restrict where the request runs. They do not restrict the gateway, because the caller chose this one.
 func (p *requestPath) matchRoute(c *call) *Refusal {
+	if !p.routeVerifier.mayServe(c.lease) {
+		return refuse(ReasonConfigurationStale, "a newer route table may be in force").withRetryAfter(retryAfterShort)
+	}
 	route, ok := c.lease.catalogue.routes.Match(c.r.Host, c.r.URL.Path)
 	switch {
 	case !ok && c.lease.mayBeUnknownRoute(p.clock.now()):
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -256,6 +256,7 @@
 	if d.backends != nil {
 		d.goroutines.Go(func() { d.backends.run(background) })
 		d.goroutines.Go(func() { d.handleReloads(background) })
+		d.goroutines.Go(func() { d.path.routeVerifier.run(background) })
 	} else {
 		d.goroutines.Go(func() { d.state.run(background) })
 		d.goroutines.Go(func() { _ = d.peerServer.Serve(d.listeners["peer"]) })
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -62,6 +62,10 @@
 		ownAddresses: []string{s.Callers.AdvertisedAddress(), s.Admin.AdvertisedAddress(), s.Metrics.AdvertisedAddress()},
 	}
 	d.lease.serveStale = s.Catalogue.ServeStale()
+	d.path.routeVerifier = &routeVerifier{
+		replicas: d.lease.replicas, newestRoutes: askForNewestRoutes(d.controlConnections), connections: d.controlConnections,
+		applyTime: s.Catalogue.ApplyTime(), current: d.lease.Current, clock: d.clock, log: d.log, counters: d.counters,
+	}
 	d.lease.takeCrashReports = d.path.crashMarks.takeReports
 	d.lease.onCrashTotals = func(reports []*controlpb.PoisonReport) { d.path.crashMarks.mergeTotals(d.clock.now(), reports) }
 	d.path.crashMarks.threshold = reportedPoisonThreshold
--- a/settings/catalogue.go
+++ b/settings/catalogue.go
@@ -58,6 +58,10 @@
 	// ServeStaleSeconds is how long the gateway keeps serving its last known configuration after its lease has expired; with
 	// the default 0 it stops at once.
 	ServeStaleSeconds int `yaml:"serve_stale_seconds"`
+	// ApplyMs is the time in milliseconds after its acknowledgement from which a route table is in force at this gateway: if the
+	// gateway reaches a majority of the control replicas, it then refuses requests rather than serve an older table. The default
+	// is 2000.
+	ApplyMs int `yaml:"apply_ms"`
 	// Retry limits the attempts beyond the first of each request, over all gateways together.
 	Retry RetryBudget `yaml:"retry"`
 	// Cold limits the requests per second that all gateways together send to a backend server in cold start.
@@ -91,6 +95,7 @@
 // Defaults of the catalogue.
 const (
 	DefaultReportMs = 1500
+	DefaultApplyMs  = 2000
 	// The ratio is that of package balance, and the slack is the number of retries that one gateway can save up.
 	DefaultRetryRatio         = 0.1
 	DefaultRetrySlack         = 20
@@ -103,6 +108,11 @@
 	return time.Duration(g.ServeStaleSeconds) * time.Second
 }
 
+// ApplyTime returns the time after its acknowledgement from which a route table is in force.
+func (g *GatewayCatalogue) ApplyTime() time.Duration {
+	return time.Duration(g.ApplyMs) * time.Millisecond
+}
+
 // DomainCost returns the reduction of latency that justifies sending a request to another failure domain; 0 stands for the
 // default.
 func (g *GatewayCatalogue) DomainCost() time.Duration {
@@ -144,6 +154,7 @@
 		return
 	}
 	s.ServeStaleSeconds = c.intOrDefault("catalogue.serve_stale_seconds", s.ServeStaleSeconds, 0)
+	s.ApplyMs = c.intOrDefault("catalogue.apply_ms", s.ApplyMs, DefaultApplyMs)
 	s.DomainCostMs = c.intOrDefault("catalogue.domain_cost_ms", s.DomainCostMs, 0)
 	s.SpillCostMs = c.intOrDefault("catalogue.spill_cost_ms", s.SpillCostMs, 0)
 	s.MemoryMB = c.intOrDefault("catalogue.memory_mb", s.MemoryMB, 0)
--- a/settings/catalogue_test.go
+++ b/settings/catalogue_test.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if g.Catalogue.Retry.Ratio != DefaultRetryRatio || g.Catalogue.ServeStale() != 30*time.Second {
+	if g.Catalogue.Retry.Ratio != DefaultRetryRatio || g.Catalogue.ServeStale() != 30*time.Second || g.Catalogue.ApplyTime() != DefaultApplyMs*time.Millisecond {
 		t.Errorf("catalogue %+v", g.Catalogue)
 	}
 }
@@ -61,6 +61,7 @@
 		"no domains":        {validControl, `failure_domains: {north-a: north}`, `failure_domains: {}`, "catalogue.failure_domains"},
 		"TLS by default":    {validControl, `, plaintext: true`, ``, "peer.tls"},
 		"negative time":     {validCatalogueGateway, `serve_stale_seconds: 30`, `serve_stale_seconds: -1`, "catalogue.serve_stale_seconds"},
+		"negative apply":    {validCatalogueGateway, `serve_stale_seconds: 30`, `apply_ms: -1`, "catalogue.apply_ms"},
 		"negative ratio":    {validCatalogueGateway, `serve_stale_seconds: 30`, `retry: {ratio: -0.1}`, "catalogue.retry.ratio"},
 		"ratio no number":   {validCatalogueGateway, `serve_stale_seconds: 30`, `retry: {ratio: .nan}`, "catalogue.retry.ratio"},
 		"infinite ratio":    {validCatalogueGateway, `serve_stale_seconds: 30`, `retry: {ratio: .inf}`, "catalogue.retry.ratio"},
