gateway: do not ask the voters while a confirmation is merely on its way

cause: with apply_ms 2000 a gateway asked the voters 1.2 s after the last confirmed renewal was sent. In a healthy cluster with 24 ms between regions that confirmation becomes just as old: a renewal is sent every 0.6 s and confirmed 0.6 to 0.7 s later.

--- a/gateway/routeverifier.go
+++ b/gateway/routeverifier.go
@@ -11,9 +11,13 @@
 )
 
 const (
-	// askTimeoutDivisor sets the time in which replicas have to answer: the apply time divided by this number. Replicas are
-	// asked that long before the table in use may no longer be served.
-	askTimeoutDivisor = 2.5
+	// usualConfirmationAge is how old the last confirmation may be while renewals are confirmed: one is sent every renewInterval
+	// and waits for two heartbeats of the leader and their answers.
+	usualConfirmationAge = 1400 * time.Millisecond
+	// maxAskTimeout limits the time in which replicas have to answer, and minAskShare is the least share of the apply time that
+	// they get.
+	maxAskTimeout = time.Second
+	minAskShare   = 0.3
 	// askInterval is the shortest time between two rounds.
 	askInterval = 500 * time.Millisecond
 )
@@ -100,8 +104,11 @@
 	v.verdict.Store(verdict)
 }
 
+// askTimeout is the time in which replicas have to answer. They are asked that long before the table in use may no longer be
+// served, but not while a confirmation is merely on its way.
 func (v *routeVerifier) askTimeout() time.Duration {
-	return time.Duration(float64(v.applyTime) / askTimeoutDivisor)
+	least := time.Duration(minAskShare * float64(v.applyTime))
+	return min(max(v.applyTime-usualConfirmationAge, least), maxAskTimeout)
 }
 
 // run asks the replicas whenever the route table in use has not been confirmed for a while, until ctx ends.
