gateway: guard the stub of the voters in the tests of the verifier

cause: go test -race on the new tests found that the stub's counters and answers were used by several goroutines without a lock change: the stub has a mutex; the tests check the same as before.

--- a/gateway/routeverifier_test.go
+++ b/gateway/routeverifier_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,8 @@
 // stubVoters is a control group whose voters answer what the test sets.
 type stubVoters struct {
 	members []*raftpb.Member
+
+	mu sync.Mutex
 	// versions holds the version that each voter reports; a voter without one does not answer.
 	versions map[string]uint64
 	// delay is how long each answer takes.
@@ -34,21 +37,50 @@
 
 // report lets the first n voters report a version, and silences the others.
 func (s *stubVoters) report(version uint64, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	clear(s.versions)
 	for _, m := range s.members[:n] {
 		s.versions[m.Name] = version
 	}
 }
 
-func (s *stubVoters) newestRoutes(ctx context.Context, replica settings.Replica) (*controlpb.NewestRoutesAnswer, error) {
+// set lets one voter report a version.
+func (s *stubVoters) set(voter int, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions[s.members[voter].Name] = version
+}
+
+func (s *stubVoters) setDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+func (s *stubVoters) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// called counts a call and returns how the voter answers it.
+func (s *stubVoters) called(name string) (version uint64, delay time.Duration, answers bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.calls++
-	version, answers := s.versions[replica.Name]
+	version, answers = s.versions[name]
+	return version, s.delay, answers
+}
+
+func (s *stubVoters) newestRoutes(ctx context.Context, replica settings.Replica) (*controlpb.NewestRoutesAnswer, error) {
+	version, delay, answers := s.called(replica.Name)
 	if !answers {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	select {
-	case <-time.After(s.delay):
+	case <-time.After(delay):
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -140,8 +172,8 @@
 			time.Sleep(renewInterval)
 			confirmRoutes(t, c, routeTable(3))
 		}
-		if voters.calls != 0 {
-			t.Errorf("%d calls to replicas", voters.calls)
+		if n := voters.callCount(); n != 0 {
+			t.Errorf("%d calls to replicas", n)
 		}
 	})
 }
@@ -193,11 +225,11 @@
 		time.Sleep(10 * time.Millisecond)
 		synctest.Wait()
 		now := c.clock.now()
-		voters.delay = time.Duration(random.Int64N(int64(v.askTimeout() / 2)))
+		voters.setDelay(time.Duration(random.Int64N(int64(v.askTimeout() / 2))))
 		if random.IntN(300) == 0 { // the voters with the newest table, a majority, change while it is put
 			version++
 			for _, i := range random.Perm(5)[:3+random.IntN(3)] {
-				voters.versions[voters.members[i].Name] = version
+				voters.set(i, version)
 			}
 			pending = append(pending, now)
 			arrivesAt = now + time.Duration(random.Int64N(int64(6*time.Second)))
@@ -230,7 +262,7 @@
 		voters := newStubVoters(3)
 		voters.report(3, 3)
 		v, c := newTestVerifier(t, voters)
-		voters.delay = v.askTimeout() / 2
+		voters.setDelay(v.askTimeout() / 2)
 		time.Sleep(v.applyTime)
 		asked := c.clock.now()
 		v.ask(t.Context())
