gateway: one unanswered round does not make a gateway cut off

cause: found while reading the change: a gateway that had learnt of a newer table counted as cut off, and served the old one again, when the voters did not answer the next round in time. Voters are slow to answer just when they are busy with a large table change: a gateway counts as cut off only if no majority has answered for apply_ms, in any round result: TestOneUnansweredRoundIsNoCut fails without the change and passes with it; the other tests of the verifier pass

--- a/gateway/routeverifier.go
+++ b/gateway/routeverifier.go
@@ -26,8 +26,10 @@
 type routeVerdict struct {
 	// askedAt is when the replicas were asked, and decidedAt when this verdict was reached.
 	askedAt, decidedAt time.Duration
-	// reached is set if a majority of the voters answered.
-	reached bool
+	// reached is set if a majority of the voters answered, and reachedAt is when one last did, in this or an earlier round; 0 for
+	// never.
+	reached   bool
+	reachedAt time.Duration
 	// newest is the highest version that may have been acknowledged before askedAt; unknownVersion if it is not known.
 	newest uint64
 	// confirming is the last earlier verdict that confirmed the table then in use; nil if there was none.
@@ -73,7 +75,14 @@
 		return true
 	}
 	verdict := v.verdict.Load()
-	return verdict != nil && !verdict.reached && now-verdict.decidedAt <= v.applyTime
+	return verdict != nil && verdict.isCutOff(now, v.applyTime)
+}
+
+// isCutOff reports whether the gateway is cut off from the control replicas. One unanswered round is not enough after an answered
+// one: replicas that are busy answer some rounds in time and others not.
+func (d *routeVerdict) isCutOff(now, applyTime time.Duration) bool {
+	answeredLately := d.reachedAt > 0 && now-d.reachedAt <= applyTime
+	return !d.reached && !answeredLately && now-d.decidedAt <= applyTime
 }
 
 // confirmedAt returns the last time at which the route table of a lease is known to have been the newest acknowledged one.
@@ -94,7 +103,14 @@
 
 // decide stores a verdict.
 func (v *routeVerifier) decide(verdict *routeVerdict) {
-	if before := v.verdict.Load(); before.confirms(v.current().catalogue.routes.Version) {
+	before := v.verdict.Load()
+	switch {
+	case verdict.reached:
+		verdict.reachedAt = verdict.decidedAt
+	case before != nil:
+		verdict.reachedAt = before.reachedAt
+	}
+	if before.confirms(v.current().catalogue.routes.Version) {
 		last := *before
 		last.confirming = nil
 		verdict.confirming = &last
--- a/gateway/routeverifier_test.go
+++ b/gateway/routeverifier_test.go
@@ -256,6 +256,29 @@
 	}
 }
 
+// Guards against a gateway that knows of a newer table and serves the old one because a single round is not answered, and against
+// one that refuses for ever once it is cut off.
+func TestOneUnansweredRoundIsNoCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		voters := newStubVoters(3)
+		v, c := newTestVerifier(t, voters)
+		voters.report(4, 3)
+		time.Sleep(2 * v.applyTime)
+		v.ask(t.Context())
+		answered := c.clock.now()
+		voters.report(4, 1)
+		v.ask(t.Context())
+		if v.mayServe(c.Current()) {
+			t.Error("the table is served after one unanswered round")
+		}
+		time.Sleep(answered + v.applyTime + time.Millisecond - c.clock.now())
+		v.ask(t.Context())
+		if !v.mayServe(c.Current()) {
+			t.Error("a gateway that is cut off does not serve")
+		}
+	})
+}
+
 // Guards against a verdict that counts from the answers, although a newer table may be acknowledged before they arrive.
 func TestVerdictCountsFromTheQuestion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
