control: a deregistration without an incarnation is kept or refused

A replica with an empty disk, or one whose first report of the server was not committed yet, knew no server, acknowledged the call and did nothing. A server that has never reported gets 503, so its caller sends the call again.

--- a/control/catalogue.go
+++ b/control/catalogue.go
@@ -129,8 +129,9 @@
 	return c.retryUntilLeader(ctx, func(done func(error)) { c.r.handleReport(s, done) })
 }
 
-// RemoveServer removes an incarnation of a backend server permanently. Incarnation 0 stands for the known one. Errors:
-// *routes.InvalidServerError, *UnavailableError.
+// RemoveServer removes an incarnation of a backend server permanently. Incarnation 0 stands for the newest one that has
+// reported. Errors: *routes.InvalidServerError, *UnavailableError, whose cause is *UnknownServerError if no incarnation is
+// given and the server has not reported yet.
 func (c *Catalogue) RemoveServer(ctx context.Context, id string, incarnation uint64) error {
 	if err := cmp.Or(routes.ValidateServerID(id), routes.ValidateIncarnation(incarnation)); err != nil {
 		return err
--- a/control/errors.go
+++ b/control/errors.go
@@ -34,6 +34,16 @@
 	return fmt.Sprintf("this replica does not hold group %d", e.Group)
 }
 
+// UnknownServerError reports a deregistration without an incarnation of a backend server that has not reported yet. Its
+// report may still be on the way, so the server is expected to deregister again.
+type UnknownServerError struct {
+	ID string
+}
+
+func (e *UnknownServerError) Error() string {
+	return fmt.Sprintf("backend server %q has not reported yet", e.ID)
+}
+
 // StoppedError reports a request to a replica that is stopping.
 type StoppedError struct{}
 
--- a/control/serverreports.go
+++ b/control/serverreports.go
@@ -37,6 +37,8 @@
 	receivedAt time.Time
 	// coldUntil is the expected end of the server's cold start.
 	coldUntil time.Time
+	// incarnation is the highest one reported; that report may not be committed yet.
+	incarnation uint64
 }
 
 func newServerReports() *serverReports {
@@ -61,7 +63,7 @@
 		}
 	}
 	before := r.servers.received[s.GetId()]
-	r.servers.received[s.GetId()] = receivedReport{receivedAt: now, coldUntil: before.coldUntil}
+	r.servers.received[s.GetId()] = receivedReport{receivedAt: now, coldUntil: before.coldUntil, incarnation: max(before.incarnation, s.GetIncarnation())}
 	s.Holder = r.loop.self.Id
 	if known != nil && isSameReport(known, s) && !before.isNewColdStart(now, known, s) {
 		done(nil)
@@ -74,7 +76,9 @@
 		if err == nil {
 			// coldUntil is set only after the commit, because gateways do not know of the cold start before. Otherwise a
 			// repeated report would count as unchanged although the first one was not committed.
-			r.servers.received[s.GetId()] = receivedReport{receivedAt: now, coldUntil: coldUntil}
+			received := r.servers.received[s.GetId()]
+			received.receivedAt, received.coldUntil = now, coldUntil
+			r.servers.received[s.GetId()] = received
 		}
 		done(err)
 	})
@@ -97,17 +101,33 @@
 	return r.coldUntil.IsZero() || end.Sub(r.coldUntil) > coldStartTolerance
 }
 
-// handleLeave proposes the removal of a server and calls done once it is committed, or immediately if incarnation is 0
-// and the server is unknown.
+// handleLeave proposes the removal of a server and calls done once it is committed, or immediately if the server has
+// left before. A call without an incarnation, that is 0, ends the newest one that this replica knows, after a quorum has
+// confirmed that its state is current: a replica that has lost its disk knows no server, and one that lags behind knows an
+// earlier incarnation. If the server has not reported yet, done gets *UnknownServerError.
 func (r *replica) handleLeave(id string, incarnation uint64, done func(error)) {
-	if incarnation == 0 {
-		known := r.configuration.state.BackendServer(id)
-		if known == nil {
+	if incarnation != 0 {
+		r.proposeLeave(id, incarnation, done)
+		return
+	}
+	r.confirmConfigurationRead(func(err error) {
+		state := r.configuration.state
+		newest := max(state.BackendServer(id).GetIncarnation(), r.servers.received[id].incarnation)
+		last := state.LastEndedIncarnation(id)
+		switch {
+		case err != nil:
+			done(err)
+		case newest > last:
+			r.proposeLeave(id, newest, done)
+		case last > 0:
 			done(nil)
-			return
+		default:
+			done(&UnknownServerError{ID: id})
 		}
-		incarnation = known.GetIncarnation()
-	}
+	})
+}
+
+func (r *replica) proposeLeave(id string, incarnation uint64, done func(error)) {
 	end := &statepb.ServerEnd{Id: id, Incarnation: incarnation}
 	r.servers.add(&statepb.ServerReport{Report: &statepb.ServerReport_Ended{Ended: end}}, done)
 }
--- a/controlstate/catalogue_commands.go
+++ b/controlstate/catalogue_commands.go
@@ -105,6 +105,12 @@
 	return c.catalogue.isReportOutdated(s)
 }
 
+// LastEndedIncarnation returns the highest incarnation of a backend server that has ended and must not return; 0 if there is
+// none, or if its end lies too long ago to be recorded.
+func (c *Configuration) LastEndedIncarnation(id string) uint64 {
+	return c.catalogue.highestEndedIncarnation(id)
+}
+
 // CatalogueIndex returns the log index of the last change of the catalogue.
 func (c *Configuration) CatalogueIndex() uint64 { return c.catalogue.changedIndex }
 
