--- a/control/routesender_test.go
+++ b/control/routesender_test.go
@@ -14,7 +14,7 @@
 	for i := range 20000 {
 		table.Routes = append(table.Routes, &controlpb.Route{Name: fmt.Sprint(version, i), Host: "a.example", PathPrefix: fmt.Sprintf("/%d/", i)})
 	}
-	s, err := transfer.NewStep(0, nil, table, transfer.FingerprintsOf(table.GetRoutes()))
+	s, err := transfer.NewStep(0, nil, table, transfer.FingerprintsOf(table))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/controlstate/catalogue.go
+++ b/controlstate/catalogue.go
@@ -199,7 +199,10 @@
 
 // withoutSource copies a route table without the source text of the operator, which gateways do not need.
 func withoutSource(t *controlpb.RouteTable) *controlpb.RouteTable {
-	return &controlpb.RouteTable{Version: t.GetVersion(), Routes: t.GetRoutes(), Services: t.GetServices(), Limits: t.GetLimits()}
+	return &controlpb.RouteTable{
+		Version: t.GetVersion(), Routes: t.GetRoutes(), Services: t.GetServices(), Limits: t.GetLimits(),
+		Workspaces: t.GetWorkspaces(), KeysRequired: t.GetKeysRequired(),
+	}
 }
 
 func (c *catalogue) toMessage() *statepb.Catalogue {
--- a/document/compile.go
+++ b/document/compile.go
@@ -67,7 +67,7 @@
 	r := &reader{}
 	s := &spec{}
 	r.readSection(s, Section{Name: MemberSectionName(member), Text: text})
-	c := &Config{members: map[string]*Member{}, callers: map[[32]byte]*Caller{}, ownerOf: map[string]string{}}
+	c := &Config{members: map[string]*Member{}, callers: Callers{}, ownerOf: map[string]string{}}
 	if len(r.problems) == 0 {
 		c.addMember(s.members[0])
 	}
@@ -154,7 +154,7 @@
 
 func buildConfig(s *spec) *Config {
 	c := &Config{
-		services: map[string]*Service{}, members: map[string]*Member{}, callers: map[[32]byte]*Caller{},
+		services: map[string]*Service{}, members: map[string]*Member{}, callers: Callers{},
 		regionOf: map[string]string{}, routes: map[routeKey]*Rule{}, ownerOf: map[string]string{},
 	}
 	for _, m := range s.members {
--- a/document/config.go
+++ b/document/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/ed25519"
-	"crypto/sha256"
 	"maps"
 	"slices"
 	"strings"
@@ -38,7 +37,7 @@
 
 	services map[string]*Service
 	members  map[string]*Member
-	callers  map[[32]byte]*Caller
+	callers  Callers
 	regionOf map[string]string
 	routes   map[routeKey]*Rule
 	// longestPrefix is the length of the longest path prefix in bytes.
@@ -64,7 +63,7 @@
 	keys map[signerKeyID]ed25519.PublicKey
 }
 
-// Tenant is a customer of a member.
+// Tenant is a customer: of a member in a document, and a workspace in a route table.
 type Tenant struct {
 	Member *Member
 	Name   string
@@ -181,12 +180,8 @@
 	return true
 }
 
-// CallerByToken returns the caller with a bearer token. The callers are indexed by the hash of the token, so that the
-// time of a lookup reveals nothing about other tokens.
-func (c *Config) CallerByToken(token string) (*Caller, bool) {
-	caller, ok := c.callers[sha256.Sum256([]byte(token))]
-	return caller, ok
-}
+// CallerByToken returns the caller with a bearer token.
+func (c *Config) CallerByToken(token string) (*Caller, bool) { return c.callers.ByToken(token) }
 
 // Service returns a service by name.
 func (c *Config) Service(name string) (*Service, bool) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -284,6 +284,7 @@
 func (p *requestPath) newBackendRequest(c *call, a *attempt, retriesLeft int) *http.Request {
 	d := p.dialect
 	h := d.newBackendHeader(c.r.Header)
+	p.setWorkspaceHeader(c, h)
 	remaining := max(time.Until(c.deadline).Milliseconds(), 1)
 	setHeader(h, d.Deadline, strconv.FormatInt(remaining, 10))
 	setHeader(h, d.Depth, strconv.Itoa(c.depth))
@@ -308,7 +309,7 @@
 		request.Body = io.NopCloser(bytes.NewReader(c.body))
 	}
 	if len(c.r.Trailer) > 0 {
-		request.Trailer = c.r.Trailer.Clone()
+		request.Trailer = p.newBackendTrailer(c)
 		request.ContentLength = -1
 		request.Body = io.NopCloser(bytes.NewReader(c.body))
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -102,7 +102,7 @@
 }
 
 func (p *requestPath) authenticate(c *call) *Refusal {
-	token, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
+	token, ok := p.dialect.callerToken(c.r.Header)
 	if !ok {
 		return refuse(ReasonUnauthenticated, "expected a bearer token")
 	}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -24,6 +24,10 @@
 	ExpectServer string
 	// Signature is a header of every complete response of a backend server.
 	Signature string
+	// AuthScheme precedes the token of a caller in the header Authorization; empty for Bearer.
+	AuthScheme string
+	// Workspace holds the name of the caller's workspace in requests to backend servers.
+	Workspace string
 	// Prefix is the prefix of internal headers, which are not forwarded.
 	Prefix string
 	// FractionalRetryAfter permits fractions of a second in Retry-After.
--- a/gateway/header.go
+++ b/gateway/header.go
@@ -58,6 +58,17 @@
 	return h
 }
 
+// newBackendTrailer returns the trailer of the request to the backend server. Fields that only the gateway may set, or only
+// it may read, are removed, because some servers treat them like those of the header.
+func (p *requestPath) newBackendTrailer(c *call) http.Header {
+	h := c.r.Trailer.Clone()
+	h.Del("Authorization")
+	if c.requiresKeys() {
+		deleteSpellings(h, p.dialect.Workspace)
+	}
+	return h
+}
+
 func acceptsTrailers(h http.Header) bool {
 	for _, line := range h["Te"] {
 		for part := range strings.SplitSeq(line, ",") {
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -53,6 +53,7 @@
 	ReasonPoison             Reason = "poison"
 	ReasonServersUnreachable Reason = "servers_unreachable"
 	ReasonServersPaused      Reason = "servers_paused"
+	ReasonNoCommonRegion     Reason = "no_common_region"
 )
 
 // reasonInfo is the status and the default value of Ran of the refusals with one reason.
@@ -90,6 +91,7 @@
 	ReasonPoison:             {http.StatusServiceUnavailable, RanNo},
 	ReasonServersUnreachable: {http.StatusServiceUnavailable, RanNo},
 	ReasonServersPaused:      {http.StatusServiceUnavailable, RanNo},
+	ReasonNoCommonRegion:     {http.StatusServiceUnavailable, RanNo},
 }
 
 // Refusal is the error for a request to which the gateway responds itself, without a response of a backend server.
@@ -162,7 +164,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set("Cache-Control", "no-store")
 	if r.Reason == ReasonUnauthenticated {
-		h.Set("WWW-Authenticate", "Bearer")
+		h.Set("WWW-Authenticate", d.authScheme())
 	}
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", d.formatRetryAfter(r.RetryAfter))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -193,7 +193,7 @@
 	relayed := &relayedCall{
 		requestID: c.requestID, deadline: time.Until(c.deadline), held: p.clock.now() - c.arrived, patience: c.callerTimeout,
 		likelyRetry: c.likelyRetry, arrivals: arrivals, left: left, service: c.rule.Service.Name,
-		routes: c.lease.catalogue.routes.Version,
+		routes: c.lease.catalogue.routes.Version, workspace: c.caller.Tenant.Name,
 	}
 	relayed.write(request.Header)
 	response, err := p.relay.transport.RoundTrip(request)
--- a/gateway/relay_harness_test.go
+++ b/gateway/relay_harness_test.go
@@ -240,10 +240,13 @@
 	return slices.Clone(s.in[path])
 }
 
+const testWorkspaceHeader = "X-Workspace"
+
 // relayDialect passes on all headers and request IDs, like a dialect without a prefix.
 var relayDialect = func() *Dialect {
 	d := *nativeDialect
 	d.Prefix, d.PassRequestID = "", true
+	d.AuthScheme, d.Workspace = "Token", testWorkspaceHeader
 	return &d
 }()
 
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"heatherwall.example/document"
@@ -14,6 +13,8 @@
 var relayedSteps = []step{
 	(*requestPath).admit,
 	(*requestPath).matchRelayedRoute,
+	(*requestPath).identifyRelayedWorkspace,
+	(*requestPath).checkRelayedRegion,
 	(*requestPath).readRelayedLimits,
 	(*requestPath).checkDrainEnd,
 	(*requestPath).readBody,
@@ -63,7 +64,7 @@
 	}
 }
 
-// matchRelayedRoute selects the route and the service that the other gateway chose. The body is read in a home region only.
+// matchRelayedRoute selects the route and the service that the other gateway chose.
 // With an older route table than the other gateway's, the request is refused.
 func (p *requestPath) matchRelayedRoute(c *call) *Refusal {
 	if c.lease.catalogue.routes.Version < c.relayed.routes {
@@ -77,16 +78,21 @@
 	if !ok {
 		rule = route.ChooseRule(rand.Float64())
 	}
-	if !rule.RunIn.Any && !slices.Contains(rule.RunIn.Names, p.region) {
-		r := refuse(ReasonHomeRegion, "this gateway lies outside the home regions of the request")
-		r.closeConnection = true
-		return r
-	}
-	c.caller, c.route, c.rule = anyCaller, route, rule
+	c.route, c.rule = route, rule
 	c.placement = document.Placement{Home: document.AnyRegion(), RunIn: rule.RunIn, KeepIn: document.Regions{}}
 	return nil
 }
 
+// checkRelayedRegion runs before the body is read, which may only be sent to a home region.
+func (p *requestPath) checkRelayedRegion(c *call) *Refusal {
+	if c.placement.RunIn.Contains(p.region) {
+		return nil
+	}
+	r := refuse(ReasonHomeRegion, "this gateway lies outside the home regions of the request")
+	r.closeConnection = true
+	return r
+}
+
 // readRelayedLimits takes the deadline, the attempts and the classification of the caller from the other gateway.
 func (p *requestPath) readRelayedLimits(c *call) *Refusal {
 	limit := min(c.rule.Deadline, c.relayed.deadline)
--- a/gateway/relaywire.go
+++ b/gateway/relaywire.go
@@ -19,6 +19,7 @@
 	headerRelayLeft        = relayHeaderPrefix + "Attempts-Left"
 	headerRelayRoutes      = relayHeaderPrefix + "Routes-Version"
 	headerRelayService     = relayHeaderPrefix + "Service"
+	headerRelayWorkspace   = relayHeaderPrefix + "Workspace"
 	headerRelayOutcome     = relayHeaderPrefix + "Outcome"
 	headerRelayReason      = relayHeaderPrefix + "Reason"
 	headerRelayRetryAfter  = relayHeaderPrefix + "Retry-After-Ms"
@@ -48,6 +49,8 @@
 	// service is the service that the other gateway chose for the request, and routes the version of its route table.
 	service string
 	routes  uint64
+	// workspace is the name of the caller's workspace; empty for none.
+	workspace string
 }
 
 func removeRelayHeaders(h http.Header) {
@@ -68,6 +71,9 @@
 	h.Set(headerRelayArrivals, strconv.Itoa(c.arrivals))
 	h.Set(headerRelayLeft, strconv.Itoa(c.left))
 	h.Set(headerRelayService, c.service)
+	if c.workspace != "" {
+		h.Set(headerRelayWorkspace, c.workspace)
+	}
 	h.Set(headerRelayRoutes, strconv.FormatUint(c.routes, 10))
 	if c.likelyRetry {
 		h.Set(headerRelayLikelyRetry, "true")
@@ -76,7 +82,10 @@
 
 // readRelayedCall reads what another gateway says about a request; ok is false if it is incomplete or invalid.
 func readRelayedCall(h http.Header) (c *relayedCall, ok bool) {
-	c = &relayedCall{requestID: h.Get(headerRelayRequestID), service: h.Get(headerRelayService), likelyRetry: h.Get(headerRelayLikelyRetry) == "true"}
+	c = &relayedCall{
+		requestID: h.Get(headerRelayRequestID), service: h.Get(headerRelayService), workspace: h.Get(headerRelayWorkspace),
+		likelyRetry: h.Get(headerRelayLikelyRetry) == "true",
+	}
 	milliseconds := func(name string) time.Duration {
 		n, valid := parseHeaderNumber(h, name, -1)
 		ok = ok && valid && n >= 0
--- a/gateway/routeparts_test.go
+++ b/gateway/routeparts_test.go
@@ -28,7 +28,7 @@
 // partsOf returns the parts that turn one table into another.
 func partsOf(t *testing.T, from, to *controlpb.RouteTable) []*controlpb.RoutePart {
 	t.Helper()
-	s, err := transfer.NewStep(from.GetVersion(), transfer.FingerprintsOf(from.GetRoutes()), to, transfer.FingerprintsOf(to.GetRoutes()))
+	s, err := transfer.NewStep(from.GetVersion(), transfer.FingerprintsOf(from), to, transfer.FingerprintsOf(to))
 	must(t, err)
 	if len(s.Parts) < 3 {
 		t.Fatalf("%d parts; want some", len(s.Parts))
--- a/gateway/routeverifier.go
+++ b/gateway/routeverifier.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherwall.example/api/controlpb"
+	"heatherwall.example/routes/quorum"
 	"heatherwall.example/settings"
 	"heatherwall.example/telemetry"
 )
@@ -30,7 +31,7 @@
 	// never.
 	reached   bool
 	reachedAt time.Duration
-	// newest is the highest version that may have been acknowledged before askedAt; unknownVersion if it is not known.
+	// newest is the highest version that may have been acknowledged before askedAt; quorum.UnknownVersion if it is not known.
 	newest uint64
 	// confirming is the last earlier verdict that confirmed the table then in use; nil if there was none.
 	confirming *routeVerdict
@@ -189,7 +190,7 @@
 		}
 		answers = append(answers, result.answer)
 		verdict = &routeVerdict{askedAt: askedAt, decidedAt: v.clock.now()}
-		verdict.newest, verdict.reached = newestAcknowledged(answers)
+		verdict.newest, verdict.reached = quorum.NewestAcknowledged(answers)
 		if verdict.reached {
 			v.decide(verdict)
 		}
@@ -198,7 +199,7 @@
 		}
 	}
 	if !verdict.reached {
-		verdict = &routeVerdict{askedAt: askedAt, decidedAt: v.clock.now(), newest: unknownVersion}
+		verdict = &routeVerdict{askedAt: askedAt, decidedAt: v.clock.now(), newest: quorum.UnknownVersion}
 		v.decide(verdict)
 	}
 	v.report(verdict, len(voters), len(answers), failure)
--- a/gateway/routing.go
+++ b/gateway/routing.go
@@ -8,12 +8,13 @@
 	"heatherwall.example/document"
 )
 
-// catalogueSteps are the steps of a gateway that serves the catalogue. Callers need no token; host and path select the
-// route.
+// catalogueSteps are the steps of a gateway that serves the catalogue. Host and path select the route; callers need a key only
+// if the route table has workspaces.
 var catalogueSteps = []step{
 	(*requestPath).awaitConfiguration,
 	(*requestPath).admit,
 	(*requestPath).matchRoute,
+	(*requestPath).identifyWorkspace,
 	(*requestPath).awaitEarlierRequests,
 	(*requestPath).readRouteLimits,
 	(*requestPath).checkDrainEnd,
@@ -21,9 +22,6 @@
 	(*requestPath).checkPoison,
 }
 
-// anyCaller is the caller of all requests that are matched by a route.
-var anyCaller = &document.Caller{Tenant: &document.Tenant{Member: &document.Member{}, Home: document.AnyRegion()}}
-
 // matchRoute selects the route and, at random according to the weights, the service. The home regions of a route
 // restrict where the request runs. They do not restrict the gateway, because the caller chose this one.
 func (p *requestPath) matchRoute(c *call) *Refusal {
@@ -37,7 +35,6 @@
 	case !ok:
 		return refuse(ReasonNoRule, "no route covers this host and path")
 	}
-	c.caller = anyCaller
 	c.route = route
 	c.rule = route.ChooseRule(rand.Float64())
 	c.placement = document.Placement{Home: document.AnyRegion(), RunIn: c.rule.RunIn, KeepIn: document.Regions{}}
--- a/gateway/routequorum.go
+++ b/routes/quorum/newest.go
@@ -1,4 +1,6 @@
-package gateway
+// Package quorum evaluates what control replicas say about the route tables in their logs. It is pure: it uses no socket, file or
+// clock.
+package quorum
 
 import (
 	"math"
@@ -8,18 +10,18 @@
 	"heatherwall.example/api/raftpb"
 )
 
-// unknownVersion is returned instead of the version of a route table that cannot be determined. It is newer than any.
-const unknownVersion = math.MaxUint64
+// UnknownVersion is returned instead of the version of a route table that cannot be determined. It is newer than any.
+const UnknownVersion = math.MaxUint64
 
-// newestAcknowledged evaluates what control replicas said about the newest route table in their logs. It returns the highest
+// NewestAcknowledged evaluates what control replicas said about the newest route table in their logs. It returns the highest
 // version that may have been acknowledged before they were asked, and whether a majority of the voters answered at all.
 //
 // An acknowledged table is in the logs of a majority, which shares a voter with every other majority. So no acknowledged table
 // is newer than the newest of those that any majority names, and the one with the lowest is chosen: a table that only the
 // others have may never be committed. Only voters with the same membership in their logs count together, because the majority
 // of a membership need not share a voter with one of another.
-func newestAcknowledged(answers []*controlpb.NewestRoutesAnswer) (version uint64, reached bool) {
-	version = unknownVersion
+func NewestAcknowledged(answers []*controlpb.NewestRoutesAnswer) (version uint64, reached bool) {
+	version = UnknownVersion
 	for _, a := range answers {
 		voters := voterIDs(a.GetMembers())
 		majority := len(voters)/2 + 1
--- a/gateway/routequorum_test.go
+++ b/routes/quorum/newest_test.go
@@ -1,4 +1,4 @@
-package gateway
+package quorum
 
 import (
 	"testing"
@@ -27,16 +27,16 @@
 		version uint64
 		reached bool
 	}{
-		"no answer":            {nil, unknownVersion, false},
-		"a minority":           {[]*controlpb.NewestRoutesAnswer{answer(1, 3, five), answer(2, 3, five)}, unknownVersion, false},
+		"no answer":            {nil, UnknownVersion, false},
+		"a minority":           {[]*controlpb.NewestRoutesAnswer{answer(1, 3, five), answer(2, 3, five)}, UnknownVersion, false},
 		"a majority":           {[]*controlpb.NewestRoutesAnswer{answer(1, 3, five), answer(2, 3, five), answer(3, 2, five)}, 3, true},
 		"a newer one at one":   {[]*controlpb.NewestRoutesAnswer{answer(1, 3, five), answer(2, 9, five), answer(3, 2, five)}, 9, true},
 		"all, a newer at two":  {[]*controlpb.NewestRoutesAnswer{answer(1, 3, five), answer(2, 9, five), answer(3, 3, five), answer(4, 9, five), answer(5, 3, five)}, 3, true},
-		"learners do not vote": {[]*controlpb.NewestRoutesAnswer{answer(1, 3, membersOf(3, 1, 2, 3)), answer(3, 1, membersOf(3, 1, 2, 3))}, unknownVersion, false},
-		"two memberships":      {[]*controlpb.NewestRoutesAnswer{answer(1, 3, five), answer(2, 3, five), answer(3, 3, membersOf(0, 1, 2, 3, 4, 6))}, unknownVersion, true},
-		"a removed voter":      {[]*controlpb.NewestRoutesAnswer{answer(7, 1, five), answer(1, 4, five), answer(2, 4, five)}, unknownVersion, false},
+		"learners do not vote": {[]*controlpb.NewestRoutesAnswer{answer(1, 3, membersOf(3, 1, 2, 3)), answer(3, 1, membersOf(3, 1, 2, 3))}, UnknownVersion, false},
+		"two memberships":      {[]*controlpb.NewestRoutesAnswer{answer(1, 3, five), answer(2, 3, five), answer(3, 3, membersOf(0, 1, 2, 3, 4, 6))}, UnknownVersion, true},
+		"a removed voter":      {[]*controlpb.NewestRoutesAnswer{answer(7, 1, five), answer(1, 4, five), answer(2, 4, five)}, UnknownVersion, false},
 	} {
-		if version, reached := newestAcknowledged(test.answers); version != test.version || reached != test.reached {
+		if version, reached := NewestAcknowledged(test.answers); version != test.version || reached != test.reached {
 			t.Errorf("%s: version %d, reached %t; want %d, %t", name, version, reached, test.version, test.reached)
 		}
 	}
--- a/routes/table.go
+++ b/routes/table.go
@@ -24,8 +24,13 @@
 	Version  uint64
 	Services map[string]*Service
 	Limits   Limits
+	// KeysRequired is set if requests need the key of a workspace, except on public routes.
+	KeysRequired bool
 	// byHost holds the routes of each host, the longest prefix first.
 	byHost map[string][]*Route
+	// workspaces holds the workspaces by name, and callers by their keys.
+	workspaces map[string]*document.Caller
+	callers    document.Callers
 }
 
 // Limits limits the requests and connections of callers. A field is 0 if the table sets no limit.
@@ -55,6 +60,8 @@
 	LatencyTarget time.Duration
 	// MaxAttempts is the largest number of backend servers to which one request may be sent.
 	MaxAttempts int
+	// Public is set if requests need no key.
+	Public      bool
 	shares      []share
 	totalWeight float64
 }
@@ -70,12 +77,18 @@
 	if err := Validate(t); err != nil {
 		return nil, err
 	}
-	c := &Table{Version: t.GetVersion(), Services: map[string]*Service{}, Limits: compileLimits(t.GetLimits()), byHost: map[string][]*Route{}}
+	c := &Table{
+		Version: t.GetVersion(), Services: map[string]*Service{}, Limits: compileLimits(t.GetLimits()), KeysRequired: t.GetKeysRequired(),
+		byHost: map[string][]*Route{}, workspaces: map[string]*document.Caller{}, callers: document.Callers{},
+	}
 	for _, s := range t.GetServices() {
 		c.Services[s.GetName()] = &Service{
 			Name: s.GetName(), HealthPath: s.GetHealthPath(), MaxConnections: int(s.GetMaxConnections()), ColdRate: s.GetColdRate(),
 		}
 	}
+	for _, w := range t.GetWorkspaces() {
+		c.addWorkspace(w)
+	}
 	for _, r := range t.GetRoutes() {
 		host := strings.ToLower(r.GetHost())
 		c.byHost[host] = append(c.byHost[host], c.compileRoute(r))
@@ -97,7 +110,7 @@
 func (c *Table) compileRoute(r *controlpb.Route) *Route {
 	compiled := &Route{
 		Name: r.GetName(), Prefix: r.GetPathPrefix(), LatencyTarget: time.Duration(r.GetLatencyTargetMs()) * time.Millisecond,
-		MaxAttempts: cmp.Or(int(r.GetMaxAttempts()), defaultAttempts),
+		MaxAttempts: cmp.Or(int(r.GetMaxAttempts()), defaultAttempts), Public: r.GetPublic(),
 	}
 	largest := 0.0
 	for _, s := range r.GetShares() {
@@ -116,22 +129,26 @@
 
 // compileRule returns the rule for the requests of a route that go to one service.
 func (c *Table) compileRule(r *controlpb.Route, service string) *document.Rule {
-	regions := document.AnyRegion()
-	if len(r.GetRegions()) > 0 {
-		regions = document.Regions{Names: slices.Sorted(slices.Values(r.GetRegions()))}
-	}
 	key := document.IdempotencyKeyUnused
 	if !r.GetIdempotent() {
 		key = document.IdempotencyKeyOptional
 	}
 	return &document.Rule{
 		Service: &document.Service{Name: service, Connections: c.Services[service].MaxConnections},
-		Name:    r.GetName(), Path: r.GetPathPrefix(), Idempotent: r.GetIdempotent(), KeyPolicy: key, RunIn: regions,
+		Name:    r.GetName(), Path: r.GetPathPrefix(), Idempotent: r.GetIdempotent(), KeyPolicy: key, RunIn: compileRegions(r.GetRegions()),
 		Deadline:     time.Duration(r.GetTimeoutMs()) * time.Millisecond,
 		MaxBodyBytes: cmp.Or(c.Limits.BodyBytes, defaultMaxBodyBytes),
 	}
 }
 
+// compileRegions returns the set of regions; an empty list means all.
+func compileRegions(names []string) document.Regions {
+	if len(names) == 0 {
+		return document.AnyRegion()
+	}
+	return document.Regions{Names: slices.Sorted(slices.Values(names))}
+}
+
 // Match returns the route of a host with the longest prefix that the path begins with. The host may include a port.
 func (c *Table) Match(host, path string) (*Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/routes/transfer/history.go
+++ b/routes/transfer/history.go
@@ -15,7 +15,7 @@
 	maxTables = 8
 	// maxWholeSteps limits the steps with a whole table that are kept encoded.
 	maxWholeSteps = 2
-	// expectedCompression is the typical ratio of the size of encoded routes to their compressed size. It serves to compare
+	// expectedCompression is the typical ratio of the size of encoded elements to their compressed size. It serves to compare
 	// a chain of steps with a whole table that is not encoded yet.
 	expectedCompression = 5
 )
@@ -24,7 +24,7 @@
 type version struct {
 	table        *controlpb.RouteTable
 	fingerprints Fingerprints
-	// size is the size of all encoded routes in bytes.
+	// size is the size of all encoded elements in bytes.
 	size int
 }
 
@@ -32,7 +32,7 @@
 // replicas that have seen the same versions send the same steps, and a gateway can continue at another replica. A replica
 // that has restarted knows the versions since its last snapshot.
 type History struct {
-	// versions holds the latest tables, the newest last. Equal routes are shared between them.
+	// versions holds the latest tables, the newest last. Equal elements are shared between them.
 	versions []*version
 	// steps leads, without a gap, to the newest version; the oldest is first.
 	steps []*Step
@@ -45,14 +45,14 @@
 func (h *History) Put(t *controlpb.RouteTable) error {
 	before := h.newest()
 	next := &version{table: t}
-	next.fingerprints, next.size = measure(t.GetRoutes())
+	next.fingerprints, next.size = measure(elementsOf(t))
 	if h.versions = append(h.versions, next); len(h.versions) > maxTables {
 		h.versions = slices.Delete(h.versions, 0, 1)
 	}
 	if before == nil {
 		return nil
 	}
-	next.shareRoutes(before)
+	next.shareElements(before)
 	s, err := NewStep(before.table.GetVersion(), before.fingerprints, t, next.fingerprints)
 	if err != nil {
 		h.steps = nil
@@ -65,15 +65,21 @@
 	return nil
 }
 
-// shareRoutes replaces routes by the equal ones of an earlier version, so that both use the same memory.
-func (v *version) shareRoutes(earlier *version) {
-	byPrint := make(map[uint64]*controlpb.Route, len(earlier.fingerprints))
-	for i, print := range earlier.fingerprints {
-		byPrint[print] = earlier.table.GetRoutes()[i]
+// shareElements replaces elements by the equal ones of an earlier version, so that both use the same memory.
+func (v *version) shareElements(earlier *version) {
+	byPrint := make(map[uint64]element, len(earlier.fingerprints))
+	for i, e := range elementsOf(earlier.table) {
+		byPrint[earlier.fingerprints[i]] = e
 	}
+	routes := len(v.table.GetRoutes())
 	for i, print := range v.fingerprints {
-		if r := byPrint[print]; r != nil {
-			v.table.Routes[i] = r
+		e, known := byPrint[print]
+		switch {
+		case !known:
+		case i < routes:
+			v.table.Routes[i] = e.route
+		default:
+			v.table.Workspaces[i-routes] = e.workspace
 		}
 	}
 }
--- a/routes/transfer/receiver.go
+++ b/routes/transfer/receiver.go
@@ -116,24 +116,27 @@
 
 // assemble builds the table from the edits and checks its digest.
 func (r *Receiver) assemble(p *controlpb.RoutePart) (*controlpb.RouteTable, error) {
-	t := &controlpb.RouteTable{Version: p.GetVersion(), Services: p.GetEnd().GetServices(), Limits: p.GetEnd().GetLimits()}
-	var base []*controlpb.Route
+	end := p.GetEnd()
+	t := &controlpb.RouteTable{Version: p.GetVersion(), Services: end.GetServices(), Limits: end.GetLimits(), KeysRequired: end.GetKeysRequired()}
+	var base []element
 	if r.base != 0 {
-		base = r.held.GetRoutes()
+		base = elementsOf(r.held)
 	}
 	for _, e := range r.edits {
-		if e.GetKeepCount() == 0 && e.GetRoute() != nil {
-			t.Routes = append(t.Routes, e.GetRoute())
+		if e.GetKeepCount() == 0 && (e.GetRoute() != nil || e.GetWorkspace() != nil) {
+			element{route: e.GetRoute(), workspace: e.GetWorkspace()}.appendTo(t)
 			continue
 		}
 		from, count := uint64(e.GetKeepFrom()), uint64(e.GetKeepCount())
 		if from+count > uint64(len(base)) {
-			return nil, r.fail(p, "an edit names routes that the base table does not have", nil)
+			return nil, r.fail(p, "an edit names elements that the base table does not have", nil)
+		}
+		for _, kept := range base[from : from+count] {
+			kept.appendTo(t)
 		}
-		t.Routes = append(t.Routes, base[from:from+count]...)
 	}
 	r.reset()
-	if FingerprintsOf(t.GetRoutes()).Digest() != p.GetEnd().GetDigest() {
+	if FingerprintsOf(t).Digest(t.GetKeysRequired()) != end.GetDigest() {
 		r.wantsWhole = true
 		return nil, &PartError{Version: p.GetVersion(), Problem: "the resulting table has another digest"}
 	}
--- a/routes/transfer/step.go
+++ b/routes/transfer/step.go
@@ -42,7 +42,7 @@
 // next. Without fingerprints, and with base 0, the step contains the whole table. The error is an *EncodeError.
 func NewStep(base uint64, have Fingerprints, t *controlpb.RouteTable, next Fingerprints) (*Step, error) {
 	s := &Step{Version: t.GetVersion(), Base: base}
-	edits := diff(have, t.GetRoutes(), next)
+	edits := diff(have, elementsOf(t), next)
 	for first := 0; first == 0 || first < len(edits); {
 		n := countFitting(edits[first:])
 		text, err := encodeEdits(edits[first : first+n])
@@ -52,10 +52,12 @@
 		s.Bytes += len(text)
 		s.Parts = append(s.Parts, &controlpb.RoutePart{Version: s.Version, Base: base, Offset: uint32(first), Total: uint32(len(edits)), Edits: text})
 		if first += n; n == 0 {
-			break // a table without routes has one part without edits
+			break // an empty table has one part without edits
 		}
 	}
-	s.Parts[len(s.Parts)-1].End = &controlpb.RouteTableEnd{Services: t.GetServices(), Limits: t.GetLimits(), Digest: next.Digest()}
+	s.Parts[len(s.Parts)-1].End = &controlpb.RouteTableEnd{
+		Services: t.GetServices(), Limits: t.GetLimits(), Digest: next.Digest(t.GetKeysRequired()), KeysRequired: t.GetKeysRequired(),
+	}
 	return s, nil
 }
 
@@ -77,8 +79,8 @@
 	return s.Parts[i].GetTotal()
 }
 
-// diff returns the edits that turn the routes with the fingerprints have into routes, whose fingerprints are next.
-func diff(have Fingerprints, routes []*controlpb.Route, next Fingerprints) []*controlpb.RouteEdit {
+// diff returns the edits that turn the elements with the fingerprints have into elements, whose fingerprints are next.
+func diff(have Fingerprints, elements []element, next Fingerprints) []*controlpb.RouteEdit {
 	position := make(map[uint64]int, len(have))
 	for i, print := range have {
 		position[print] = i
@@ -93,7 +95,7 @@
 		at, known := position[print]
 		if !known {
 			kept = nil
-			edits = append(edits, &controlpb.RouteEdit{Route: routes[i]})
+			edits = append(edits, &controlpb.RouteEdit{Route: elements[i].route, Workspace: elements[i].workspace})
 			continue
 		}
 		kept = &controlpb.RouteEdit{KeepFrom: uint32(at), KeepCount: 1}
@@ -102,7 +104,7 @@
 	return edits
 }
 
-// extends reports whether the route after a range of the base table has the given fingerprint.
+// extends reports whether the element after a range of the base table has the given fingerprint.
 func extends(kept *controlpb.RouteEdit, have Fingerprints, print uint64) bool {
 	after := int(kept.GetKeepFrom() + kept.GetKeepCount())
 	return after < len(have) && have[after] == print
--- a/routes/transfer/transfer_test.go
+++ b/routes/transfer/transfer_test.go
@@ -79,6 +79,7 @@
 		for version := range rapid.IntRange(1, 12).Draw(rt, "versions") {
 			routes = change(rt, routes, uint64(version))
 			newest = table(uint64(version)*3+1, routes)
+			newest.Workspaces, newest.KeysRequired = drawWorkspaces(rt), rapid.Bool().Draw(rt, "keys required")
 			for i := range replicas {
 				if rapid.IntRange(0, 9).Draw(rt, "restart") == 0 {
 					replicas[i] = &History{}
@@ -96,6 +97,33 @@
 	})
 }
 
+// drawWorkspaces returns a few workspaces, of which some are in most versions.
+func drawWorkspaces(rt *rapid.T) (list []*controlpb.Workspace) {
+	for i := range rapid.IntRange(0, 20).Draw(rt, "workspaces") {
+		if rapid.IntRange(0, 3).Draw(rt, "left out") > 0 {
+			list = append(list, &controlpb.Workspace{Name: fmt.Sprint("w-", i), KeyDigests: [][]byte{{byte(i)}, {byte(rapid.IntRange(0, 3).Draw(rt, "key"))}}})
+		}
+	}
+	return list
+}
+
+// Guards against a gateway of a version that knows no keys, which would serve a table that requires them to anyone.
+func TestReceiverWithoutKeysRejectsTable(t *testing.T) {
+	whole := table(2, manyRoutes(3, 1))
+	whole.KeysRequired = true
+	s, err := NewStep(0, nil, whole, FingerprintsOf(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	part := proto.CloneOf(s.Parts[0])
+	part.End.KeysRequired = false // an unknown field there
+	r := &Receiver{}
+	var refused *PartError
+	if result, err := r.Accept(part); result != nil || !errors.As(err, &refused) {
+		t.Errorf("%v, %v; want *PartError", result, err)
+	}
+}
+
 // change returns the routes after a random change.
 func change(rt *rapid.T, routes []*controlpb.Route, seed uint64) []*controlpb.Route {
 	next := append([]*controlpb.Route(nil), routes...)
@@ -193,13 +221,13 @@
 
 // Guards against applying parts that do not fit or are damaged.
 func TestReceiverRefusesPartsThatDoNotFit(t *testing.T) {
-	first, err := NewStep(0, nil, table(5, manyRoutes(2000, 1)), FingerprintsOf(manyRoutes(2000, 1)))
+	first, err := NewStep(0, nil, table(5, manyRoutes(2000, 1)), FingerprintsOf(table(5, manyRoutes(2000, 1))))
 	if err != nil {
 		t.Fatal(err)
 	}
 	damaged := proto.CloneOf(first.Parts[0])
 	damaged.Edits = damaged.Edits[:len(damaged.Edits)/2]
-	wrongDigest, err := NewStep(0, nil, table(5, manyRoutes(3, 1)), FingerprintsOf(manyRoutes(3, 2)))
+	wrongDigest, err := NewStep(0, nil, table(5, manyRoutes(3, 1)), FingerprintsOf(table(5, manyRoutes(3, 2))))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/routes/validate.go
+++ b/routes/validate.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"strings"
 
 	"heatherwall.example/api/controlpb"
@@ -10,18 +9,22 @@
 
 // InvalidError reports an invalid field of a route table.
 type InvalidError struct {
-	// Route is the name of the route; empty if the field does not belong to a route.
-	Route string
-	Field string
+	// Route or Workspace is the name of what the field belongs to; both are empty for other fields.
+	Route     string
+	Workspace string
+	Field     string
 	// Expected describes a valid value.
 	Expected string
 }
 
 func (e *InvalidError) Error() string {
-	if e.Route == "" {
-		return fmt.Sprintf("%s: expected %s", e.Field, e.Expected)
+	switch {
+	case e.Route != "":
+		return fmt.Sprintf("route %q: %s: expected %s", e.Route, e.Field, e.Expected)
+	case e.Workspace != "":
+		return fmt.Sprintf("workspace %q: %s: expected %s", e.Workspace, e.Field, e.Expected)
 	}
-	return fmt.Sprintf("route %q: %s: expected %s", e.Route, e.Field, e.Expected)
+	return fmt.Sprintf("%s: expected %s", e.Field, e.Expected)
 }
 
 // Validate checks a route table. The error is an *InvalidError that reports the first invalid field.
@@ -38,7 +41,7 @@
 			return err
 		}
 	}
-	return nil
+	return validateWorkspaces(t.GetWorkspaces())
 }
 
 func validateRoute(r *controlpb.Route, known map[string]bool) error {
@@ -59,8 +62,8 @@
 		if !known[s.GetService()] {
 			return &InvalidError{Route: r.GetName(), Field: "service", Expected: fmt.Sprintf("a service of the table, got %q", s.GetService())}
 		}
-		if !(s.GetWeight() >= 0 && s.GetWeight() <= math.MaxFloat64) {
-			return &InvalidError{Route: r.GetName(), Field: "weight", Expected: "a finite number, 0 or more"}
+		if !isFiniteCount(s.GetWeight()) {
+			return &InvalidError{Route: r.GetName(), Field: "weight", Expected: expectedCount}
 		}
 		largest = max(largest, s.GetWeight())
 	}
