quotas of workspaces over all gateways

Slots in the log, tenure by confirmed reads, hand-over by waiting or by a release; package quota is pure. Gateways check the token's lifetime right before the first byte.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Main targets: `make test` runs all tests, models and the linter; `make run` starts a local setup until Ctrl-C;
 # `make demo` runs one for at most 60 s. Each installs the tools that it needs.
-MODULES := api raft document controlstate membership balance settings telemetry routes control gateway platform cmd/heatherwall testbed model
+MODULES := api raft document controlstate membership balance quota settings telemetry routes control gateway platform cmd/heatherwall testbed model
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 # To rename an identifier across the workspace: gopls rename -w FILE:LINE:COLUMN NAME
--- a/control/counters.go
+++ b/control/counters.go
@@ -63,6 +63,7 @@
 	routePartBytes      counter
 	voters              metrics.Gauge
 	peerMessagesDropped map[dropCause]counter
+	tokenCalls          map[controlpb.TakeTokensResult]counter
 }
 
 func newCounters() *counters {
@@ -73,6 +74,7 @@
 		changesUndecided:    exporter.Counter("changes", "result", "undecided"),
 		claims:              countersByResult(exporter, "claims", "CLAIM_", controlpb.ClaimResult_name, controlpb.ClaimResult_CLAIM_UNSPECIFIED),
 		claimsUndecided:     exporter.Counter("claims", "result", "undecided"),
+		tokenCalls:          countersByResult(exporter, "quota_calls", "TAKE_TOKENS_", controlpb.TakeTokensResult_name, controlpb.TakeTokensResult_TAKE_TOKENS_UNSPECIFIED),
 		renewalsConfirmed:   exporter.UnlabeledCounter("renewals_confirmed"),
 		renewalsRefused:     map[refusalReason]counter{},
 		readsConfirmed:      exporter.Counter("read_rounds", "result", "confirmed"),
--- a/control/events.go
+++ b/control/events.go
@@ -56,6 +56,10 @@
 		"Crash counts of requests may not have been recorded; gateways continue to count.")
 	eventEntrySkipped = telemetry.Define(1059, "entry_skipped", telemetry.Error,
 		"A committed entry of a log cannot be read and was skipped; every replica skips it.")
+	eventQuotaSlotsAssigned = telemetry.Define(1061, "quota_slots_assigned", telemetry.Info,
+		"Slots of workspaces were given to other replicas, because their owner was lost, or was released by a planned stop.")
+	eventQuotaSlotsBegun = telemetry.Define(1062, "quota_slots_begun", telemetry.Info,
+		"This replica gives the tokens of the workspaces in its slots; with an error it tries again.")
 	eventConfirmationRefused = telemetry.Define(1041, "confirmation_refused", telemetry.Warn,
 		"A renewal or read was refused because no quorum confirmed that the state is current.")
 )
--- a/control/replica.go
+++ b/control/replica.go
@@ -34,6 +34,8 @@
 	maxMessageBytes = 128 << 20
 	// leadershipTransferTimeout bounds how long a stopping replica waits until other replicas lead its groups.
 	leadershipTransferTimeout = 2 * time.Second
+	// quotaHandOverTimeout bounds how long a stopping replica waits until others own its slots of workspaces.
+	quotaHandOverTimeout = time.Second
 	// stopTimeout bounds how long a stopping replica waits for in-flight calls.
 	stopTimeout = 5 * time.Second
 )
@@ -64,6 +66,7 @@
 	transport     *transport
 	directory     *gatewayDirectory
 	configuration *configurationMachine
+	quotas        *quotas
 	// routes follows the route tables in the log of the configuration group.
 	routes routeLog
 	// logs holds the logs of all groups, to close them when the replica stops.
@@ -168,6 +171,7 @@
 	select {
 	case <-ctx.Done():
 		stopCatalogue()
+		r.handOverQuotas()
 		r.transferLeaderships()
 	case <-r.loop.done:
 		stopCatalogue()
@@ -224,6 +228,7 @@
 	controlpb.RegisterConfigurationsServer(server, &configurationServer{r: r})
 	controlpb.RegisterClaimsServer(server, &claimServer{r: r})
 	controlpb.RegisterOperatorsServer(server, &operatorServer{r: r})
+	controlpb.RegisterQuotasServer(server, &quotaServer{r: r})
 	return server
 }
 
@@ -236,6 +241,7 @@
 	r.loop.send = r.collectMessages
 	r.loop.flush = r.flushOutbox
 	r.configuration = newConfigurationMachine()
+	r.quotas = newQuotas(id.ID, r.settings.Catalogue)
 	g, err := r.openGroup(configurationGroup, "", r.configuration)
 	if err != nil {
 		return err
@@ -297,6 +303,7 @@
 	}
 	r.maintainClaimGroups()
 	r.expireSilentServers(now)
+	r.maintainQuotas()
 	r.counters.voters.Update(int64(r.loop.groups[configurationGroup].voterCount()))
 	r.raiseFloors(now)
 	r.limitMemory(now)
@@ -335,6 +342,16 @@
 	}
 }
 
+// handOverQuotas gives up the slots of workspaces, so that a planned stop leaves none of them without tokens.
+func (r *replica) handOverQuotas() {
+	ctx, cancel := context.WithTimeout(context.Background(), quotaHandOverTimeout)
+	defer cancel()
+	// Without an outcome in time, the leader gives the slots to others once this replica is silent.
+	_, _ = runInLoop(ctx, r.loop, func(finish func(struct{}, error)) {
+		r.releaseQuotaSlots(func(err error) { finish(struct{}{}, err) })
+	})
+}
+
 // transferLeaderships transfers every leadership of this replica to another voter, so that a planned stop causes no
 // election timeout.
 func (r *replica) transferLeaderships() {
--- a/controlstate/catalogue.go
+++ b/controlstate/catalogue.go
@@ -36,6 +36,7 @@
 	tombstonesFloor uint64
 	// poisonCounts holds the crash counts, sorted by the log index of the last report.
 	poisonCounts []*statepb.PoisonCount
+	quotaSlots   QuotaSlots
 }
 
 func newCatalogue() *catalogue {
@@ -194,6 +195,7 @@
 			d.Poison = append(d.Poison, p.GetReport())
 		}
 	}
+	c.quotaSlots.addQuotaOwners(d)
 	return d
 }
 
@@ -213,6 +215,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
 		m.Servers = append(m.Servers, c.servers[id])
 	}
+	c.quotaSlots.addTo(m)
 	return m
 }
 
@@ -220,6 +223,7 @@
 	c := newCatalogue()
 	c.routes, c.routesChangedIndex, c.changedIndex = m.GetRoutes(), m.GetRoutesChanged(), m.GetChanged()
 	c.tombstones, c.tombstonesFloor, c.poisonCounts = m.GetGone(), m.GetGoneFloor(), m.GetPoison()
+	c.quotaSlots = restoreQuotaSlots(m)
 	if c.routes != nil {
 		c.recordRoutes()
 	}
--- a/controlstate/catalogue_commands.go
+++ b/controlstate/catalogue_commands.go
@@ -37,8 +37,8 @@
 	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_PoisonReports{PoisonReports: list}})
 }
 
-// applyCatalogue applies the catalogue command of an entry and reports whether the entry contains one. The error is nil or
-// a *SupersededError.
+// applyCatalogue applies the catalogue command of an entry and reports whether the entry contains one. The error is nil,
+// *SupersededError, *SlotsChangedError or *EntryError.
 func (c *Configuration) applyCatalogue(index uint64, e *statepb.ConfigurationEntry) (bool, error) {
 	switch command := e.GetCommand().(type) {
 	case *statepb.ConfigurationEntry_PutRoutes:
@@ -49,6 +49,10 @@
 		c.catalogue.applyReports(index, command.ServerReports.GetReports())
 	case *statepb.ConfigurationEntry_PoisonReports:
 		c.catalogue.addCrashCounts(index, command.PoisonReports.GetReports())
+	case *statepb.ConfigurationEntry_AssignQuotaSlots:
+		return true, c.catalogue.assignQuotaSlots(index, command.AssignQuotaSlots)
+	case *statepb.ConfigurationEntry_BeginQuotaSlots:
+		return true, c.catalogue.beginQuotaSlots(index, command.BeginQuotaSlots)
 	default:
 		return false, nil
 	}
--- a/controlstate/catalogue_test.go
+++ b/controlstate/catalogue_test.go
@@ -11,6 +11,7 @@
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/statepb"
+	"heatherwall.example/quota"
 )
 
 func presentReport(s *controlpb.BackendServer) *statepb.ServerReport {
@@ -182,9 +183,10 @@
 
 // gatewayCatalogue is the catalogue that a gateway builds from deltas.
 type gatewayCatalogue struct {
-	index   uint64
-	version uint64
-	servers map[string]*controlpb.BackendServer
+	quotaOwners []uint64
+	index       uint64
+	version     uint64
+	servers     map[string]*controlpb.BackendServer
 }
 
 func (v *gatewayCatalogue) applyDelta(t testing.TB, d *controlpb.CatalogueDelta) {
@@ -206,6 +208,9 @@
 	if d.GetRoutes() != nil {
 		v.version = d.GetRoutes().GetVersion()
 	}
+	if len(d.GetQuotaOwners()) > 0 {
+		v.quotaOwners = d.GetQuotaOwners()
+	}
 	v.index = d.GetIndex()
 }
 
@@ -219,13 +224,20 @@
 			id := fmt.Sprint(rapid.IntRange(0, 4).Draw(rt, "id"))
 			incarnation := uint64(rapid.IntRange(1, 4).Draw(rt, "incarnation"))
 			var entry []byte
-			switch rapid.IntRange(0, 4).Draw(rt, "kind") {
+			switch rapid.IntRange(0, 5).Draw(rt, "kind") {
 			case 0:
 				entry = EncodePutRoutesEntry(&controlpb.RouteTable{Version: uint64(rapid.IntRange(1, 9).Draw(rt, "version"))})
 			case 1:
 				entry = EncodeServerReportsEntry([]*statepb.ServerReport{endedReport(&statepb.ServerEnd{Id: id, Incarnation: incarnation})})
 			case 2:
 				entry = EncodeSetDomainOutEntry(id, rapid.Bool().Draw(rt, "out"), 0)
+			case 3:
+				slots := c.QuotaSlots()
+				owners := [quota.Slots]uint64{uint64(rapid.IntRange(1, 3).Draw(rt, "owner")), 7}
+				entry = EncodeAssignQuotaSlotsEntry(slots.Changed, owners, 0)
+				if rapid.Bool().Draw(rt, "begin") {
+					entry = EncodeBeginQuotaSlotsEntry(slots.Assigned, 7)
+				}
 			default:
 				address := fmt.Sprint(rapid.IntRange(0, 3).Draw(rt, "address"))
 				sequence := uint64(rapid.IntRange(1, 9).Draw(rt, "sequence"))
@@ -240,10 +252,21 @@
 				if err != nil {
 					rt.Fatal(err)
 				}
+				if restored.QuotaSlots() != c.QuotaSlots() {
+					rt.Fatalf("slots %v after a snapshot of %v", restored.QuotaSlots(), c.QuotaSlots())
+				}
 				c = restored
 			}
 		}
 		v.applyDelta(t, c.CatalogueDeltaSince(v.index, true))
+		for i, owner := range v.quotaOwners {
+			if owner != c.QuotaSlots().Owners[i].Owner {
+				rt.Fatalf("gateway knows owner %d of slot %d; replica %d", owner, i, c.QuotaSlots().Owners[i].Owner)
+			}
+		}
+		if (len(v.quotaOwners) == 0) != (c.QuotaSlots().Assigned == 0) {
+			rt.Fatalf("gateway knows %d owners; the last assignment is at %d", len(v.quotaOwners), c.QuotaSlots().Assigned)
+		}
 		list := c.BackendServers()
 		if v.version != c.RouteTable().GetVersion() || len(list) != len(v.servers) {
 			rt.Fatalf("gateway at version %d with %d servers; replica at %d with %d", v.version, len(v.servers), c.RouteTable().GetVersion(), len(list))
@@ -260,3 +283,31 @@
 		}
 	})
 }
+
+// Guards against a command for slots that was decided before another one, and against one of a wrong length.
+func TestOutdatedSlotCommandsChangeNothing(t *testing.T) {
+	c := NewConfiguration()
+	owners := [quota.Slots]uint64{1, 2}
+	applyAll(t, c, EncodeAssignQuotaSlotsEntry(0, owners, 0), EncodeBeginQuotaSlotsEntry(1, 1))
+	before := c.QuotaSlots()
+	if before.Changed != 2 || before.Assigned != 1 || !before.Owners[0].Active {
+		t.Fatalf("%+v", before)
+	}
+	short, err := proto.Marshal(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_AssignQuotaSlots{
+		AssignQuotaSlots: &statepb.AssignQuotaSlots{Changed: 2, Owners: []uint64{1}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, entry := range map[string][]byte{
+		"assignment before a begin": EncodeAssignQuotaSlotsEntry(1, [quota.Slots]uint64{3}, 1),
+		"begin before":              EncodeBeginQuotaSlotsEntry(0, 2),
+		"too few owners":            short,
+	} {
+		var changed *SlotsChangedError
+		var invalid *EntryError
+		if r := c.Apply(c.AppliedIndex()+1, entry); !errors.As(r.Err, &changed) && !errors.As(r.Err, &invalid) || c.QuotaSlots() != before {
+			t.Errorf("%s: %v, slots %+v", name, r.Err, c.QuotaSlots())
+		}
+	}
+}
--- a/controlstate/configuration.go
+++ b/controlstate/configuration.go
@@ -63,7 +63,7 @@
 	Repeated bool
 	// ClaimGroup is the claim group of the region, newly created or already existing; nil for other commands.
 	ClaimGroup *statepb.ClaimGroup
-	// Err is nil, *EntryError, *AlreadyAppliedError, *ClaimGroupError or *SupersededError.
+	// Err is nil, *EntryError, *AlreadyAppliedError, *ClaimGroupError, *SupersededError or *SlotsChangedError.
 	Err error
 }
 
--- a/document/config.go
+++ b/document/config.go
@@ -68,6 +68,8 @@
 	Member *Member
 	Name   string
 	Home   Regions
+	// IsLimited is set if the tenant has a quota over all gateways.
+	IsLimited bool
 }
 
 // ID returns MEMBER/TENANT.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -63,10 +63,17 @@
 		p.load.add(load, -1, p.clock.now())
 	}
 	target := targetOf(s)
+	token, limited := c.currentToken()
 	a.gate = &sendGate{requestID: c.requestID, check: func() error {
-		if err := p.checkSend(a.server, selected); err != nil || target == nil {
+		if err := p.checkSend(a.server, selected); err != nil {
 			return err
 		}
+		if limited && !token.IsValid(p.clock.now()) {
+			return &SendForbiddenError{Reason: forbiddenTokenEnded}
+		}
+		if target == nil {
+			return nil
+		}
 		return checkStanding(target, p.clock.now())
 	}}
 	return a
@@ -97,6 +104,7 @@
 	forbiddenServerPaused      = "the server asked for a pause"
 	forbiddenServerLeaving     = "the server leaves"
 	forbiddenServerGone        = "the server is no longer listed"
+	forbiddenTokenEnded        = "the token of the workspace has ended"
 )
 
 // maxSelectionAge is the longest permitted time from the selection of a server to the first byte. Evidence is at most
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -15,6 +15,7 @@
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/document"
 	"heatherwall.example/gateway/pipeline"
+	"heatherwall.example/gateway/tokens"
 	"heatherwall.example/routes"
 )
 
@@ -61,7 +62,9 @@
 	relayed *relayedCall
 	// arrivals counts how often this gateway or its relays brought the request to a server.
 	arrivals int
-	claim    *requestClaim // nil if the request is idempotent or has no key
+	// token permits to send the request; nil if its workspace has no quota.
+	token *tokens.Token
+	claim *requestClaim // nil if the request is idempotent or has no key
 }
 
 // step is one stage of the request path. A refusal ends the request.
--- a/gateway/cataloguelease.go
+++ b/gateway/cataloguelease.go
@@ -27,6 +27,8 @@
 	servers map[string]*controlpb.BackendServer
 	// domainsOut is sorted.
 	domainsOut []string
+	// quotaOwners holds the identity of the replica that gives the tokens of each slot of workspaces; empty if none does.
+	quotaOwners []uint64
 }
 
 // mergeCatalogue applies a catalogue delta and the list of failure domains taken out, and reports whether anything changed.
@@ -66,6 +68,9 @@
 	if t := d.GetRoutes(); t != nil && (view.routes == nil || t.GetVersion() >= view.routes.Version) {
 		next = c.useRoutes(next, t)
 	}
+	if len(d.GetQuotaOwners()) > 0 {
+		next.quotaOwners = d.GetQuotaOwners()
+	}
 	if c.onCrashTotals != nil && len(d.GetPoison()) > 0 {
 		c.onCrashTotals(d.GetPoison())
 	}
@@ -83,6 +88,9 @@
 		return view
 	}
 	view.routes, view.table = compiled, t
+	if c.onRoutes != nil {
+		c.onRoutes(compiled)
+	}
 	c.log.Log(eventRoutesInUse, telemetry.F("version", t.GetVersion()), telemetry.F("index", view.index),
 		telemetry.F("routes", len(t.GetRoutes())), telemetry.F("bytes", proto.Size(t)))
 	return view
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -76,6 +76,7 @@
 	}
 	d.controlConnections.close()
 	d.gatewayConnections.close()
+	d.tokenConnections.close()
 	d.prober.client.CloseIdleConnections()
 	if t, ok := d.path.transport.(*http.Transport); ok {
 		t.CloseIdleConnections()
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -13,6 +13,7 @@
 	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/document"
+	"heatherwall.example/routes"
 	"heatherwall.example/routes/transfer"
 	"heatherwall.example/telemetry"
 )
@@ -99,9 +100,11 @@
 	// gateways. Both are nil where gateways exchange crash marks by gossip.
 	takeCrashReports func() []*controlpb.PoisonReport
 	onCrashTotals    func([]*controlpb.PoisonReport)
-	compile          compileFunc
-	status           func() *controlpb.GatewayStatus
-	onChange         func(*lease) // called when the configuration, the failure domains taken out or the gateway list changes
+	// onRoutes is called with each route table that comes into use; it may be nil.
+	onRoutes func(*routes.Table)
+	compile  compileFunc
+	status   func() *controlpb.GatewayStatus
+	onChange func(*lease) // called when the configuration, the failure domains taken out or the gateway list changes
 	// onGatewaysListed is called once, when the gateway list contains every gateway that started before this one.
 	onGatewaysListed func(ctx context.Context)
 	clock            clock
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -54,6 +54,8 @@
 	ReasonServersUnreachable Reason = "servers_unreachable"
 	ReasonServersPaused      Reason = "servers_paused"
 	ReasonNoCommonRegion     Reason = "no_common_region"
+	ReasonQuota              Reason = "quota"
+	ReasonQuotaUnavailable   Reason = "quota_unavailable"
 )
 
 // reasonInfo is the status and the default value of Ran of the refusals with one reason.
@@ -92,6 +94,8 @@
 	ReasonServersUnreachable: {http.StatusServiceUnavailable, RanNo},
 	ReasonServersPaused:      {http.StatusServiceUnavailable, RanNo},
 	ReasonNoCommonRegion:     {http.StatusServiceUnavailable, RanNo},
+	ReasonQuota:              {http.StatusTooManyRequests, RanNo},
+	ReasonQuotaUnavailable:   {http.StatusServiceUnavailable, RanNo},
 }
 
 // Refusal is the error for a request to which the gateway responds itself, without a response of a backend server.
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -44,7 +44,7 @@
 	defer l.mu.Unlock()
 	var list []settings.Replica
 	for _, m := range l.members {
-		list = append(list, settings.Replica{Name: m.GetName(), Address: m.GetAddress(), Region: m.GetRegion(), FailureDomain: m.GetFailureDomain()})
+		list = append(list, replicaOf(m))
 	}
 	slices.SortStableFunc(list, func(a, b settings.Replica) int {
 		return cmp.Or(cmp.Compare(l.distance(a), l.distance(b)), cmp.Compare(l.rank(a.Address), l.rank(b.Address)))
@@ -58,6 +58,22 @@
 	return list
 }
 
+// byID returns the replica with an identity, if the membership of the control group is known and has it.
+func (l *replicaList) byID(id uint64) (settings.Replica, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range l.members {
+		if m.GetId() == id {
+			return replicaOf(m), true
+		}
+	}
+	return settings.Replica{}, false
+}
+
+func replicaOf(m *raftpb.Member) settings.Replica {
+	return settings.Replica{Name: m.GetName(), Address: m.GetAddress(), Region: m.GetRegion(), FailureDomain: m.GetFailureDomain()}
+}
+
 // voters returns the replicas that vote, as far as the membership of the control group is known; otherwise all replicas.
 func (l *replicaList) voters() []settings.Replica {
 	l.mu.Lock()
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -42,8 +42,12 @@
 	if c.rule != nil {
 		rule = c.rule.Name
 	}
+	workspace := ""
+	if c.caller != nil {
+		workspace = c.caller.Tenant.Name
+	}
 	l := p.configuration.Current()
-	p.log.Log(eventRequestRefused, telemetry.F("request", c.requestID), telemetry.F("rule", rule), telemetry.F("reason", string(r.Reason)),
+	p.log.Log(eventRequestRefused, telemetry.F("request", c.requestID), telemetry.F("rule", rule), telemetry.F("workspace", workspace), telemetry.F("reason", string(r.Reason)),
 		telemetry.F("ran", string(r.Ran)), telemetry.F("detail", r.Detail), telemetry.F("retry_after", r.RetryAfter),
 		telemetry.F("held", p.clock.now()-c.arrived), telemetry.F("revision", l.revision), telemetry.F("catalogue", l.catalogue.index),
 		telemetry.F("lease_left", l.expires-p.clock.now()))
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"heatherwall.example/gateway/pipeline"
+	"heatherwall.example/gateway/tokens"
 	"heatherwall.example/telemetry"
 )
 
@@ -36,9 +37,11 @@
 	// routeVerifier decides whether the route table may be served; nil without a catalogue.
 	routeVerifier *routeVerifier
 	selector      selector
-	claims        claimer
-	claimHolders  *claimHolderIDs
-	crashMarks    *crashMarkTable
+	// tokens takes the tokens of workspaces with a quota; nil without a catalogue.
+	tokens       *tokens.Client
+	claims       claimer
+	claimHolders *claimHolderIDs
+	crashMarks   *crashMarkTable
 	// publishCrashMarks sends new crash marks to the other gateways. It may block for a short time.
 	publishCrashMarks func()
 	transport         http.RoundTripper
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -81,6 +81,8 @@
 	identity           *identity
 	controlConnections *connectionPool
 	gatewayConnections *connectionPool
+	// tokenConnections are those to the replicas that give tokens of workspaces.
+	tokenConnections *connectionPool
 
 	lease  *leaseClient
 	claims *claimClient
@@ -108,7 +110,7 @@
 	dial := dialPeers(id)
 	d := &daemon{
 		settings: s, log: log, counters: telemetry.NewMetrics(), clock: newClock(), identity: id, reload: o.Reload,
-		controlConnections: newConnectionPool(dial), gatewayConnections: newConnectionPool(dial), prober: newHTTPStateProber(),
+		controlConnections: newConnectionPool(dial), gatewayConnections: newConnectionPool(dial), tokenConnections: newConnectionPool(dial), prober: newHTTPStateProber(),
 	}
 	meter := &byteMeter{}
 	d.lease = &leaseClient{
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -46,8 +46,12 @@
 	if r.c.relayed != nil {
 		r.arrivals, first.retry = r.c.relayed.arrivals, r.c.relayed.arrivals > 0
 	}
+	if refusal := r.takeToken(); refusal != nil {
+		return nil, refusal
+	}
 	s, refusal := r.pick(first)
 	if refusal != nil {
+		r.giveBackToken()
 		return nil, refusal
 	}
 	for {
@@ -94,7 +98,13 @@
 	}
 	s, refusal := r.p.selector.Pick(c.ctx, q)
 	if refusal != nil && refusal.yield != nil && !q.hedge && !q.retry {
+		r.giveBackToken() // it would end during the wait
 		s, refusal = r.awaitFreeServer(q, refusal)
+		if refusal == nil {
+			if refusal = r.takeToken(); refusal != nil {
+				s.Done(result{kind: resultDiscarded})
+			}
+		}
 	}
 	if refusal != nil {
 		r.refusal = refusal
@@ -181,6 +191,10 @@
 	if reason == "" || r.c.ctx.Err() != nil || r.isPoison() {
 		return nil, false
 	}
+	if refusal := r.takeToken(); refusal != nil {
+		r.refusal = refusal
+		return nil, false
+	}
 	s, ok := r.selectFurther(a)
 	if !ok {
 		return nil, false
@@ -200,7 +214,7 @@
 		return false
 	}
 	switch forbidden.Reason {
-	case forbiddenServerPaused, forbiddenServerLeaving, forbiddenServerGone:
+	case forbiddenServerPaused, forbiddenServerLeaving, forbiddenServerGone, forbiddenTokenEnded:
 		return true
 	}
 	return false
@@ -273,7 +287,7 @@
 			return "domain_out"
 		case forbiddenSelectionOutdated:
 			return "selection_outdated"
-		case forbiddenServerPaused, forbiddenServerLeaving, forbiddenServerGone:
+		case forbiddenServerPaused, forbiddenServerLeaving, forbiddenServerGone, forbiddenTokenEnded:
 			return "placed_anew"
 		case forbiddenAttemptEnded:
 			return "not_sent"
@@ -288,6 +302,9 @@
 		return a, nil
 	}
 	a.done()
+	if !r.mayHaveRun && r.arrivals == 0 {
+		r.giveBackToken()
+	}
 	return nil, r.finalRefusal(a)
 }
 
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -9,7 +9,10 @@
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/balance"
 	"heatherwall.example/balance/budget"
+	"heatherwall.example/gateway/tokens"
 	"heatherwall.example/membership"
+	"heatherwall.example/quota"
+	"heatherwall.example/routes"
 	"heatherwall.example/settings"
 )
 
@@ -72,6 +75,7 @@
 	d.path.transport = newTransport(catalogueConnectionLimits)
 	d.path.steps = catalogueSteps
 	d.path.publishCrashMarks = func() {}
+	d.path.tokens = d.newTokenClient()
 	prober := newLoadProber(d)
 	if s.Catalogue.Relay.Address != "" {
 		d.setUpRelay(prober)
@@ -79,6 +83,41 @@
 	d.path.selector = &engineSelector{engine: engine, clock: d.clock, prober: prober, path: d.path.serverPath()}
 }
 
+// newTokenClient returns the client for the tokens of workspaces with a quota.
+func (d *daemon) newTokenClient() *tokens.Client {
+	q := d.settings.Catalogue.Quota
+	bounds := quota.Bounds{Window: time.Duration(q.WindowSeconds * float64(time.Second)), Overage: q.Overage, Slack: q.Slack}
+	c := &tokens.Client{
+		Wallet: quota.NewWallet(bounds), Now: d.clock.now, Call: d.callTokenOwner,
+		Owner: func(slot int) uint64 {
+			if owners := d.lease.Current().catalogue.quotaOwners; slot < len(owners) {
+				return owners[slot]
+			}
+			return 0
+		},
+		Count: func(o tokens.Outcome) { d.counters.Counter("quota_tokens", "outcome", string(o)).Inc(1) },
+	}
+	d.lease.onRoutes = func(t *routes.Table) {
+		c.Wallet.Keep(func(workspace string) bool { _, ok := t.CallerOf(workspace); return ok })
+	}
+	return c
+}
+
+// callTokenOwner calls the replica with an identity.
+func (d *daemon) callTokenOwner(ctx context.Context, id uint64, r *controlpb.TakeTokensRequest) (*controlpb.TakeTokensAnswer, error) {
+	replica, ok := d.lease.replicas.byID(id)
+	if !ok {
+		return nil, nil // the membership with the owner arrives with one of the next answers
+	}
+	conn, err := d.tokenConnections.get(replica.Name, replica.Address)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := controlpb.NewQuotasClient(conn).Take(ctx, r)
+	d.tokenConnections.recordResult(conn, err)
+	return answer, err
+}
+
 // setUpRelay creates the parts that pass requests on to other gateways.
 func (d *daemon) setUpRelay(prober *loadProber) {
 	transport := d.path.transport.(*http.Transport)
--- a/gateway/workspace.go
+++ b/gateway/workspace.go
@@ -2,10 +2,14 @@
 
 import (
 	"cmp"
+	"context"
+	"errors"
 	"net/http"
 	"strings"
+	"time"
 
 	"heatherwall.example/document"
+	"heatherwall.example/gateway/tokens"
 )
 
 // anyCaller is the caller of requests without a workspace.
@@ -80,6 +84,48 @@
 	return nil
 }
 
+// takeToken makes sure that the request has a valid token, if its workspace has a quota. A relay takes none: the gateway of the
+// caller has one.
+func (r *runner) takeToken() *Refusal {
+	c, p := r.c, r.p
+	if p.tokens == nil || c.relayed != nil || !c.caller.Tenant.IsLimited {
+		return nil
+	}
+	if c.token != nil && c.token.IsValid(p.clock.now()) {
+		return nil
+	}
+	token, err := p.tokens.Take(c.ctx, c.caller.Tenant.Name, time.Until(c.deadline))
+	var spent *tokens.SpentError
+	var unavailable *tokens.UnavailableError
+	switch {
+	case err == nil:
+		c.token = &token
+		return nil
+	case errors.As(err, &spent):
+		return refuse(ReasonQuota, "the quota of the workspace is spent").withRetryAfter(spent.RetryAfter)
+	case errors.As(err, &unavailable):
+		return refuse(ReasonQuotaUnavailable, "the quota of the workspace cannot be checked at present").withRetryAfter(unavailable.RetryAfter)
+	}
+	return refuse(ReasonDeadlineExceeded, "no token of the workspace within the deadline")
+}
+
+// giveBackToken gives back the token of a request that has reached no server.
+func (r *runner) giveBackToken() {
+	token, ok := r.c.currentToken()
+	if r.c.token = nil; !ok {
+		return
+	}
+	r.p.background.Go(func() { r.p.tokens.GiveBack(context.Background(), token) })
+}
+
+// currentToken returns the token of the request; false if it has none.
+func (c *call) currentToken() (token tokens.Token, ok bool) {
+	if c.token == nil {
+		return tokens.Token{}, false
+	}
+	return *c.token, true
+}
+
 // setWorkspaceHeader puts the name of the workspace into the header of a request to a backend server, in the place of what
 // the caller sent there. Where no keys are required, callers may use the header as they like.
 func (p *requestPath) setWorkspaceHeader(c *call, h http.Header) {
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -56,6 +56,12 @@
 		"BROKEN_SEND_RIGHT_FROM_GRANT": "sendRightLeft[0]==0",
 		"BROKEN_SWITCH_EARLY":          "sendRightLeft[0]==0",
 	}},
+	{"quota", "quota.pml", nil, map[string]string{
+		"BROKEN_NO_WAIT":             "leaseLeft[0]>0",
+		"BROKEN_LEASE_FROM_ANSWER":   "leaseLeft[0]>0",
+		"BROKEN_LATE_RELEASE":        "leaseLeft[0]>0",
+		"BROKEN_GIVES_WITHOUT_BEGIN": "leaseLeft[0]>0",
+	}},
 }
 
 // TestModels guards against protocols that break an invariant. The variants guard against invariants that cannot fail.
--- a/routes/workspace.go
+++ b/routes/workspace.go
@@ -14,7 +14,9 @@
 
 // addWorkspace adds a workspace. Its callers are known by its keys only, so there is one for all of them.
 func (c *Table) addWorkspace(w *controlpb.Workspace) {
-	caller := &document.Caller{Tenant: &document.Tenant{Member: allWorkspaces, Name: w.GetName(), Home: compileRegions(w.GetRegions())}}
+	caller := &document.Caller{Tenant: &document.Tenant{
+		Member: allWorkspaces, Name: w.GetName(), Home: compileRegions(w.GetRegions()), IsLimited: w.GetRate() > 0,
+	}}
 	c.workspaces[w.GetName()] = caller
 	for _, digest := range w.GetKeyDigests() {
 		c.callers[[sha256.Size]byte(digest)] = caller
--- a/settings/catalogue.go
+++ b/settings/catalogue.go
@@ -51,6 +51,8 @@
 	FailureDomains map[string]string `yaml:"failure_domains"`
 	// ReportMs is the time in milliseconds between two reports of a backend server; the default is 1500.
 	ReportMs int `yaml:"report_ms"`
+	// Quota says how exactly the quotas of workspaces are kept. It must be the same at gateways.
+	Quota QuotaBounds `yaml:"quota"`
 }
 
 // GatewayCatalogue holds the catalogue settings of a gateway.
@@ -76,6 +78,8 @@
 	Relay Listener `yaml:"relay"`
 	// MemoryMB is the memory available to the process in megabytes; 0 leaves the limits of the runtime unchanged.
 	MemoryMB int `yaml:"memory_mb"`
+	// Quota says how exactly the quotas of workspaces are kept. It must be the same at control replicas.
+	Quota QuotaBounds `yaml:"quota"`
 }
 
 // RetryBudget limits the retries of a service over all gateways in any window of WindowSeconds to Ratio times its requests
@@ -86,6 +90,14 @@
 	WindowSeconds float64 `yaml:"window_seconds"`
 }
 
+// QuotaBounds limits the requests of a workspace over all gateways in any window of WindowSeconds to what its quota permits
+// in that time, times 1 + Overage, plus Slack.
+type QuotaBounds struct {
+	WindowSeconds float64 `yaml:"window_seconds"`
+	Overage       float64 `yaml:"overage"`
+	Slack         float64 `yaml:"slack"`
+}
+
 // ColdLimit limits the requests per second to Overage times the cold rate of the service plus Slack.
 type ColdLimit struct {
 	Overage float64 `yaml:"overage"`
@@ -101,6 +113,8 @@
 	DefaultRetrySlack         = 20
 	DefaultRetryWindowSeconds = 10
 	DefaultColdOverage        = 1
+	DefaultQuotaWindowSeconds = 5
+	DefaultQuotaOverage       = 0.1
 )
 
 // ServeStale returns how long the gateway keeps serving after its lease has expired.
@@ -147,6 +161,7 @@
 		c.addProblem("catalogue.failure_domains", "expected the region of each failure domain")
 	}
 	s.ReportMs = c.intOrDefault("catalogue.report_ms", s.ReportMs, DefaultReportMs)
+	c.checkQuota(&s.Quota)
 }
 
 func (c *checker) checkGatewayCatalogue(s *GatewayCatalogue) {
@@ -166,6 +181,13 @@
 		c.checkListener("catalogue.relay", s.Relay, false)
 	}
 	s.Cold.Slack = c.floatOrDefault("catalogue.cold.slack", s.Cold.Slack, 0)
+	c.checkQuota(&s.Quota)
+}
+
+func (c *checker) checkQuota(q *QuotaBounds) {
+	q.WindowSeconds = c.floatOrDefault("catalogue.quota.window_seconds", q.WindowSeconds, DefaultQuotaWindowSeconds)
+	q.Overage = c.floatOrDefault("catalogue.quota.overage", q.Overage, DefaultQuotaOverage)
+	q.Slack = c.floatOrDefault("catalogue.quota.slack", q.Slack, 0)
 }
 
 // floatOrDefault returns fallback for 0, and reports negative values, infinity and values that are not a number.
