quotas: owners at all voters but the leader, and a shorter hand-over

The logs: the first three voters had all slots, because the others joined after the assignment; the leader was one of them and frozen at 2.0 s; the next leader came at 3.2 s, assigned at 4.4 s, and the owners began at 7.5 s. change: the first assignment waits for the replicas that join; the leader gets no slots if there are others; the wait of a next owner counts from when the leader last heard of the lost one (messages and read requests, which raft now reports apart); the tenure is 2.5 s in place of 3. found: TestSlotHasOneGiver, with 3,000 checks: two givers after an owner was lost that had not begun.

--- a/control/quotas.go
+++ b/control/quotas.go
@@ -17,10 +17,13 @@
 
 const (
 	// quotaConfirmInterval is the time between two confirmed reads of an owner of slots. Several fit into quota.TenureLength.
-	quotaConfirmInterval = 500 * time.Millisecond
+	quotaConfirmInterval = 300 * time.Millisecond
 	// quotaOwnerLostAfterTicks is the time without a message from an owner, in ticks, after which its slots are given to others.
 	// The next owner waits for quota.TenureLength anyway.
 	quotaOwnerLostAfterTicks = 12
+	// minSettleTime and maxSettleTime limit how long the first assignment waits for replicas that join.
+	minSettleTime = 3 * time.Second
+	maxSettleTime = 10 * time.Second
 	// quotaProposeInterval is the time between two proposals of this replica.
 	quotaProposeInterval = 300 * time.Millisecond
 	// maxTokensPerCall limits the tokens that one call may take.
@@ -45,6 +48,8 @@
 	// outcome. proposedAt is when the last entry was proposed.
 	confirmedAt, proposedAt time.Duration
 	confirming              bool
+	// ledSince is the last tick at which this replica did not lead.
+	ledSince time.Duration
 }
 
 func newQuotas(self uint64, s *settings.ControlCatalogue) *quotas {
@@ -130,14 +135,16 @@
 	if r.settings.Catalogue == nil {
 		return
 	}
+	now := q.now()
 	q.follow(r.configuration.state)
-	if g.isLeader && len(q.limits) > 0 {
-		r.assignQuotaSlots(g.node.Status())
+	if !g.isLeader {
+		q.ledSince = now
+	} else if len(q.limits) > 0 {
+		r.assignQuotaSlots(now, g.node.Status())
 	}
 	if !q.tenure.OwnsAny() {
 		return
 	}
-	now := q.now()
 	if !q.confirming && now-q.confirmedAt >= quotaConfirmInterval {
 		r.confirmTenure(now)
 	}
@@ -146,18 +153,48 @@
 	}
 }
 
-// assignQuotaSlots proposes to give the slots of lost owners to the voters in contact.
-func (r *replica) assignQuotaSlots(st raft.Status) {
-	var live []uint64
+// assignQuotaSlots proposes to give the slots without a living owner to the voters in contact.
+func (r *replica) assignQuotaSlots(now time.Duration, st raft.Status) {
+	q := r.quotas
+	isStarting := now-q.ledSince < minSettleTime || !isSettled(st) && now-q.ledSince < maxSettleTime
+	if q.slots.Assigned == 0 && isStarting {
+		return // replicas that are about to join would get no slots
+	}
+	live, silent := quotaCandidates(st)
+	owners, changed := q.slots.Owners.Reassign(live)
+	if !changed {
+		return
+	}
+	waited := quota.TenureLength
+	for i, s := range q.slots.Owners {
+		if s.Owner != owners[i] && s.Owner != 0 {
+			waited = min(waited, silent[s.Owner], now-q.ledSince)
+		}
+	}
+	r.proposeQuotaSlots(quota.Assignment{Owners: owners, Waited: waited}, func(error) {})
+}
+
+// isSettled reports whether a group has as many voters as it will have for now: no replica is joining.
+func isSettled(st raft.Status) bool {
+	return !st.MembershipPending && countVoters(st.Membership) == len(st.Membership.GetMembers())
+}
+
+// quotaCandidates returns the voters to which slots may be given, and how long each voter has been silent. The leader is left
+// out if there are others: its loss already takes an election.
+func quotaCandidates(st raft.Status) (live []uint64, silent map[uint64]time.Duration) {
+	silent = map[uint64]time.Duration{}
 	for _, replica := range st.Replicas {
+		// A message may have arrived at any time within its tick.
+		ticks := max(min(replica.TicksSinceLastMessage, replica.TicksSinceLastRead), 1) - 1
+		silent[replica.ID] = time.Duration(ticks) * tickInterval
 		if !replica.Learner && replica.TicksSinceLastMessage < quotaOwnerLostAfterTicks {
 			live = append(live, replica.ID)
 		}
 	}
-	owners, changed := r.quotas.slots.Owners.Reassign(live)
-	if changed {
-		r.proposeQuotaSlots(owners, 0, func(error) {})
+	if others := slices.DeleteFunc(slices.Clone(live), func(id uint64) bool { return id == st.ID }); len(others) > 1 {
+		return others, silent
 	}
+	return live, silent
 }
 
 // releaseQuotaSlots gives up the slots of this replica before a planned stop. It calls done once others own them, or without
@@ -186,7 +223,7 @@
 		done(nil)
 		return
 	}
-	r.proposeQuotaSlots(next, self, done)
+	r.proposeQuotaSlots(quota.Assignment{Owners: next, Released: self}, done)
 }
 
 // mayPropose reports whether an entry may be proposed, and counts it as proposed if so. An entry whose outcome stays unknown is
@@ -201,15 +238,15 @@
 }
 
 // proposeQuotaSlots proposes an assignment, unless another entry was proposed a moment ago.
-func (r *replica) proposeQuotaSlots(owners [quota.Slots]uint64, released uint64, done func(error)) {
+func (r *replica) proposeQuotaSlots(a quota.Assignment, done func(error)) {
 	q := r.quotas
-	if released == 0 && !q.mayPropose() {
+	if a.Released == 0 && !q.mayPropose() {
 		return
 	}
-	entry := controlstate.EncodeAssignQuotaSlotsEntry(q.slots.Changed, owners, released)
+	entry := controlstate.EncodeAssignQuotaSlotsEntry(q.slots.Changed, a)
 	r.loop.groups[configurationGroup].proposeOrForward(entry, func(result any, err error) {
 		err = errors.Join(err, commandError(result))
-		r.log.Log(eventQuotaSlotsAssigned, telemetry.F("released", released), telemetry.ErrorField(err))
+		r.log.Log(eventQuotaSlotsAssigned, telemetry.F("released", a.Released), telemetry.F("waited", a.Waited), telemetry.ErrorField(err))
 		done(err)
 	})
 }
--- a/controlstate/catalogue_test.go
+++ b/controlstate/catalogue_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -234,7 +235,7 @@
 			case 3:
 				slots := c.QuotaSlots()
 				owners := [quota.Slots]uint64{uint64(rapid.IntRange(1, 3).Draw(rt, "owner")), 7}
-				entry = EncodeAssignQuotaSlotsEntry(slots.Changed, owners, 0)
+				entry = EncodeAssignQuotaSlotsEntry(slots.Changed, quota.Assignment{Owners: owners, Waited: 700 * time.Millisecond})
 				if rapid.Bool().Draw(rt, "begin") {
 					entry = EncodeBeginQuotaSlotsEntry(slots.Assigned, 7)
 				}
@@ -288,7 +289,7 @@
 func TestOutdatedSlotCommandsChangeNothing(t *testing.T) {
 	c := NewConfiguration()
 	owners := [quota.Slots]uint64{1, 2}
-	applyAll(t, c, EncodeAssignQuotaSlotsEntry(0, owners, 0), EncodeBeginQuotaSlotsEntry(1, 1))
+	applyAll(t, c, EncodeAssignQuotaSlotsEntry(0, quota.Assignment{Owners: owners}), EncodeBeginQuotaSlotsEntry(1, 1))
 	before := c.QuotaSlots()
 	if before.Changed != 2 || before.Assigned != 1 || !before.Owners[0].Active {
 		t.Fatalf("%+v", before)
@@ -300,7 +301,7 @@
 		t.Fatal(err)
 	}
 	for name, entry := range map[string][]byte{
-		"assignment before a begin": EncodeAssignQuotaSlotsEntry(1, [quota.Slots]uint64{3}, 1),
+		"assignment before a begin": EncodeAssignQuotaSlotsEntry(1, quota.Assignment{Owners: [quota.Slots]uint64{3}, Released: 1}),
 		"begin before":              EncodeBeginQuotaSlotsEntry(0, 2),
 		"too few owners":            short,
 	} {
--- a/controlstate/quota.go
+++ b/controlstate/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/statepb"
@@ -26,9 +27,9 @@
 }
 
 // EncodeAssignQuotaSlotsEntry returns the encoded log entry that changes the owners of slots; changed is the index of the last
-// change that the proposer knows. released is a replica that has given up its slots, or 0.
-func EncodeAssignQuotaSlotsEntry(changed uint64, owners [quota.Slots]uint64, released uint64) []byte {
-	assign := &statepb.AssignQuotaSlots{Changed: changed, Owners: owners[:], Released: released}
+// change that the proposer knows.
+func EncodeAssignQuotaSlotsEntry(changed uint64, a quota.Assignment) []byte {
+	assign := &statepb.AssignQuotaSlots{Changed: changed, Owners: a.Owners[:], Released: a.Released, WaitedMs: uint32(a.Waited.Milliseconds())}
 	return encode(&statepb.ConfigurationEntry{Command: &statepb.ConfigurationEntry_AssignQuotaSlots{AssignQuotaSlots: assign}})
 }
 
@@ -51,7 +52,9 @@
 	if len(e.GetOwners()) != quota.Slots {
 		return &EntryError{Index: index, Cause: fmt.Errorf("%d owners, expected %d", len(e.GetOwners()), quota.Slots)}
 	}
-	s.Owners = s.Owners.Assign(index, [quota.Slots]uint64(e.GetOwners()), e.GetReleased())
+	s.Owners = s.Owners.Assign(index, quota.Assignment{
+		Owners: [quota.Slots]uint64(e.GetOwners()), Released: e.GetReleased(), Waited: milliseconds(e.GetWaitedMs()),
+	})
 	s.Changed, s.Assigned, c.changedIndex = index, index, index
 	return nil
 }
@@ -83,7 +86,7 @@
 		return
 	}
 	for _, slot := range s.Owners {
-		m.QuotaSlots = append(m.QuotaSlots, &statepb.QuotaSlot{Owner: slot.Owner, Index: slot.Index, Active: slot.Active})
+		m.QuotaSlots = append(m.QuotaSlots, &statepb.QuotaSlot{Owner: slot.Owner, Index: slot.Index, Active: slot.Active, WaitedMs: uint32(slot.Waited.Milliseconds())})
 	}
 }
 
@@ -92,8 +95,10 @@
 	s := QuotaSlots{Changed: m.GetQuotaChanged(), Assigned: m.GetQuotaAssigned()}
 	for i, slot := range m.GetQuotaSlots() {
 		if i < quota.Slots {
-			s.Owners[i] = quota.Slot{Owner: slot.GetOwner(), Index: slot.GetIndex(), Active: slot.GetActive()}
+			s.Owners[i] = quota.Slot{Owner: slot.GetOwner(), Index: slot.GetIndex(), Active: slot.GetActive(), Waited: milliseconds(slot.GetWaitedMs())}
 		}
 	}
 	return s
 }
+
+func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/quota/owners.go
+++ b/quota/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -18,8 +19,10 @@
 	Owner uint64
 	// Index is the log index of the assignment to this owner.
 	Index uint64
-	// Active is set once the owner has begun to give tokens. Before that, the grants of an earlier owner may still be valid.
+	// Active is set once the owner has begun to give tokens. Before that, an earlier owner may still give some.
 	Active bool
+	// Waited is the part of TenureLength that had passed for the earlier owner when the assignment was proposed.
+	Waited time.Duration
 }
 
 // Owners is the assignment of all slots. The zero value assigns none.
@@ -49,12 +52,26 @@
 	return owners, changed
 }
 
-// Assign returns the assignment after the log entry at an index has changed the owners. A slot that changes its owner is not
-// active, unless it had none, or its owner was released: a replica that has given up its slots and gives no more tokens.
-func (o Owners) Assign(index uint64, owners [Slots]uint64, released uint64) Owners {
+// Assignment changes the owners of slots.
+type Assignment struct {
+	Owners [Slots]uint64
+	// Released is a replica that has given up its slots and gives no more tokens; 0 for none.
+	Released uint64
+	// Waited is how long the leader that proposed the assignment has led and heard nothing of the replicas that lose slots: no
+	// read of theirs that began since then was confirmed.
+	Waited time.Duration
+}
+
+// Assign returns the owners after the log entry at an index has assigned slots. A slot that changes its owner is not active,
+// unless it had none, or its owner was released.
+func (o Owners) Assign(index uint64, a Assignment) Owners {
 	for i, s := range o {
-		if s.Owner != owners[i] {
-			o[i] = Slot{Owner: owners[i], Index: index, Active: s.Owner == 0 || s.Owner == released && s.Active}
+		if s.Owner == a.Owners[i] {
+			continue
+		}
+		o[i] = Slot{Owner: a.Owners[i], Index: index, Active: s.Owner == 0 || s.Owner == a.Released && s.Active}
+		if s.Active { // otherwise an owner before the last one may still give tokens
+			o[i].Waited = a.Waited
 		}
 	}
 	return o
--- a/quota/tenure.go
+++ b/quota/tenure.go
@@ -7,7 +7,7 @@
 
 // TenureLength is how long after the start of a confirmed read an owner may give tokens. It exceeds the time of an election,
 // so that the loss of a leader stops no other owner.
-const TenureLength = 3 * time.Second
+const TenureLength = 2500 * time.Millisecond
 
 // Tenure decides whether a replica may give tokens from a slot. All times are on its monotonic clock. It is not safe for
 // concurrent use.
@@ -15,7 +15,7 @@
 // The replica regularly reads the assignment with the confirmation of a quorum. A read that began at a time t shows every
 // assignment committed before t. A replica that follows the newest confirmed read for TenureLength from its start therefore
 // gives no tokens later than TenureLength after another owner was committed, and the next owner waits that long after it has
-// applied the assignment.
+// applied the assignment, less the time that the leader has waited before.
 //
 // A replica gives tokens only after it has recorded in the log that it begins. An entry of an earlier process with its
 // identity, which may be late, then has no effect.
@@ -62,7 +62,7 @@
 		if s.Owner != t.self || t.began[i] != 0 {
 			continue
 		}
-		if !s.Active && now-t.assignedAt[i] <= TenureLength {
+		if !s.Active && now-t.assignedAt[i] <= TenureLength-s.Waited {
 			return false
 		}
 		due = true
--- a/quota/tenure_test.go
+++ b/quota/tenure_test.go
@@ -18,13 +18,14 @@
 	changed, assigned, index uint64
 	replicas                 map[uint64]*owner
 	late                     []entry
+	// heardAt is when the leader last heard of each replica.
+	heardAt map[uint64]time.Duration
 }
 
 type entry struct {
+	Assignment
 	// basedOn is the index of the last change, or for a begin of the last assignment, that the proposer knows.
-	basedOn  uint64
-	owners   [Slots]uint64
-	released uint64
+	basedOn uint64
 	// begins is the replica that begins; 0 for an assignment. done is called once the entry has been applied.
 	begins uint64
 	done   func()
@@ -45,7 +46,7 @@
 	case e.begins != 0 && e.basedOn == c.assigned:
 		c.owners = c.owners.Activate(e.begins)
 	case e.begins == 0 && e.basedOn == c.changed:
-		c.owners, c.assigned = c.owners.Assign(c.index, e.owners, e.released), c.index
+		c.owners, c.assigned = c.owners.Assign(c.index, e.Assignment), c.index
 	default:
 		return
 	}
@@ -104,7 +105,7 @@
 // Guards against two replicas that give tokens of a workspace at the same time, whatever fails in between.
 func TestSlotHasOneGiver(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		c := &cluster{now: time.Second, replicas: map[uint64]*owner{}}
+		c := &cluster{now: time.Second, replicas: map[uint64]*owner{}, heardAt: map[uint64]time.Duration{}}
 		ids := []uint64{11, 12, 13}
 		for _, id := range ids {
 			c.restart(id)
@@ -119,10 +120,12 @@
 				c.now += time.Duration(rapid.IntRange(1, 1500).Draw(rt, "ms")) * time.Millisecond
 			case 3: // a read that is confirmed at once, or later
 				if began := c.now; !o.cut {
+					c.heardAt[id] = c.now
 					o.tenure.Confirm(began)
 				}
 			case 4:
 				if began := c.now; !o.cut {
+					c.heardAt[id] = c.now
 					pending = append(pending, func() { o.tenure.Confirm(began) })
 				}
 			case 5:
@@ -135,7 +138,8 @@
 			case 7: // the leader takes its slots from a replica, dead or not
 				live := slices.DeleteFunc(slices.Clone(ids), func(other uint64) bool { return other == id })
 				if owners, changed := c.owners.Reassign(live); changed {
-					c.commit(entry{basedOn: c.changed, owners: owners})
+					waited := min(c.now-c.heardAt[id], TenureLength)
+					c.commit(entry{basedOn: c.changed, Assignment: Assignment{Owners: owners, Waited: waited}})
 				}
 			case 8: // a planned stop, whose entry may be late
 				owners, changed := c.owners.Reassign(slices.DeleteFunc(slices.Clone(ids), func(other uint64) bool { return other == id }))
@@ -143,7 +147,7 @@
 					break
 				}
 				o.tenure.Stop()
-				release := entry{basedOn: o.applied, owners: owners, released: id}
+				release := entry{basedOn: o.applied, Assignment: Assignment{Owners: owners, Released: id}}
 				if rapid.Bool().Draw(rt, "late") {
 					c.late = append(c.late, release)
 				} else {
@@ -184,7 +188,7 @@
 		return owners
 	}
 	now, x := time.Second, NewTenure(1)
-	first := Owners{}.Assign(5, of(1), 0)
+	first := Owners{}.Assign(5, Assignment{Owners: of(1)})
 	x.Apply(now, first)
 	x.Confirm(now)
 	x.Begin(now)
@@ -192,20 +196,33 @@
 		t.Fatal("the first owner does not begin")
 	}
 	now += time.Minute
-	x.Apply(now, first.Assign(6, of(2), 0).Activate(2).Assign(7, of(1), 0))
+	x.Apply(now, first.Assign(6, Assignment{Owners: of(2)}).Activate(2).Assign(7, Assignment{Owners: of(1)}))
 	x.Confirm(now)
 	if _, ok := x.Since(now, 0); ok || x.IsDueToBegin(now) {
 		t.Error("the owner goes on, although another one may still give tokens")
 	}
 }
 
+// Guards against a wait that is cut short for a lost owner that never began, while the owner before it still gives tokens.
+func TestOwnerBeforeTheLastIsWaitedFor(t *testing.T) {
+	o := Owners{}.Assign(1, Assignment{Owners: [Slots]uint64{1}}).Activate(1)
+	o = o.Assign(2, Assignment{Owners: [Slots]uint64{2}, Waited: time.Second})
+	if o[0].Waited != time.Second {
+		t.Errorf("%+v after the loss of an owner that has begun; want the wait of the leader", o[0])
+	}
+	o = o.Assign(3, Assignment{Owners: [Slots]uint64{3}, Waited: TenureLength})
+	if o[0].Waited != 0 || o[0].Active {
+		t.Errorf("%+v after the loss of an owner that has not begun; want a full wait", o[0])
+	}
+}
+
 // Guards against slots without an owner, and against workspaces that lose their owner although it lives.
 func TestReassignMovesOnlySlotsOfLostReplicas(t *testing.T) {
 	owners, changed := Owners{}.Reassign([]uint64{1, 2, 3, 4})
 	if !changed {
 		t.Fatal("no slot was assigned")
 	}
-	o := Owners{}.Assign(7, owners, 0)
+	o := Owners{}.Assign(7, Assignment{Owners: owners})
 	for _, id := range []uint64{1, 2, 3, 4} {
 		if n := slotsOf(o, id); n != Slots/4 {
 			t.Errorf("replica %d has %d slots; want %d", id, n, Slots/4)
@@ -215,7 +232,7 @@
 		t.Error("a replica that came back moved slots of others")
 	}
 	owners, _ = o.Reassign([]uint64{1, 2, 3, 5})
-	next := o.Assign(9, owners, 0)
+	next := o.Assign(9, Assignment{Owners: owners})
 	for i, s := range next {
 		switch {
 		case o[i].Owner == 4 && (s.Owner != 5 || s.Active || s.Index != 9):
@@ -241,11 +258,11 @@
 // Guards against workspaces without tokens for longer than necessary: at the first start, after a restart of all replicas, after
 // a planned stop, and after the loss of an owner.
 func TestOwnerBeginsAsSoonAsItMay(t *testing.T) {
-	c := &cluster{now: time.Second, replicas: map[uint64]*owner{}}
+	c := &cluster{now: time.Second, replicas: map[uint64]*owner{}, heardAt: map[uint64]time.Duration{}}
 	c.restart(1)
 	c.restart(2)
 	owners, _ := Owners{}.Reassign([]uint64{1, 2})
-	c.commit(entry{owners: owners})
+	c.commit(entry{Assignment: Assignment{Owners: owners}})
 	requireGivers := func(when string, wait time.Duration, want ...uint64) {
 		t.Helper()
 		for end := c.now + wait; ; c.now += 100 * time.Millisecond {
@@ -272,12 +289,12 @@
 	requireGivers("restart of all", 0, 1, 2)
 	released, _ := c.owners.Reassign([]uint64{2})
 	c.replicas[1].tenure.Stop()
-	c.commit(entry{basedOn: c.changed, owners: released, released: 1})
+	c.commit(entry{basedOn: c.changed, Assignment: Assignment{Owners: released, Released: 1}})
 	requireGivers("planned stop", 0, 2)
 	c.restart(1)
 	lost, _ := c.owners.Reassign([]uint64{1})
 	c.replicas[2].cut = true
-	c.commit(entry{basedOn: c.changed, owners: lost})
+	c.commit(entry{basedOn: c.changed, Assignment: Assignment{Owners: lost}})
 	c.now += TenureLength + time.Millisecond
 	requireGivers("loss", 0, 1)
 }
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -33,7 +33,7 @@
 	}
 	for _, member := range n.membership().GetMembers() {
 		if n.progress[member.Id] == nil {
-			n.progress[member.Id] = &progress{next: n.log.lastIndex() + 1, lastMessageTick: n.ticks}
+			n.progress[member.Id] = &progress{next: n.log.lastIndex() + 1, lastMessageTick: n.ticks, lastReadTick: n.ticks}
 		}
 	}
 	if own := n.progress[n.config.ID]; own != nil {
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -35,6 +35,9 @@
 	snapshotSentTick uint64
 	// lastMessageTick is the tick at which the last message from the replica arrived.
 	lastMessageTick uint64
+	// lastReadTick is the tick at which the last read request from the replica arrived. It is kept apart, because a replica
+	// that sends requests and receives nothing is not in contact.
+	lastReadTick uint64
 	// confirmedRound is the latest read round that the replica has confirmed.
 	confirmedRound uint64
 }
--- a/raft/read.go
+++ b/raft/read.go
@@ -65,9 +65,13 @@
 }
 
 func (n *Node) handleReadIndex(m *raftpb.Message) {
-	if n.role == Leader {
-		n.addRead(readRequest{id: m.ReadId, from: m.From})
+	if n.role != Leader {
+		return
+	}
+	if p := n.progress[m.From]; p != nil {
+		p.lastReadTick = n.ticks
 	}
+	n.addRead(readRequest{id: m.ReadId, from: m.From})
 }
 
 func (n *Node) addRead(r readRequest) {
--- a/raft/status.go
+++ b/raft/status.go
@@ -35,6 +35,9 @@
 	Match uint64
 	// TicksSinceLastMessage counts the ticks since the last message from the member; 0 for the leader itself.
 	TicksSinceLastMessage uint64
+	// TicksSinceLastRead counts the ticks since the last read request from the member, or since the leader was elected; 0 for
+	// the leader itself.
+	TicksSinceLastRead uint64
 }
 
 // Status returns the current state of the node.
@@ -55,6 +58,7 @@
 		status := ReplicaStatus{ID: member.Id, Learner: member.Learner, Match: p.match}
 		if member.Id != n.config.ID {
 			status.TicksSinceLastMessage = n.ticks - p.lastMessageTick
+			status.TicksSinceLastRead = n.ticks - p.lastReadTick
 		}
 		s.Replicas = append(s.Replicas, status)
 	}
