--- a/testbed/harness/usage.go
+++ b/testbed/harness/usage.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// Descriptors returns the number of descriptors that the process has open.
+func (p *Process) Descriptors(t testing.TB) int {
+	t.Helper()
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.ID()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(entries)
+}
+
 func readFile(t testing.TB, file string) string {
 	t.Helper()
 	text, err := os.ReadFile(file)
