--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -12,6 +12,8 @@
 	maxInternalHeaderBytes = 16 << 10
 	adminTimeout           = 10 * time.Second
 	readyPath              = "/readyz"
+	// unreadBodyTimeout is the time after which the connection of a request ends whose body nobody reads.
+	unreadBodyTimeout = 2 * time.Second
 )
 
 // callerServer returns the server for callers. It also serves /readyz for the platform's load balancer.
@@ -30,6 +32,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+readyPath, d.serveReady)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			// A request that is refused before its body is read must not wait for the rest of the body. readBody sets another
+			// deadline, and net/http resets it before the next request.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+		}
 		if r.URL.Path == readyPath {
 			mux.ServeHTTP(w, r)
 			return
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -336,15 +336,15 @@
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-		ContentLength: int64(len(c.body)),
+		ContentLength: c.body.Len(),
 	}
-	if len(c.body) > 0 || !c.rule.Idempotent {
-		request.Body = io.NopCloser(bytes.NewReader(c.body))
+	if c.body.Len() > 0 || !c.rule.Idempotent {
+		request.Body = io.NopCloser(c.body.NewReader())
 	}
 	if len(c.r.Trailer) > 0 {
 		request.Trailer = p.newBackendTrailer(c)
 		request.ContentLength = -1
-		request.Body = io.NopCloser(bytes.NewReader(c.body))
+		request.Body = io.NopCloser(c.body.NewReader())
 	}
 	return request.WithContext(withGate(a.ctx, a.gate))
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -14,6 +14,7 @@
 
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/document"
+	"heatherwall.example/gateway/body"
 	"heatherwall.example/gateway/pipeline"
 	"heatherwall.example/gateway/tokens"
 	"heatherwall.example/routes"
@@ -55,8 +56,7 @@
 	retriesLeft int
 	requestID   string
 
-	body        []byte
-	bodyReader  *budgetedBody // holds the body's share of the memory budget; nil before the body is read
+	body        *body.Buffer // nil before the body is read
 	fingerprint fingerprint
 	// relayed is what the gateway that passed the request on says about it; nil for a request of a caller.
 	relayed *relayedCall
@@ -218,14 +218,17 @@
 	if c.r.ContentLength > c.rule.MaxBodyBytes {
 		return p.refuseBody(c)
 	}
-	// The read deadline must be cleared again, because net/http keeps reading to detect that the caller disconnects.
+	// After the whole body the read deadline must be cleared, because net/http keeps reading to detect that the caller
+	// disconnects. Otherwise it stays, because net/http waits for the rest of the body.
 	controller := http.NewResponseController(c.w)
 	_ = controller.SetReadDeadline(c.deadline)
-	c.bodyReader = &budgetedBody{budget: &p.bodies, body: http.MaxBytesReader(c.w, c.r.Body, c.rule.MaxBodyBytes)}
-	body, err := io.ReadAll(c.bodyReader)
-	_ = controller.SetReadDeadline(time.Time{})
+	var err error
+	c.body, err = p.bodies.Read(http.MaxBytesReader(c.w, c.r.Body, c.rule.MaxBodyBytes))
+	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
-	var full *BodyBudgetError
+	var full *body.BudgetError
 	switch {
 	case errors.As(err, &full):
 		r := refuse(ReasonOverloaded, "the gateway holds as many request bodies as it may").withRetryAfter(retryAfterLong)
@@ -238,7 +241,6 @@
 	case err != nil:
 		return refuse(ReasonBadRequest, "the body could not be read to its end")
 	}
-	c.body = body
 	return nil
 }
 
@@ -262,12 +264,12 @@
 }
 
 // requestFingerprint returns a truncated SHA-256 sum of the length-prefixed fields and the body.
-func requestFingerprint(member, method, path, query string, body []byte) fingerprint {
+func requestFingerprint(member, method, path, query string, body io.WriterTo) fingerprint {
 	h := sha256.New()
 	for _, field := range []string{member, method, path, query} {
 		writeLengthPrefixed(h, field)
 	}
-	h.Write(body)
+	_, _ = body.WriteTo(h) // a hash accepts everything
 	return fingerprint(h.Sum(nil)[:fingerprintBytes])
 }
 
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -21,6 +21,7 @@
 	"github.com/google/uuid"
 
 	"heatherwall.example/api/controlpb"
+	"heatherwall.example/gateway/body"
 	"heatherwall.example/telemetry"
 )
 
@@ -121,7 +122,7 @@
 	f.claims = &claimGroupStub{controlStub: controlStub{completions: map[string]*controlpb.CompleteRequest{}, granted: map[string]*controlpb.ClaimRequest{}}}
 	transport := newTransport(defaultConnectionLimits)
 	f.requestPath = &requestPath{
-		bodies:     bodyBudget{limit: maxBufferedBodyBytes},
+		bodies:     body.NewBudget(maxBufferedBodyBytes),
 		logLimiter: telemetry.NewLineLimiter(maxRequestLogLines, telemetry.NewMetrics()),
 		dialect:    nativeDialect, steps: documentSteps,
 		region: "north", maxRequests: 100, clock: newClock(), configuration: f.configuration, selector: f.servers, claims: f.claims,
--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -45,6 +45,9 @@
 
 func newConn(inner net.Conn, l *Listener) *conn { return &conn{Conn: inner, listener: l} }
 
+// NetConn returns the connection below, as tls.Conn does.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read passes bytes to net/http, at most up to the end of a request, after the responses to all exchanges were written.
 func (c *conn) Read(p []byte) (int, error) {
 	if len(p) == 1 && c.framer.state != lost {
@@ -238,6 +241,9 @@
 	return c.queue[0]
 }
 
+// Busy reports whether requests that were read ahead have not been answered.
+func (c *conn) Busy() bool { return c.firstExchange() != nil }
+
 // remove removes an exchange from the front of the queue, unless the connection was closed meanwhile.
 func (c *conn) remove(e *exchange) {
 	c.mu.Lock()
--- a/gateway/requestpath.go
+++ b/gateway/requestpath.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 
+	"heatherwall.example/gateway/body"
 	"heatherwall.example/gateway/pipeline"
 	"heatherwall.example/gateway/tokens"
 	"heatherwall.example/telemetry"
@@ -64,7 +65,7 @@
 	inFlightByDomain domainCounts
 	load             loadMeter
 	callerRetries    callerRetryDetector
-	bodies           bodyBudget
+	bodies           *body.Budget
 	// background tracks work that outlives its handler: abandoned hedged attempts and the completion of claims.
 	background sync.WaitGroup
 }
@@ -90,9 +91,7 @@
 // release returns the memory of the request body to the budget. An abandoned attempt may still read the body for a
 // short time; the budget has a reserve for that.
 func (c *call) release() {
-	if c.bodyReader != nil {
-		c.bodyReader.release()
-	}
+	c.body.Release()
 }
 
 func (p *requestPath) serve(c *call) { p.serveSteps(c, p.steps) }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -15,6 +15,8 @@
 	"heatherwall.example/api"
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/api/gossippb"
+	"heatherwall.example/gateway/body"
+	"heatherwall.example/gateway/connlimit"
 	"heatherwall.example/gateway/pipeline"
 	"heatherwall.example/settings"
 	"heatherwall.example/telemetry"
@@ -119,10 +121,9 @@
 	}
 	d.path = &requestPath{
 		region: s.Region, dialect: cmp.Or(o.Dialect, nativeDialect), maxRequests: int64(s.MaxRequests), clock: d.clock, configuration: d.lease,
-		claimHolders: newClaimHolderIDs(s.Name, incarnation), crashMarks: newCrashMarkTable(s.Name),
+		bodies: body.NewBudget(maxBufferedBodyBytes), claimHolders: newClaimHolderIDs(s.Name, incarnation), crashMarks: newCrashMarkTable(s.Name),
 		transport: newTransport(defaultConnectionLimits), log: log, counters: d.counters, logLimiter: telemetry.NewLineLimiter(maxRequestLogLines, d.counters),
 	}
-	d.path.bodies.limit = maxBufferedBodyBytes
 	if s.Catalogue != nil {
 		d.setUpCatalogueMode()
 	} else {
@@ -200,6 +201,11 @@
 			return &ListenError{Listener: name, Address: l.Address, Err: err}
 		}
 		d.listeners[name] = listener
+		if name == "callers" {
+			limited := connlimit.NewListener(listener, connlimit.FromDescriptors(), d.countConnection)
+			d.servers[name].ConnState = limited.ConnState
+			listener, d.listeners[name] = limited, limited
+		}
 		if name == "callers" && l.TLS == nil {
 			d.ahead = pipeline.NewListener(listener, pipeline.DefaultLimits, d.countReadAhead)
 			d.listeners[name] = d.ahead
@@ -236,6 +242,10 @@
 	d.counters.Counter("read_ahead", "event", event).Inc(1)
 }
 
+func (d *daemon) countConnection(event string) {
+	d.counters.Counter("caller_connections_over_limit", "event", event).Inc(1)
+}
+
 func (d *daemon) closeListeners() {
 	for _, l := range d.listeners {
 		_ = l.Close()
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -9,6 +9,7 @@
 	"heatherwall.example/api/controlpb"
 	"heatherwall.example/balance"
 	"heatherwall.example/balance/budget"
+	"heatherwall.example/gateway/body"
 	"heatherwall.example/gateway/tokens"
 	"heatherwall.example/membership"
 	"heatherwall.example/quota"
@@ -24,9 +25,23 @@
 	return l
 }
 
-// maxBufferedBodyBytes limits the total size of request bodies in memory. It has room for one body of the maximum size that a
-// route table may permit, and leaves the other memory of a small instance to connections.
-const maxBufferedBodyBytes = 80 << 20
+const (
+	// maxBufferedBodyBytes limits the total size of request bodies in memory. It has room for one body of the maximum size that
+	// a route table may permit, and leaves the other memory of a small instance to connections.
+	maxBufferedBodyBytes = 80 << 20
+	// bufferedBodyFraction is the fraction of the process's memory that bodies may take. A single body of the largest size that
+	// the route table permits is always accepted.
+	bufferedBodyFraction = 0.25
+)
+
+// limitBodies limits the memory for bodies to a part of the memory of the process; with 0 megabytes it sets no other limit.
+func limitBodies(bodies *body.Budget, megabytes int, largest int64) {
+	if megabytes <= 0 {
+		return
+	}
+	share := int64(bufferedBodyFraction * float64(megabytes) * (1 << 20))
+	bodies.SetLimit(min(max(share, largest+body.MaxOverhead), maxBufferedBodyBytes))
+}
 
 // setUpDocumentMode creates the parts that only document mode needs: gossip with the other gateways, and claims.
 func (d *daemon) setUpDocumentMode(incarnation uint64) {
@@ -76,6 +91,7 @@
 	d.path.steps = catalogueSteps
 	d.path.publishCrashMarks = func() {}
 	d.path.tokens = d.newTokenClient()
+	d.lease.onRoutes = d.followRoutes
 	prober := newLoadProber(d)
 	if s.Catalogue.Relay.Address != "" {
 		d.setUpRelay(prober)
@@ -97,12 +113,15 @@
 		},
 		Count: func(o tokens.Outcome) { d.counters.Counter("quota_tokens", "outcome", string(o)).Inc(1) },
 	}
-	d.lease.onRoutes = func(t *routes.Table) {
-		c.Wallet.Keep(func(workspace string) bool { _, ok := t.CallerOf(workspace); return ok })
-	}
 	return c
 }
 
+// followRoutes adapts to a route table that comes into use.
+func (d *daemon) followRoutes(t *routes.Table) {
+	d.path.tokens.Wallet.Keep(func(workspace string) bool { _, ok := t.CallerOf(workspace); return ok })
+	limitBodies(d.path.bodies, d.settings.Catalogue.MemoryMB, t.MaxBodyBytes())
+}
+
 // callTokenOwner calls the replica with an identity.
 func (d *daemon) callTokenOwner(ctx context.Context, id uint64, r *controlpb.TakeTokensRequest) (*controlpb.TakeTokensAnswer, error) {
 	replica, ok := d.lease.replicas.byID(id)
--- a/gateway/startwait_test.go
+++ b/gateway/startwait_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"heatherwall.example/gateway/body"
 	"heatherwall.example/telemetry"
 )
 
@@ -18,7 +19,7 @@
 	c.serveStale = time.Hour
 	p := &requestPath{
 		dialect: nativeDialect, steps: catalogueSteps, maxRequests: 100, clock: c.clock, configuration: c, crashMarks: newCrashMarkTable("gw-1"),
-		selector: &fixedOrderSelector{}, publishCrashMarks: func() {}, bodies: bodyBudget{limit: maxBufferedBodyBytes},
+		selector: &fixedOrderSelector{}, publishCrashMarks: func() {}, bodies: body.NewBudget(maxBufferedBodyBytes),
 		logLimiter: telemetry.NewLineLimiter(maxRequestLogLines, c.counters), log: telemetry.NewLogger(io.Discard, telemetry.Info), counters: c.counters,
 	}
 	return p, c
--- a/routes/table.go
+++ b/routes/table.go
@@ -137,10 +137,13 @@
 		Service: &document.Service{Name: service, Connections: c.Services[service].MaxConnections},
 		Name:    r.GetName(), Path: r.GetPathPrefix(), Idempotent: r.GetIdempotent(), KeyPolicy: key, RunIn: compileRegions(r.GetRegions()),
 		Deadline:     time.Duration(r.GetTimeoutMs()) * time.Millisecond,
-		MaxBodyBytes: cmp.Or(c.Limits.BodyBytes, defaultMaxBodyBytes),
+		MaxBodyBytes: c.MaxBodyBytes(),
 	}
 }
 
+// MaxBodyBytes returns the largest permitted request body.
+func (c *Table) MaxBodyBytes() int64 { return cmp.Or(c.Limits.BodyBytes, defaultMaxBodyBytes) }
+
 // compileRegions returns the set of regions; an empty list means all.
 func compileRegions(names []string) document.Regions {
 	if len(names) == 0 {
