gateway: TestOnlyASingleServerProvesACrash sends until enough servers are in use

cause: the test was wrong. It wants no mark after connections to several servers broke, and up to two may break by their own fault (maxBrokenTogether). That two servers of one failure domain may be marked when the path to all breaks stays possible, by that rule.

--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -345,25 +346,28 @@
 // Guards against crash marks for connections that broke because the path to all servers did, so that a common request is
 // refused afterwards, and against none for a server that breaks alone.
 func TestOnlyASingleServerProvesACrash(t *testing.T) {
-	const inFlight = 8
+	const minInFlight, maxInFlight = 8, 40
 	servers := startRelayServers(t)
 	g := startRelayGateways(t, startCatalogueControl(t, servers.records), "north-a", "north-a")[0]
-	reached, release := make(chan struct{}, inFlight), make(chan struct{})
+	reached, release := make(chan string, maxInFlight), make(chan struct{})
 	servers.handle = func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/crash" {
 			panic(http.ErrAbortHandler)
 		}
-		reached <- struct{}{}
+		reached <- r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
 		<-release
 	}
 	g.send(t, http.MethodPost, "/crash", "x")
 	eventually(t, "a server that breaks alone leaves a mark", func() bool { return g.crashes() == 1 })
 	var ended sync.WaitGroup
-	for range inFlight {
+	// Up to maxBrokenTogether servers may break by their own fault, so that requests at fewer prove nothing.
+	inUse := map[string]bool{}
+	for sent := 0; sent < minInFlight || len(inUse) <= maxBrokenTogether; sent++ {
+		if sent == maxInFlight {
+			t.Fatalf("%d requests reached %d servers", sent, len(inUse))
+		}
 		ended.Go(func() { g.send(t, http.MethodPost, "/common", "x") })
-	}
-	for range inFlight {
-		<-reached
+		inUse[<-reached] = true
 	}
 	g.cut.set(cutReset)
 	ended.Wait()
