--- a/control/quotas.go
+++ b/control/quotas.go
@@ -160,8 +160,8 @@
 	if q.slots.Assigned == 0 && isStarting {
 		return // replicas that are about to join would get no slots
 	}
-	live, silent := quotaCandidates(st)
-	owners, changed := q.slots.Owners.Reassign(live)
+	live, silent := replicasInContact(st)
+	owners, changed := q.slots.Owners.Reassign(live, quotaCandidates(live, st.ID))
 	if !changed {
 		return
 	}
@@ -179,9 +179,8 @@
 	return !st.MembershipPending && countVoters(st.Membership) == len(st.Membership.GetMembers())
 }
 
-// quotaCandidates returns the voters to which slots may be given, and how long each voter has been silent. The leader is left
-// out if there are others: its loss already takes an election.
-func quotaCandidates(st raft.Status) (live []uint64, silent map[uint64]time.Duration) {
+// replicasInContact returns the voters in contact with the leader, itself included, and how long each voter has been silent.
+func replicasInContact(st raft.Status) (live []uint64, silent map[uint64]time.Duration) {
 	silent = map[uint64]time.Duration{}
 	for _, replica := range st.Replicas {
 		// A message may have arrived at any time within its tick.
@@ -191,12 +190,18 @@
 			live = append(live, replica.ID)
 		}
 	}
-	if others := slices.DeleteFunc(slices.Clone(live), func(id uint64) bool { return id == st.ID }); len(others) > 1 {
-		return others, silent
-	}
 	return live, silent
 }
 
+// quotaCandidates returns the replicas that slots may be given to. The leader is left out if there are others: its loss already
+// takes an election. It keeps slots that it had before it led.
+func quotaCandidates(live []uint64, leader uint64) []uint64 {
+	if others := slices.DeleteFunc(slices.Clone(live), func(id uint64) bool { return id == leader }); len(others) > 1 {
+		return others
+	}
+	return live
+}
+
 // releaseQuotaSlots gives up the slots of this replica before a planned stop. It calls done once others own them, or without
 // an effect if that fails.
 func (r *replica) releaseQuotaSlots(done func(error)) {
@@ -218,7 +223,7 @@
 	if len(owners) == 0 {
 		owners = others
 	}
-	next, changed := q.slots.Owners.Reassign(owners)
+	next, changed := q.slots.Owners.Reassign(owners, owners)
 	if !owns || !changed {
 		done(nil)
 		return
--- a/quota/owners.go
+++ b/quota/owners.go
@@ -28,24 +28,24 @@
 // Owners is the assignment of all slots. The zero value assigns none.
 type Owners [Slots]Slot
 
-// Reassign returns the owner of each slot after the slots of all replicas that are not in live have been given to those that
-// are, each to the one with the fewest. It reports whether anything changed. Other slots keep their owner, because a change
-// leaves their workspaces without tokens for a while.
-func (o Owners) Reassign(live []uint64) (owners [Slots]uint64, changed bool) {
-	live = slices.Sorted(slices.Values(live))
+// Reassign returns the owner of each slot after the slots of all replicas that are not in live have been given to candidates,
+// each to the one with the fewest. It reports whether anything changed. Other slots keep their owner, because a change leaves
+// their workspaces without tokens for a while.
+func (o Owners) Reassign(live, candidates []uint64) (owners [Slots]uint64, changed bool) {
+	candidates = slices.Sorted(slices.Values(candidates))
 	count := map[uint64]int{}
 	for i, s := range o {
 		owners[i] = s.Owner
 		count[s.Owner]++
 	}
-	if len(live) == 0 {
+	if len(candidates) == 0 {
 		return owners, false
 	}
 	for i, s := range o {
 		if s.Owner != 0 && slices.Contains(live, s.Owner) {
 			continue
 		}
-		fewest := slices.MinFunc(live, func(a, b uint64) int { return count[a] - count[b] })
+		fewest := slices.MinFunc(candidates, func(a, b uint64) int { return count[a] - count[b] })
 		count[fewest]++
 		owners[i], changed = fewest, true
 	}
--- a/quota/tenure_test.go
+++ b/quota/tenure_test.go
@@ -137,12 +137,13 @@
 				c.restart(id)
 			case 7: // the leader takes its slots from a replica, dead or not
 				live := slices.DeleteFunc(slices.Clone(ids), func(other uint64) bool { return other == id })
-				if owners, changed := c.owners.Reassign(live); changed {
+				if owners, changed := c.owners.Reassign(live, live); changed {
 					waited := min(c.now-c.heardAt[id], TenureLength)
 					c.commit(entry{basedOn: c.changed, Assignment: Assignment{Owners: owners, Waited: waited}})
 				}
 			case 8: // a planned stop, whose entry may be late
-				owners, changed := c.owners.Reassign(slices.DeleteFunc(slices.Clone(ids), func(other uint64) bool { return other == id }))
+				others := slices.DeleteFunc(slices.Clone(ids), func(other uint64) bool { return other == id })
+				owners, changed := c.owners.Reassign(others, others)
 				if !changed || o.cut {
 					break
 				}
@@ -218,7 +219,7 @@
 
 // Guards against slots without an owner, and against workspaces that lose their owner although it lives.
 func TestReassignMovesOnlySlotsOfLostReplicas(t *testing.T) {
-	owners, changed := Owners{}.Reassign([]uint64{1, 2, 3, 4})
+	owners, changed := Owners{}.Reassign(nil, []uint64{1, 2, 3, 4})
 	if !changed {
 		t.Fatal("no slot was assigned")
 	}
@@ -228,10 +229,10 @@
 			t.Errorf("replica %d has %d slots; want %d", id, n, Slots/4)
 		}
 	}
-	if _, changed := o.Reassign([]uint64{1, 2, 3, 4, 5}); changed {
+	if _, changed := o.Reassign([]uint64{1, 2, 3, 4, 5}, []uint64{5}); changed {
 		t.Error("a replica that came back moved slots of others")
 	}
-	owners, _ = o.Reassign([]uint64{1, 2, 3, 5})
+	owners, _ = o.Reassign([]uint64{1, 2, 3, 5}, []uint64{1, 2, 3, 5})
 	next := o.Assign(9, Assignment{Owners: owners})
 	for i, s := range next {
 		switch {
@@ -241,7 +242,7 @@
 			t.Errorf("slot %d: %+v became %+v", i, o[i], s)
 		}
 	}
-	if _, changed := next.Reassign(nil); changed {
+	if _, changed := next.Reassign(nil, nil); changed {
 		t.Error("slots moved although no replica is known to live")
 	}
 }
@@ -261,7 +262,7 @@
 	c := &cluster{now: time.Second, replicas: map[uint64]*owner{}, heardAt: map[uint64]time.Duration{}}
 	c.restart(1)
 	c.restart(2)
-	owners, _ := Owners{}.Reassign([]uint64{1, 2})
+	owners, _ := Owners{}.Reassign(nil, []uint64{1, 2})
 	c.commit(entry{Assignment: Assignment{Owners: owners}})
 	requireGivers := func(when string, wait time.Duration, want ...uint64) {
 		t.Helper()
@@ -287,12 +288,12 @@
 	c.restart(1)
 	c.restart(2)
 	requireGivers("restart of all", 0, 1, 2)
-	released, _ := c.owners.Reassign([]uint64{2})
+	released, _ := c.owners.Reassign([]uint64{2}, []uint64{2})
 	c.replicas[1].tenure.Stop()
 	c.commit(entry{basedOn: c.changed, Assignment: Assignment{Owners: released, Released: 1}})
 	requireGivers("planned stop", 0, 2)
 	c.restart(1)
-	lost, _ := c.owners.Reassign([]uint64{1})
+	lost, _ := c.owners.Reassign([]uint64{1}, []uint64{1})
 	c.replicas[2].cut = true
 	c.commit(entry{basedOn: c.changed, Assignment: Assignment{Owners: lost}})
 	c.now += TenureLength + time.Millisecond
