testbed/harness: two tests never get the same ports

Packages are tested in parallel; each picks a block of ports by its process number and checks that it is free, and another one may take it before its programs listen. change: a block is locked by a file until the test has ended.

--- a/testbed/harness/ports.go
+++ b/testbed/harness/ports.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 )
 
@@ -20,7 +22,9 @@
 	nextBlock = os.Getpid() % ((lastPort - firstPort) / portsPerBlock)
 )
 
-// FreePorts returns the first of n consecutive loopback ports that were free when it checked them. n is at most 200.
+// FreePorts returns the first of n consecutive loopback ports that were free when it checked them. n is at most 200. No other
+// test gets the same ports before this one has ended, also of another package: packages are tested in parallel, and their
+// programs open the ports later.
 func FreePorts(t testing.TB, n int) int {
 	t.Helper()
 	portsMu.Lock()
@@ -29,7 +33,7 @@
 	for range blocks {
 		nextBlock = (nextBlock + 1) % blocks
 		first := firstPort + nextBlock*portsPerBlock
-		if n <= portsPerBlock && allFree(first, n) {
+		if n <= portsPerBlock && holdBlock(t, nextBlock) && allFree(first, n) {
 			return first
 		}
 	}
@@ -37,6 +41,22 @@
 	return 0
 }
 
+// holdBlock locks a block of ports until the test and its programs have ended; false if another test holds it.
+func holdBlock(t testing.TB, block int) bool {
+	t.Helper()
+	const mode = 0o666
+	file, err := os.OpenFile(filepath.Join(os.TempDir(), fmt.Sprintf("heatherwall-ports-%d.lock", block)), os.O_CREATE|os.O_RDWR, mode)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) != nil {
+		_ = file.Close()
+		return false
+	}
+	t.Cleanup(func() { _ = file.Close() })
+	return true
+}
+
 func allFree(first, n int) bool {
 	for port := first; port < first+n; port++ {
 		l, err := net.Listen("tcp", LoopbackAddress(port))
