control: a group recovers after half of its voters lose their disks

cause: The leader demotes silent voters until three are left, whatever number of disks may be lost at once; replicas did not know that number. With four voters, two of them gone, no majority can form; the lost identities could be removed only by a leader, and demoted replicas may not vote. Ruled out: a leader among the returning replicas (none; five of eleven and two of six votes), replicas that do not find the cluster (replica_joining is logged). change: Settings name the number of disks that may be lost at once, N (tolerated_disk_losses, from fault_tolerance). Demotions leave 2N+1 voters, a learner is promoted before a demotion that would leave fewer, and nothing is acknowledged before 2N replicas vote. If exactly half of the voters are known to have lost their data, the other half is a quorum: it shares a voter with each majority. A loss is proved only by the process at the voter's address that has its name and another identity, never by silence; the voters must be committed; and a promotion that makes their number odd also needs a quorum of the previous voters. A leader confirms a joining identity before it changes the group, because the request may be read late.

--- a/control/catalogue.go
+++ b/control/catalogue.go
@@ -64,6 +64,9 @@
 // commitRoutes commits a route table unless this replica has applied the version or a higher one, which is then committed.
 // Operators send a table again until it is acknowledged, and each entry takes the whole table to all replicas.
 func (c *Catalogue) commitRoutes(ctx context.Context, t *controlpb.RouteTable) error {
+	if err := c.r.checkVoters(); err != nil {
+		return wrapUnavailable(err)
+	}
 	held, err := runInLoop(ctx, c.r.loop, func(finish func(*controlpb.RouteTable, error)) {
 		finish(c.r.configuration.state.RouteTable(), nil)
 	})
@@ -168,8 +171,12 @@
 	return nil
 }
 
-// retryUntilLeader runs an idempotent task in the loop and repeats it while no leader accepts it, until ctx ends.
+// retryUntilLeader runs an idempotent task in the loop and repeats it while no leader accepts it, until ctx ends. It runs
+// nothing while the group has too few voters.
 func (c *Catalogue) retryUntilLeader(ctx context.Context, task func(done func(error))) error {
+	if err := c.r.checkVoters(); err != nil {
+		return wrapUnavailable(err)
+	}
 	for {
 		_, err := runInLoop(ctx, c.r.loop, func(finish func(struct{}, error)) {
 			task(func(err error) { finish(struct{}{}, err) })
--- a/control/counters.go
+++ b/control/counters.go
@@ -62,6 +62,7 @@
 	snapshots           counter
 	routePartBytes      counter
 	voters              metrics.Gauge
+	lostVoters          metrics.Gauge
 	peerMessagesDropped map[dropCause]counter
 	tokenCalls          map[controlpb.TakeTokensResult]counter
 }
@@ -84,6 +85,7 @@
 		snapshots:           exporter.UnlabeledCounter("snapshots"),
 		routePartBytes:      exporter.UnlabeledCounter("route_part_bytes"),
 		voters:              exporter.Gauge("voters"),
+		lostVoters:          exporter.Gauge("lost_voters"),
 		peerMessagesDropped: map[dropCause]counter{},
 	}
 	for _, reason := range []refusalReason{refusedCertificate, refusedStale, refusedOverloaded, refusedStopping, refusedOther} {
--- a/control/errors.go
+++ b/control/errors.go
@@ -44,6 +44,26 @@
 	return fmt.Sprintf("backend server %q has not reported yet", e.ID)
 }
 
+// OutdatedJoinError reports a request to join whose sender does not confirm, when it is asked, that it has this identity.
+type OutdatedJoinError struct {
+	Name string
+	ID   uint64
+}
+
+func (e *OutdatedJoinError) Error() string {
+	return fmt.Sprintf("replica %q does not confirm that it has the identity %x", e.Name, e.ID)
+}
+
+// TooFewVotersError reports that nothing is acknowledged yet, because the group has too few voters to bear the loss of as
+// many disks as the settings say.
+type TooFewVotersError struct {
+	Voters, Needed int
+}
+
+func (e *TooFewVotersError) Error() string {
+	return fmt.Sprintf("the configuration group has %d voters, %d are needed to acknowledge anything", e.Voters, e.Needed)
+}
+
 // StoppedError reports a request to a replica that is stopping.
 type StoppedError struct{}
 
--- a/control/events.go
+++ b/control/events.go
@@ -20,6 +20,12 @@
 		"The replica no longer leads the group; the outcome of its pending proposals is unknown.")
 	eventMembershipChangeProposed = telemetry.Define(1012, "membership_change_proposed", telemetry.Info,
 		"The leader proposed to add, promote or remove a replica.")
+	eventVoterDataLost = telemetry.Define(1015, "voter_data_lost", telemetry.Warn,
+		"A group has no leader, and the process at the address of one of its voters has another identity: the voter's data is gone.")
+	eventNoLeader = telemetry.Define(1016, "no_leader", telemetry.Warn,
+		"A group has had no leader for longer than an election takes; its voters and those that are known to have lost their data are in the fields.")
+	eventJoinOutdated = telemetry.Define(1017, "join_outdated", telemetry.Warn,
+		"A request to join was refused, because the process at its address does not confirm the identity that is to join.")
 	eventClaimGroupOpened = telemetry.Define(1013, "claim_group_opened", telemetry.Info,
 		"The replica opened its log of a claim group.")
 	eventSnapshotSaved = telemetry.Define(1014, "snapshot_saved", telemetry.Info,
--- a/control/group.go
+++ b/control/group.go
@@ -71,6 +71,11 @@
 	// leaderSeenAt is when a leader was last known.
 	leaderSeenAt time.Time
 
+	// lostData holds the voters that are known to have lost their data, by replica ID.
+	lostData map[uint64]bool
+	// isLeaderless is set while the group has had no leader for probeVotersAfter.
+	isLeaderless bool
+
 	proposals          map[uint64]proposal
 	nextProposalNumber uint64
 
@@ -85,6 +90,7 @@
 func newGroup(id uint64, region string, self uint64, node *raft.Node, log groupLog, machine stateMachine) *group {
 	return &group{
 		id: id, region: region, self: self, node: node, log: log, machine: machine, policy: snapshotPolicyFor(id),
+		lostData:           map[uint64]bool{},
 		proposals:          map[uint64]proposal{},
 		nextProposalNumber: randomUint63(),
 		nextReadID:         randomUint63(),
--- a/control/identity.go
+++ b/control/identity.go
@@ -237,7 +237,8 @@
 	return controlpb.NewPeersClient(conn).Probe(ctx, &controlpb.ProbeRequest{})
 }
 
-// runJoinLoop asks, until ctx ends, to be added to each group that this replica should be a member of but is not.
+// runJoinLoop asks, until ctx ends, to be added to each group that this replica should be a member of but is not. It also
+// looks for voters that have lost their data while a group has no leader.
 func (r *replica) runJoinLoop(ctx context.Context) {
 	next := 0
 	for ctx.Err() == nil {
@@ -253,6 +254,7 @@
 			}
 		}
 		next++
+		r.findLostData(ctx)
 		sleep(ctx, joinInterval)
 	}
 }
--- a/control/loop.go
+++ b/control/loop.go
@@ -50,6 +50,8 @@
 	afterReady func()
 	// tickHooks run after each tick.
 	tickHooks []func(now time.Time)
+	// minVoters is the number of voters that the demotion of silent voters leaves in a group.
+	minVoters int
 
 	tasks chan func()
 	stop  chan struct{}
@@ -61,10 +63,11 @@
 	return &loop{
 		self: self, clusterID: cluster, log: log, counters: counters,
 		groups: map[uint64]*group{}, peerAddresses: map[uint64]string{},
-		flush: func() {},
-		tasks: make(chan func(), taskQueueLength),
-		stop:  make(chan struct{}),
-		done:  make(chan struct{}),
+		flush:     func() {},
+		minVoters: defaultMinVoters,
+		tasks:     make(chan func(), taskQueueLength),
+		stop:      make(chan struct{}),
+		done:      make(chan struct{}),
 	}
 }
 
--- a/control/membership.go
+++ b/control/membership.go
@@ -29,6 +29,12 @@
 	return answer
 }
 
+// joinChangesGroup reports whether the join request would change a group that is led here.
+func (l *loop) joinChangesGroup(r *controlpb.JoinRequest) bool {
+	g, ok := l.groups[r.Group]
+	return ok && r.ClusterId == l.clusterID && g.isLeader && nextJoinChange(g.node.Status().Membership, r.Member) != nil
+}
+
 func nextJoinChange(membership *raftpb.Membership, joining *raftpb.Member) *raftpb.MembershipChange {
 	for _, m := range membership.GetMembers() {
 		if m.Id == joining.Id {
@@ -62,11 +68,28 @@
 	// removeLearnerAfterTicks is the time without a message from a learner, in ticks, after which the learner is removed. A
 	// learner costs no quorum, only heartbeats, so an instance that returns within this time needs no request to join.
 	removeLearnerAfterTicks = 300
-	// minVoters is the number of voters that a demotion leaves, unless a learner is ready to take the place: two voters of
-	// three keep every entry on two disks.
-	minVoters = 3
+	// defaultMinVoters is the number of voters that a demotion leaves: two voters of three keep every entry on two disks.
+	defaultMinVoters = 3
 )
 
+// minVotersFor returns the number of voters that a demotion leaves so that, after the loss of the given number of disks, the
+// other voters are still a majority. Each entry is then on the disk of one of them.
+func minVotersFor(lostDisks int) int { return max(2*lostDisks+1, defaultMinVoters) }
+
+// minVotersToAcknowledge returns the number of voters without which nothing is acknowledged: any majority of fewer voters
+// may be among the given number of lost disks.
+func minVotersToAcknowledge(lostDisks int) int { return 2 * lostDisks }
+
+// checkVoters returns a *TooFewVotersError if an entry that the configuration group commits now could be lost with as many
+// disks as the settings say may be lost at once. It is safe for concurrent use.
+func (r *replica) checkVoters() error {
+	needed := minVotersToAcknowledge(r.settings.ToleratedDiskLosses)
+	if n := int(r.counters.voters.Value()); n < needed {
+		return &TooFewVotersError{Voters: n, Needed: needed}
+	}
+	return nil
+}
+
 // maintainMembership keeps the voters of a group led here equal to the replicas in contact: it demotes voters that are
 // silent and promotes learners that have synced everything committed. A lost voter that stayed would count towards the
 // quorum size for good, and each replaced instance would leave one more.
@@ -80,7 +103,7 @@
 		return
 	}
 	st := g.node.Status()
-	change := nextMaintenanceChange(st, g.demoting)
+	change := nextMaintenanceChange(st, g.demoting, l.minVoters)
 	if change == nil || !l.proposeMembershipChange(g, change) {
 		return
 	}
@@ -92,19 +115,19 @@
 
 // nextMaintenanceChange returns the next change that maintainMembership proposes, or nil if there is none. demoting is the
 // voter whose demotion has begun, or nil. A lost voter is demoted before a learner is promoted: without it the quorum is
-// never larger, with one more voter it may be.
-func nextMaintenanceChange(st raft.Status, demoting *raftpb.Member) *raftpb.MembershipChange {
+// never larger, with one more voter it may be. Where the demotion would leave fewer than minVoters, the promotion comes first,
+// because a smaller group keeps entries on fewer disks.
+func nextMaintenanceChange(st raft.Status, demoting *raftpb.Member, minVoters int) *raftpb.MembershipChange {
 	if st.MembershipPending {
 		return nil
 	}
 	if demoting != nil && !isMember(st.Membership, demoting) {
 		return &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_ADD_LEARNER, Member: demoting}
 	}
-	ready := caughtUpLearner(st)
-	if lost := voterToReplace(st); lost != nil && (ready != nil || countVoters(st.Membership) > minVoters) {
+	if lost := voterToReplace(st); lost != nil && countVoters(st.Membership) > minVoters {
 		return &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_REMOVE, Member: lost}
 	}
-	if ready != nil {
+	if ready := caughtUpLearner(st); ready != nil {
 		return &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_PROMOTE, Member: ready}
 	}
 	if gone := expiredLearner(st); gone != nil {
--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -204,14 +204,69 @@
 	n.requireVoters()
 	n.disconnected[3] = true
 	n.run(2 * demoteVoterAfterTicks)
-	if voters := n.leader().groups[configurationGroup].voterCount(); voters != minVoters {
-		t.Fatalf("%d voters are left, want %d", voters, minVoters)
+	if voters := n.leader().groups[configurationGroup].voterCount(); voters != defaultMinVoters {
+		t.Fatalf("%d voters are left, want %d", voters, defaultMinVoters)
 	}
 	clear(n.disconnected)
 	n.run(10)
 	n.requireVoters()
 }
 
+// Guards against a group that becomes so small, while voters are silent or one of them is replaced, that the tolerated number
+// of lost disks may hold all copies of an entry, or that the other voters are no majority.
+func TestGroupStaysLargeEnoughForLostDisks(t *testing.T) {
+	for lostDisks := 1; lostDisks <= 2; lostDisks++ {
+		for size := uint64(2*lostDisks + 1); size <= 11; size++ {
+			t.Run(fmt.Sprintf("%d replicas, %d lost disks", size, lostDisks), func(t *testing.T) {
+				minVoters := minVotersFor(lostDisks)
+				n := newMemberNetwork(t, size)
+				n.setMinVoters(minVoters)
+				n.run(20)
+				runChecked := func() {
+					for range demoteVoterAfterTicks + 5 {
+						n.run(1)
+						n.requireLargeEnough(lostDisks)
+					}
+				}
+				for len(n.connected()) >= minVoters {
+					n.lose(false)
+					runChecked()
+				}
+				n.start() // replaces the silent voter that could not be demoted
+				n.setMinVoters(minVoters)
+				runChecked()
+				n.requireVoters()
+				clear(n.disconnected)
+				runChecked()
+				n.requireVoters()
+			})
+		}
+	}
+}
+
+func (n *memberNetwork) setMinVoters(minVoters int) {
+	for _, l := range n.loops {
+		l.minVoters = minVoters
+	}
+}
+
+// requireLargeEnough checks that no replica knows a membership in which the lost disks may hold all copies of an entry that
+// a majority has, or after whose loss the other voters are no majority.
+func (n *memberNetwork) requireLargeEnough(lostDisks int) {
+	n.t.Helper()
+	for _, id := range n.connected() {
+		members := n.group(id).node.Status().Membership
+		if len(members.GetMembers()) == 0 {
+			continue // it has not joined yet
+		}
+		voters := countVoters(members)
+		majority := voters/2 + 1
+		if majority <= lostDisks || voters-lostDisks < majority {
+			n.t.Fatalf("replica %d knows %d voters, too few for %d lost disks", id, voters, lostDisks)
+		}
+	}
+}
+
 // Guards against learners that never return and receive heartbeats for good.
 func TestSilentLearnerIsRemoved(t *testing.T) {
 	n := newMemberNetwork(t, 5)
--- a/control/operators.go
+++ b/control/operators.go
@@ -45,6 +45,10 @@
 			finish(&controlpb.ApplyAnswer{NotLeader: true, LeaderAddress: g.leaderAddress()}, nil)
 			return
 		}
+		if err := s.r.checkVoters(); err != nil {
+			finish(nil, err)
+			return
+		}
 		s.r.proposeChange(g, r.Change, func(outcome *controlpb.ChangeOutcome, err error) {
 			finish(&controlpb.ApplyAnswer{Outcome: outcome}, err)
 		})
--- a/control/peers.go
+++ b/control/peers.go
@@ -159,6 +159,14 @@
 		err := &IdentityError{Certificate: name, Expected: r.Member.GetName()}
 		return nil, status.Error(codes.PermissionDenied, err.Error())
 	}
+	changes, err := runInLoop(ctx, s.r.loop, func(finish func(bool, error)) { finish(s.r.loop.joinChangesGroup(r), nil) })
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	if changes && !s.r.isCurrentIdentity(ctx, r.Member) {
+		s.r.log.Log(eventJoinOutdated, telemetry.F("group", r.Group), telemetry.F("replica", r.Member.GetName()), telemetry.F("id", r.Member.GetId()))
+		return nil, status.Error(codes.Unavailable, (&OutdatedJoinError{Name: r.Member.GetName(), ID: r.Member.GetId()}).Error())
+	}
 	answer, err := runInLoop(ctx, s.r.loop, func(finish func(*controlpb.JoinAnswer, error)) {
 		finish(s.r.loop.handleJoin(r), nil)
 	})
@@ -168,6 +176,13 @@
 	return answer, nil
 }
 
+// isCurrentIdentity reports whether the process at a joining member's address has its identity now. A join request may be
+// read long after it was sent, when the process has lost its data folder and joined under another identity.
+func (r *replica) isCurrentIdentity(ctx context.Context, m *raftpb.Member) bool {
+	answer, err := r.probe(ctx, m.GetAddress())
+	return err == nil && answer.Name == m.GetName() && identityIn(answer, r.loop.clusterID) == m.GetId()
+}
+
 // groupStatus returns the status of every group of this replica.
 func (r *replica) groupStatus(ctx context.Context) ([]*controlpb.GroupStatus, error) {
 	return runInLoop(ctx, r.loop, func(finish func([]*controlpb.GroupStatus, error)) {
--- a/control/replica.go
+++ b/control/replica.go
@@ -235,6 +235,7 @@
 // openGroups creates the loop and the transport and opens the configuration group and the claim groups of this region.
 func (r *replica) openGroups(ctx context.Context, id wal.Identity) error {
 	r.loop = newLoop(r.selfMember(id.ID), id.ClusterID, r.log, r.counters)
+	r.loop.minVoters = minVotersFor(r.settings.ToleratedDiskLosses)
 	r.transport = newTransport(ctx, r.peerDialer(), id.ClusterID, r.log, r.counters)
 	r.directory = newGatewayDirectory(id.ID, time.Now())
 	r.transport.buildReport = func(base uint64) *controlpb.ReplicaReport { return r.directory.buildReport(base, time.Now()) }
@@ -305,6 +306,7 @@
 	r.expireSilentServers(now)
 	r.maintainQuotas()
 	r.counters.voters.Update(int64(r.loop.groups[configurationGroup].voterCount()))
+	r.counters.lostVoters.Update(int64(r.loop.groups[configurationGroup].lostVoterCount()))
 	r.raiseFloors(now)
 	r.limitMemory(now)
 }
--- a/raft/election.go
+++ b/raft/election.go
@@ -80,27 +80,23 @@
 	return n.term
 }
 
-// countVotes ends the campaign once a majority of the voters has granted or refused its vote: if granted, a pre-candidate
-// becomes a candidate and a candidate becomes the leader; if refused, both become followers. It reports whether the
-// campaign has ended.
+// countVotes ends the campaign once a quorum of the voters has granted its vote or a majority has refused it: if granted, a
+// pre-candidate becomes a candidate and a candidate becomes the leader; if refused, both become followers. It reports
+// whether the campaign has ended.
 func (n *Node) countVotes() bool {
-	granted, refused, all := 0, 0, voters(n.membership())
+	refused, all := 0, voters(n.membership())
 	for _, id := range all {
-		vote, ok := n.votes[id]
-		if ok && vote {
-			granted++
-		}
-		if ok && !vote {
+		if vote, ok := n.votes[id]; ok && !vote {
 			refused++
 		}
 	}
-	majority := len(all)/2 + 1
+	granted := n.isQuorum(func(id uint64) bool { return n.votes[id] })
 	switch {
-	case granted >= majority && n.role == PreCandidate:
+	case granted && n.role == PreCandidate:
 		n.campaign(false, false)
-	case granted >= majority:
+	case granted:
 		n.becomeLeader()
-	case refused >= majority:
+	case refused > len(all)/2:
 		n.becomeFollower(n.term, 0)
 	default:
 		return false
@@ -161,16 +157,12 @@
 	return n.vote == m.From || (n.vote == 0 && n.leader == 0)
 }
 
-// hasQuorum reports whether the leader has received messages from a majority of the voters, itself included, within the
+// hasQuorum reports whether the leader has received messages from a quorum of the voters, itself included, within the
 // minimum election timeout.
 func (n *Node) hasQuorum() bool {
-	active, all := 0, voters(n.membership())
-	for _, id := range all {
-		if id == n.config.ID || n.ticks-n.progress[id].lastMessageTick <= uint64(n.config.ElectionTicks) {
-			active++
-		}
-	}
-	return active > len(all)/2
+	return n.isQuorum(func(id uint64) bool {
+		return id == n.config.ID || n.ticks-n.progress[id].lastMessageTick <= uint64(n.config.ElectionTicks)
+	})
 }
 
 func (n *Node) handleTimeoutNow() {
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -1,8 +1,6 @@
 package raft
 
 import (
-	"slices"
-
 	"google.golang.org/protobuf/proto"
 
 	"heatherwall.example/api/raftpb"
@@ -261,7 +259,7 @@
 	}
 }
 
-// advanceCommit commits the entries that a majority of the voters has synced. Only entries of the leader's own term are
+// advanceCommit commits the entries that a quorum of the voters has synced. Only entries of the leader's own term are
 // committed by counting replicas; earlier entries are committed with them. It reports whether the commit index advanced.
 func (n *Node) advanceCommit() bool {
 	index := n.quorumValue(func(p *progress) uint64 { return p.match })
@@ -283,16 +281,3 @@
 		n.becomeFollower(n.term, 0)
 	}
 }
-
-// quorumValue returns the highest value that a majority of the voters has reached.
-func (n *Node) quorumValue(value func(*progress) uint64) uint64 {
-	var values []uint64
-	for _, id := range voters(n.membership()) {
-		values = append(values, value(n.progress[id]))
-	}
-	if len(values) == 0 {
-		return 0
-	}
-	slices.Sort(values)
-	return values[(len(values)-1)/2]
-}
--- a/raft/node.go
+++ b/raft/node.go
@@ -45,6 +45,8 @@
 	// leader requested the campaign to transfer its leadership.
 	votes            map[uint64]bool
 	transferCampaign bool
+	// lost holds the members whose storage is known to be gone; see MarkDataLost.
+	lost map[uint64]bool
 
 	// Leader state. leaderSince is the tick of the election.
 	leaderSince uint64
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -8,7 +8,7 @@
 	// Snapshot has to be synced, and it replaces the log up to its index and the state machine; nil if there is none.
 	// It must be synced before HardState and Entries, as Save does.
 	Snapshot *raftpb.Snapshot
-	// HardState has to be synced; nil if there is nothing to sync. A change of only the commit index does not need a sync.
+	// HardState has to be synced; nil if there is nothing to sync.
 	HardState *raftpb.HardState
 	// Entries have to be synced; they replace the stored entries from the index of the first one on.
 	Entries []*raftpb.Entry
@@ -35,13 +35,20 @@
 		return false
 	}
 	return len(n.messages) > 0 || len(n.log.unstable) > 0 || n.log.snapshot != nil || len(n.readStates) > 0 ||
-		n.log.applied < n.log.committed || n.mustBroadcast || n.mustSaveTermOrVote() || n.reportedMembership != n.membership()
+		n.log.applied < n.log.committed || n.mustBroadcast || n.mustSaveTermOrVote() || n.mustSaveCommit() || n.reportedMembership != n.membership()
 }
 
 func (n *Node) mustSaveTermOrVote() bool {
 	return n.term != n.saved.term || n.vote != n.saved.vote
 }
 
+// mustSaveCommit reports whether the latest membership has been committed and the saved commit index does not show it. A
+// restarted node must know it, see isHalfLost.
+func (n *Node) mustSaveCommit() bool {
+	latest := n.memberships.latest().index
+	return n.saved.commit < latest && latest <= n.log.committed
+}
+
 // Ready returns what the caller has to process. Advance must be called before Ready is called again. A stopped node returns
 // an empty Ready.
 func (n *Node) Ready() Ready {
@@ -63,7 +70,7 @@
 		r.Membership = n.reportedMembership
 	}
 	writes := len(r.Entries) > 0 || r.Snapshot != nil
-	if n.mustSaveTermOrVote() || (writes && n.log.committed != n.saved.commit) {
+	if n.mustSaveTermOrVote() || n.mustSaveCommit() || (writes && n.log.committed != n.saved.commit) {
 		n.saved = savedState{term: n.term, vote: n.vote, commit: n.log.committed}
 		r.HardState = &raftpb.HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed}
 	}
--- a/raft/simulation_test.go
+++ b/raft/simulation_test.go
@@ -58,17 +58,20 @@
 	replacements map[uint64]uint64
 	// demotions holds the replicas that were voters, have been removed and are to become voters again.
 	demotions map[uint64]bool
+	// maxLost is the number of disks that may be lost before the first of them is replaced.
+	maxLost int
 	// crashPerMille is the probability, in 1/1,000, of a crash at each call of shouldCrash.
 	crashPerMille int
 }
 
-func newSimulation(t *rapid.T, size int) *simulation {
+func newSimulation(t *rapid.T, size, maxLost int) *simulation {
 	random := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
 	s := &simulation{
 		cluster: newCluster(t, size), t: t, random: random, nextID: 100,
 		leaders: map[uint64]uint64{}, committed: map[uint64]*raftpb.Entry{}, committedBy: map[uint64]uint64{},
 		writes: map[string]*operation{}, reads: map[uint64]*operation{},
-		paused: map[uint64]bool{}, partitioned: map[uint64]bool{}, replacements: map[uint64]uint64{}, demotions: map[uint64]bool{}, crashPerMille: random.Intn(20),
+		paused: map[uint64]bool{}, partitioned: map[uint64]bool{}, replacements: map[uint64]uint64{}, demotions: map[uint64]bool{},
+		maxLost: maxLost, crashPerMille: random.Intn(20),
 	}
 	s.cluster.random = random.Intn
 	s.isDropped = func(m *raftpb.Message) bool { return s.partitioned[m.From] != s.partitioned[m.To] || s.paused[m.To] }
@@ -184,6 +187,11 @@
 		clear(s.paused)
 	case n < 655:
 		s.loseDisk(h)
+		if s.random.Intn(2) == 0 {
+			s.loseDisk(s.randomHost())
+		}
+	case n < 657:
+		s.reportLosses(h)
 	case n < 665:
 		if h.node != nil {
 			s.crash(h)
@@ -228,14 +236,14 @@
 	}
 }
 
-// minVoters is the number of voters that a demotion leaves.
-const minVoters = 3
+// minVoters returns the number of voters that a demotion leaves: after the loss of maxLost disks, the rest is a majority.
+func (s *simulation) minVoters() int { return 2*s.maxLost + 1 }
 
 // proposeDemotion removes a random voter other than h, which returns as a learner with its old log and becomes a voter
 // again.
 func (s *simulation) proposeDemotion(h *host) {
 	all := voters(h.node.membership())
-	if len(all) <= minVoters {
+	if len(all) <= s.minVoters() {
 		return
 	}
 	id := all[s.random.Intn(len(all))]
@@ -337,10 +345,10 @@
 	}
 }
 
-// loseDisk removes a replica together with its storage and starts a new replica in its place, unless an earlier replacement
-// is still in progress.
+// loseDisk removes a replica together with its storage and starts a new replica in its place, unless too many earlier
+// replacements are still in progress.
 func (s *simulation) loseDisk(h *host) {
-	if len(s.replacements) > 0 {
+	if !s.canLose(h.id) {
 		return
 	}
 	s.nextID++
@@ -349,29 +357,82 @@
 	s.addReplica(s.nextID, nil)
 }
 
+// canLose reports whether a replica may lose its disk. Where two may be lost, half of an even number of voters may be gone;
+// the others must then have saved that these voters are committed, otherwise they may rightly wait for those that are lost.
+func (s *simulation) canLose(id uint64) bool {
+	if len(s.replacements) >= s.maxLost || s.isReplacement(id) {
+		return false
+	}
+	if s.maxLost == 1 {
+		return true
+	}
+	var index uint64
+	for _, other := range s.ids() {
+		if s.isReplacement(other) {
+			continue
+		}
+		n := s.hosts[other].node
+		if n == nil {
+			return false
+		}
+		latest := n.memberships.latest().index
+		if index == 0 {
+			index = latest
+		}
+		if latest != index || n.saved.commit < latest {
+			return false
+		}
+	}
+	return true
+}
+
+// isReplacement reports whether a replica takes the place of one that has lost its disk and has not yet completed it.
+func (s *simulation) isReplacement(id uint64) bool {
+	for _, replacement := range s.replacements {
+		if replacement == id {
+			return true
+		}
+	}
+	return false
+}
+
+// reportLosses tells a replica which members have lost their disks.
+func (s *simulation) reportLosses(h *host) {
+	if h.node == nil {
+		return
+	}
+	for lost := range s.replacements {
+		h.node.MarkDataLost(lost)
+	}
+}
+
 // proposeRepair proposes the next membership change that replaces a lost replica: remove the lost one, add the new one as a
 // learner, promote it. Without a lost replica it promotes demoted ones.
 func (s *simulation) proposeRepair(h *host) {
 	if len(s.replacements) == 0 {
 		s.proposePromotion(h)
 	}
-	for lost, replacement := range s.replacements {
-		change := &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_REMOVE, Member: memberOf(lost)}
-		member := findMember(h.node.membership(), replacement)
-		switch {
-		case findMember(h.node.membership(), lost) != nil:
-		case member == nil:
-			change = &raftpb.MembershipChange{Member: memberOf(replacement)}
-		case member.Learner:
-			change = &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_PROMOTE, Member: member}
-		case h.node.role == Leader && h.node.hasCommittedInTerm() && h.node.memberships.latest().index <= h.node.log.committed:
-			delete(s.replacements, lost) // the replacement is complete; another disk may be lost now
-			return
-		}
-		ignoreExpectedError(s.t, h.node.ProposeMembership(change))
+	for _, lost := range slices.Sorted(maps.Keys(s.replacements)) {
+		s.proposeReplacement(h, lost, s.replacements[lost])
 	}
 }
 
+func (s *simulation) proposeReplacement(h *host, lost, replacement uint64) {
+	change := &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_REMOVE, Member: memberOf(lost)}
+	member := findMember(h.node.membership(), replacement)
+	switch {
+	case findMember(h.node.membership(), lost) != nil:
+	case member == nil:
+		change = &raftpb.MembershipChange{Member: memberOf(replacement)}
+	case member.Learner:
+		change = &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_PROMOTE, Member: member}
+	case h.node.role == Leader && h.node.hasCommittedInTerm() && h.node.memberships.latest().index <= h.node.log.committed:
+		delete(s.replacements, lost) // the replacement is complete; another disk may be lost now
+		return
+	}
+	ignoreExpectedError(s.t, h.node.ProposeMembership(change))
+}
+
 // checkRecovery ends all faults and checks that the cluster completes pending replacements, converges and commits again.
 func (s *simulation) checkRecovery() {
 	s.crashPerMille = 0
@@ -382,7 +443,9 @@
 			if h := s.hosts[id]; h.node == nil {
 				s.start(h)
 			}
+			s.reportLosses(s.hosts[id])
 			s.proposeRepair(s.hosts[id])
+			s.requestJoin(id)
 		}
 		s.tick(1)
 		if len(s.replacements) == 0 && len(s.demotions) == 0 && s.hasConverged() {
@@ -393,6 +456,19 @@
 	s.t.Fatal("the cluster has not converged within 1,000 ticks after the end of all faults")
 }
 
+// requestJoin lets a replica that the leader does not know as a member ask to become a voter again. Its demotion may have
+// been committed by a later leader than the one that proposed it.
+func (s *simulation) requestJoin(id uint64) {
+	if s.isReplacement(id) {
+		return
+	}
+	for _, h := range s.hosts {
+		if h.node != nil && h.node.role == Leader && h.node.hasQuorum() && !isVoter(h.node.membership(), id) {
+			s.demotions[id] = true
+		}
+	}
+}
+
 func (s *simulation) hasConverged() bool {
 	index := uint64(0)
 	for _, id := range s.ids() {
@@ -445,12 +521,12 @@
 
 // Guards against safety violations caused by lost, duplicated and reordered messages, partitions, paused replicas, lost
 // disks, compaction and crashes between any two of a replica's saves, syncs and sent messages, and against a cluster that
-// does not recover after all faults have ended.
+// does not recover after all faults have ended. In the groups of 4 to 7, two disks are lost at once, also half of all.
 func TestSafetyUnderFaults(t *testing.T) {
-	for _, size := range []int{3, 5} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) {
+	for _, c := range []struct{ size, maxLost int }{{3, 1}, {5, 1}, {4, 2}, {5, 2}, {6, 2}, {7, 2}} {
+		t.Run(fmt.Sprintf("%d replicas, %d lost disks", c.size, c.maxLost), func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
-				s := newSimulation(t, size)
+				s := newSimulation(t, c.size, c.maxLost)
 				for range rapid.IntRange(100, 1500).Draw(t, "steps") {
 					s.randomStep()
 				}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -95,6 +95,10 @@
 	Admin Listener `yaml:"admin"`
 	// DataFolder holds all files of the replica.
 	DataFolder string `yaml:"data_folder"`
+	// ToleratedDiskLosses is the number of replicas that may lose their data folders at the same time without a loss of what
+	// was acknowledged. Silent voters are demoted only while enough remain for this, and nothing is acknowledged before there
+	// are enough. With the default 0, three voters remain, and a group of one replica acknowledges as well.
+	ToleratedDiskLosses int `yaml:"tolerated_disk_losses"`
 	// Peers lists every configured replica, including this one. It must be empty if Discovery is set.
 	Peers []Replica `yaml:"peers"`
 	// Discovery finds the replicas of the cluster without a list; nil if Peers is set.
@@ -142,6 +146,8 @@
 )
 
 const (
+	// maxToleratedDiskLosses is the largest permitted ToleratedDiskLosses.
+	maxToleratedDiskLosses = 50
 	// maxGraceSeconds is the longest permitted GraceSeconds.
 	maxGraceSeconds = 3600
 	// exitMargin is the time before the end of GraceSeconds that is left for the exit of the process.
@@ -169,6 +175,9 @@
 	c.checkListener("peer", s.Peer, true)
 	c.checkListener("admin", s.Admin, false)
 	c.checkRequired("data_folder", s.DataFolder)
+	if s.ToleratedDiskLosses < 0 || s.ToleratedDiskLosses > maxToleratedDiskLosses {
+		c.addProblem("tolerated_disk_losses", fmt.Sprintf("expected a number from 0 to %d", maxToleratedDiskLosses))
+	}
 	c.checkReplicas("peers", s.Peers, s.Discovery)
 	if s.Discovery == nil && !slices.ContainsFunc(s.Peers, func(p Replica) bool { return p.Name == s.Name }) {
 		c.addProblem("peers", fmt.Sprintf("expected an entry for this instance, %q", s.Name))
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -77,6 +77,29 @@
 	}
 }
 
+// Guards against a number of tolerated losses that no group can satisfy, or that a template leaves empty.
+func TestToleratedDiskLosses(t *testing.T) {
+	const text = `name: c1
+region: r
+failure_domain: d
+peer: {address: "127.0.0.1:7001", plaintext: true}
+admin: {address: "127.0.0.1:7002"}
+data_folder: data
+peers:
+  - {name: c1, address: "127.0.0.1:7001", region: r, failure_domain: d}
+`
+	for line, want := range map[string]int{"": 0, "tolerated_disk_losses: 2": 2, "tolerated_disk_losses:": 0} {
+		if s, err := ParseControl("c.yaml", []byte(text+line)); err != nil || s.ToleratedDiskLosses != want {
+			t.Errorf("%q: %+v, %v; want %d", line, s, err, want)
+		}
+	}
+	for _, line := range []string{"tolerated_disk_losses: -1", "tolerated_disk_losses: 51"} {
+		if _, err := ParseControl("c.yaml", []byte(text+line)); err == nil || !strings.Contains(err.Error(), "tolerated_disk_losses") {
+			t.Errorf("%q: %v", line, err)
+		}
+	}
+}
+
 // Guards against a drain that lasts longer than the process may run after the signal to stop.
 func TestDrainTimeStaysWithinTheGraceTime(t *testing.T) {
 	for text, want := range map[string]time.Duration{
