platform: a late deregistration ends no later start of its server

cause: A deregistration without a start ended the newest start that the replica knew when it read the call. A frozen replica reads it when its sender has deregistered elsewhere and started again under the same identifier; an ended start may not return. Shown by the log of the old code: server_left without an error at the woken replica, then report_outdated at all replicas for each heartbeat.

--- a/control/catalogue.go
+++ b/control/catalogue.go
@@ -65,7 +65,7 @@
 // Operators send a table again until it is acknowledged, and each entry takes the whole table to all replicas.
 func (c *Catalogue) commitRoutes(ctx context.Context, t *controlpb.RouteTable) error {
 	if err := c.r.checkVoters(); err != nil {
-		return wrapUnavailable(err)
+		return &UnavailableError{Cause: err}
 	}
 	held, err := runInLoop(ctx, c.r.loop, func(finish func(*controlpb.RouteTable, error)) {
 		finish(c.r.configuration.state.RouteTable(), nil)
@@ -105,6 +105,9 @@
 // after that index, so that a delayed copy never undoes a later command.
 // Errors: *controlstate.SupersededError, *UnavailableError.
 func (c *Catalogue) SetDomainOut(ctx context.Context, domain string, out bool, decidedAt uint64) error {
+	if err := c.r.checkVoters(); err != nil {
+		return &UnavailableError{Cause: err}
+	}
 	err := c.commitEntry(ctx, controlstate.EncodeSetDomainOutEntry(domain, out, decidedAt))
 	c.r.log.Log(eventDomainSet, telemetry.F("failure_domain", domain), telemetry.F("out", out), telemetry.F("decided_at", decidedAt), telemetry.ErrorField(err))
 	return err
@@ -124,7 +127,7 @@
 
 // ReportServer processes a report of a backend server. It returns once the changes in the report are committed. A report
 // without changes only updates the time of the last report on this replica, and a report older than the known one is
-// ignored. Errors: *routes.InvalidServerError, *OwnAddressError, *UnavailableError.
+// ignored. Unlike other calls, it does not wait until the group has enough voters to bear lost disks: servers repeat reports. Errors: *routes.InvalidServerError, *OwnAddressError, *UnavailableError.
 func (c *Catalogue) ReportServer(ctx context.Context, s *controlpb.BackendServer) error {
 	if err := routes.ValidateServer(s); err != nil {
 		return err
@@ -132,14 +135,30 @@
 	return c.retryUntilLeader(ctx, func(done func(error)) { c.r.handleReport(s, done) })
 }
 
-// RemoveServer removes an incarnation of a backend server permanently. Incarnation 0 stands for the newest one that has
-// reported. Errors: *routes.InvalidServerError, *UnavailableError, whose cause is *UnknownServerError if no incarnation is
-// given and the server has not reported yet.
+// CurrentIncarnation returns the newest incarnation of a backend server that has not ended, after a quorum has confirmed, since
+// the call began, that this replica knows it; 0 if the newest one has ended. Errors: *routes.InvalidServerError,
+// *UnavailableError, whose cause is *UnknownServerError if the server has not reported yet.
+func (c *Catalogue) CurrentIncarnation(ctx context.Context, id string) (uint64, error) {
+	if err := routes.ValidateServerID(id); err != nil {
+		return 0, err
+	}
+	incarnation, err := runInLoop(ctx, c.r.loop, func(finish func(uint64, error)) { c.r.currentIncarnation(id, finish) })
+	return incarnation, wrapUnavailable(err)
+}
+
+// RemoveServer removes an incarnation of a backend server permanently. It has no effect on later incarnations, so that a
+// delayed copy of a call ends none of them. Errors: *routes.InvalidServerError, *UnavailableError.
 func (c *Catalogue) RemoveServer(ctx context.Context, id string, incarnation uint64) error {
 	if err := cmp.Or(routes.ValidateServerID(id), routes.ValidateIncarnation(incarnation)); err != nil {
 		return err
 	}
-	err := c.retryUntilLeader(ctx, func(done func(error)) { c.r.handleLeave(id, incarnation, done) })
+	if incarnation == 0 {
+		return &routes.InvalidServerError{Field: "incarnation", Expected: "a number above 0"}
+	}
+	if err := c.r.checkVoters(); err != nil {
+		return &UnavailableError{Cause: err}
+	}
+	err := c.retryUntilLeader(ctx, func(done func(error)) { c.r.proposeLeave(id, incarnation, done) })
 	c.r.log.Log(eventServerLeft, telemetry.F("server", id), telemetry.F("incarnation", incarnation), telemetry.ErrorField(err))
 	return err
 }
@@ -171,12 +190,8 @@
 	return nil
 }
 
-// retryUntilLeader runs an idempotent task in the loop and repeats it while no leader accepts it, until ctx ends. It runs
-// nothing while the group has too few voters.
+// retryUntilLeader runs an idempotent task in the loop and repeats it while no leader accepts it, until ctx ends.
 func (c *Catalogue) retryUntilLeader(ctx context.Context, task func(done func(error))) error {
-	if err := c.r.checkVoters(); err != nil {
-		return wrapUnavailable(err)
-	}
 	for {
 		_, err := runInLoop(ctx, c.r.loop, func(finish func(struct{}, error)) {
 			task(func(err error) { finish(struct{}{}, err) })
--- a/control/serverreports.go
+++ b/control/serverreports.go
@@ -101,32 +101,28 @@
 	return r.coldUntil.IsZero() || end.Sub(r.coldUntil) > coldStartTolerance
 }
 
-// handleLeave proposes the removal of a server and calls done once it is committed, or immediately if the server has
-// left before. A call without an incarnation, that is 0, ends the newest one that this replica knows, after a quorum has
-// confirmed that its state is current: a replica that has lost its disk knows no server, and one that lags behind knows an
-// earlier incarnation. If the server has not reported yet, done gets *UnknownServerError.
-func (r *replica) handleLeave(id string, incarnation uint64, done func(error)) {
-	if incarnation != 0 {
-		r.proposeLeave(id, incarnation, done)
-		return
-	}
+// currentIncarnation passes the newest incarnation of a server that has not ended to done, 0 if the newest one has ended, after
+// a quorum has confirmed that this replica's state is current: a replica that has lost its disk knows no server, and one that
+// lags behind knows an earlier incarnation. If the server has not reported yet, done gets *UnknownServerError.
+func (r *replica) currentIncarnation(id string, done func(uint64, error)) {
 	r.confirmConfigurationRead(func(err error) {
 		state := r.configuration.state
 		newest := max(state.BackendServer(id).GetIncarnation(), r.servers.received[id].incarnation)
 		last := state.LastEndedIncarnation(id)
 		switch {
 		case err != nil:
-			done(err)
+			done(0, err)
 		case newest > last:
-			r.proposeLeave(id, newest, done)
+			done(newest, nil)
 		case last > 0:
-			done(nil)
+			done(0, nil)
 		default:
-			done(&UnknownServerError{ID: id})
+			done(0, &UnknownServerError{ID: id})
 		}
 	})
 }
 
+// proposeLeave proposes the end of an incarnation of a server and calls done once it is committed.
 func (r *replica) proposeLeave(id string, incarnation uint64, done func(error)) {
 	end := &statepb.ServerEnd{Id: id, Incarnation: incarnation}
 	r.servers.add(&statepb.ServerReport{Report: &statepb.ServerReport_Ended{Ended: end}}, done)
