--- a/control/identity.go
+++ b/control/identity.go
@@ -237,24 +237,34 @@
 	return controlpb.NewPeersClient(conn).Probe(ctx, &controlpb.ProbeRequest{})
 }
 
+// membershipCheck is what a replica finds when it looks at the membership of its groups.
+type membershipCheck struct {
+	// toJoin holds the groups that the replica should be a member of but may not be.
+	toJoin []uint64
+	// leaderless holds the other voters of the groups that have had no leader for a while.
+	leaderless []*raftpb.Member
+}
+
 // runJoinLoop asks, until ctx ends, to be added to each group that this replica should be a member of but is not. It also
 // looks for voters that have lost their data while a group has no leader.
 func (r *replica) runJoinLoop(ctx context.Context) {
 	next := 0
 	for ctx.Err() == nil {
-		groups, err := runInLoop(ctx, r.loop, func(finish func([]uint64, error)) { finish(r.groupsToJoin(), nil) })
+		check, err := runInLoop(ctx, r.loop, func(finish func(membershipCheck, error)) {
+			finish(membershipCheck{toJoin: r.groupsToJoin(), leaderless: r.loop.leaderlessVoters(time.Now())}, nil)
+		})
 		if err != nil {
 			sleep(ctx, joinInterval)
 			continue
 		}
 		candidates := r.candidateAddresses()
-		for _, g := range groups {
+		for _, g := range check.toJoin {
 			if len(candidates) > 0 {
 				r.requestJoin(ctx, g, candidates[next%len(candidates)])
 			}
 		}
 		next++
-		r.findLostData(ctx)
+		r.findLostData(ctx, check.leaderless)
 		sleep(ctx, joinInterval)
 	}
 }
--- a/control/lostdata.go
+++ b/control/lostdata.go
@@ -15,19 +15,14 @@
 // data. It is longer than an election.
 const probeVotersAfter = 2 * time.Second
 
-// findLostData asks the voters of the groups that have had no leader for a while whether they still have their data, and
-// tells the groups which have not. After the loss of half of the voters of a group, the other half can then go on.
-func (r *replica) findLostData(ctx context.Context) {
-	voters, err := runInLoop(ctx, r.loop, func(finish func([]*raftpb.Member, error)) {
-		finish(r.loop.leaderlessVoters(time.Now()), nil)
-	})
-	if err != nil {
-		return // the replica is stopping or overloaded; the next call asks again
-	}
+// findLostData asks the voters of groups without a leader whether they still have their data, and tells the groups which
+// have not. After the loss of half of the voters of a group, the other half can then go on.
+func (r *replica) findLostData(ctx context.Context, voters []*raftpb.Member) {
 	lost := r.probeForLostData(ctx, voters)
 	if len(lost) == 0 {
 		return
 	}
+	// If the replica is stopping or overloaded, the next call finds them again.
 	_ = r.loop.submit(func() { r.loop.markDataLost(lost) })
 }
 
