model: the quorum of half of the voters in the election model

BROKEN_HALF_ON_SILENCE and BROKEN_HALF_WITHOUT_PREVIOUS (a promotion that needs no quorum of the previous voters) each end with two leaders in a term.

--- a/control/lostdata.go
+++ b/control/lostdata.go
@@ -107,6 +107,9 @@
 
 // lostVoterCount returns the number of voters, in the committed membership that this replica knows, that have lost their data.
 func (g *group) lostVoterCount() int {
+	if len(g.lostData) == 0 {
+		return 0 // the usual case, at each tick
+	}
 	n := 0
 	for _, m := range g.node.Status().CommittedMembership.GetMembers() {
 		if !m.Learner && g.lostData[m.Id] {
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -22,6 +22,9 @@
 		"BROKEN_SAME_IDENTITY":   "leader[t]==4",
 		"BROKEN_COUNT_LEARNER":   "committed[",
 		"BROKEN_VOTE_NOT_SYNCED": "leader[t]==4",
+		"BROKEN_HALF_ON_SILENCE": "leader[t]==4",
+		// The lost half may have committed the promotion together with the promoted replica.
+		"BROKEN_HALF_WITHOUT_PREVIOUS": "leader[t]==4",
 		// Not a protocol fault; the violation shows that the bounds include an election after the second disk loss.
 		"REACH_LEADER_AFTER_SECOND_DISK_LOSS": "diskLosses<2",
 	}},
