raft: half of the voters never goes on without a committed removal

What callers would have seen: an acknowledged change is gone, without any sign of it, after the loss of more disks than the group bears.

cause: Four voters, one of them alive and removed: two of the other three commit the removal and later entries. If these two lose their disks, the third and the removed one may not know of the removal; they are half of the four voters that they know, and went on. change: While a change of an even number of voters is not committed, a promotion or a removal, a quorum must also meet each half of the previous voters that may go on: its members among them and the lost ones are a majority. TestRemovalFromEvenNumberNeedsBothHalves fails if the rule holds for promotions only.

--- a/control/join.go
+++ b/control/join.go
@@ -90,7 +90,7 @@
 
 // handleJoin proposes the next membership change that adds a replica to a group. A replica that lost its data folder
 // returns with a new identity. Its old identity is removed first, because it can never vote again but still counts
-// towards the quorum size. maintainMembership makes the learner a voter once it has synced everything committed.
+// towards the quorum size; at the same address, its data is gone. maintainMembership makes the learner a voter once it has synced everything committed.
 func (l *loop) handleJoin(r *controlpb.JoinRequest) *controlpb.JoinAnswer {
 	answer := &controlpb.JoinAnswer{ClusterId: l.clusterID}
 	g, ok := l.groups[r.Group]
@@ -102,9 +102,14 @@
 		return answer
 	}
 	answer.Accepted = true
-	if change := nextJoinChange(g.node.Status().Membership, r.Member); change != nil {
-		l.proposeMembershipChange(g, change)
+	change := nextJoinChange(g.node.Status().Membership, r.Member)
+	if change == nil {
+		return answer
+	}
+	if change.Type == raftpb.MembershipChangeType_MEMBERSHIP_REMOVE && change.Member.Address == r.Member.Address {
+		l.markDataLost([]*raftpb.Member{change.Member})
 	}
+	l.proposeMembershipChange(g, change)
 	return answer
 }
 
--- a/model/election.pml
+++ b/model/election.pml
@@ -73,15 +73,15 @@
    ((isCommitted) && BITS((set) & lost) * 2 == BITS(set) && ((set) & (15 - lost) & (15 - contained)) == 0))
 #endif
 
-/* sets ok if the contained replicas are a quorum according to the log of x. While a promotion is not known to be committed,
- * that includes a quorum of the voters before it, whose number is even.
+/* sets ok if the contained replicas are a quorum according to the log of x. While a promotion is not known to be committed, the
+ * quorum must meet each half of the two voters before it that may go on without the other half.
  */
 inline checkQuorum(x) {
   computeVoters(x);
   lost = 15 - (alive[0] + 2 * alive[1] + 4 * alive[2] + 8 * alive[3]);
   ok = IS_QUORUM_OF(voters, lastChange <= commitIndex[x]);
 #ifndef BROKEN_HALF_WITHOUT_PREVIOUS
-  ok = ok && (lastKind != PROMOTE || lastChange <= commitIndex[x] || IS_QUORUM_OF(voters & 7, true));
+  ok = ok && (lastKind != PROMOTE || lastChange <= commitIndex[x] || BITS(voters & 7 & (contained | lost)) * 2 > BITS(voters & 7));
 #endif
   lost = 0
 }
--- a/raft/quorum.go
+++ b/raft/quorum.go
@@ -1,9 +1,6 @@
 package raft
 
-import (
-	"math"
-	"slices"
-)
+import "slices"
 
 // MarkDataLost records that the storage of a member is gone: the member will never vote or acknowledge an entry again. The
 // caller must know this for certain, for example because the process at the member's address has another identity. Silence
@@ -18,106 +15,116 @@
 	n.lost[id] = true
 }
 
-// voterSet is a set of voters of which a quorum is needed. committed reports whether it is known to be committed.
-type voterSet struct {
-	ids       []uint64
-	committed bool
+// A quorum is a majority of the current voters or, after the loss of half of them, all others; see isHalfLost. While a change
+// of an even number of voters is not known to be committed, a quorum must also meet each half of the previous voters that may
+// go on without the other half: otherwise that half would not know of the change. Single changes of an odd number need no such
+// rule, because no half of them may go on.
+
+// quorumRule says what a quorum is at present.
+type quorumRule struct {
+	voters []uint64
+	// previous holds the voters before a change that is not known to be committed, without the one that it removes, and
+	// needed the number of them that a quorum must contain. needed is 0 if there is no such condition.
+	previous []uint64
+	needed   int
+	// halfSuffices is set if all voters that have not lost their storage are a quorum.
+	halfSuffices bool
+}
+
+func (n *Node) quorumRule() quorumRule {
+	rule := quorumRule{voters: voters(n.membership())}
+	previous, pending := n.votersBeforePendingChange()
+	switch {
+	case !pending:
+		rule.halfSuffices = n.isHalfLost(rule.voters)
+	case len(previous)%2 == 0:
+		rule.needed = len(previous)/2 + 1 - n.countLost(previous)
+		rule.previous = slices.DeleteFunc(previous, func(id uint64) bool { return n.lost[id] || !slices.Contains(rule.voters, id) })
+	}
+	return rule
 }
 
-// quorumSets returns the voter sets of which a quorum is needed: the current voters and, while the promotion that made their
-// number odd is not known to be committed, also the previous voters. A promotion is then committed with a majority of the
-// previous voters, so that the half of them that isHalfLost allows to go on cannot miss it.
-func (n *Node) quorumSets() []voterSet {
-	current := voterSet{ids: voters(n.membership())}
-	since := n.memberships.latest().index
+// votersBeforePendingChange returns the voters before the last change of the voters, and false if that change is known to be
+// committed.
+func (n *Node) votersBeforePendingChange() ([]uint64, bool) {
+	current := n.memberships.latest()
+	since := current.index
 	for _, m := range slices.Backward(n.memberships) {
 		if since <= n.log.committed {
-			break
-		}
-		previous := voters(m.membership)
-		if slices.Equal(previous, current.ids) {
-			since = m.index
-			continue
+			return nil, false
 		}
-		if len(previous) < len(current.ids) && len(previous)%2 == 0 {
-			return []voterSet{current, {ids: previous, committed: true}}
+		if previous := voters(m.membership); !slices.Equal(previous, voters(current.membership)) {
+			return previous, true
 		}
-		return []voterSet{current}
+		since = m.index
 	}
-	current.committed = true
-	return []voterSet{current}
+	return nil, false
 }
 
 // isQuorum reports whether the voters that are contained form a quorum.
 func (n *Node) isQuorum(contains func(id uint64) bool) bool {
-	for _, set := range n.quorumSets() {
-		if !n.isQuorumOf(set, contains) {
-			return false
-		}
+	rule := n.quorumRule()
+	if countContained(rule.previous, contains) < rule.needed {
+		return false
+	}
+	if countContained(rule.voters, contains) > len(rule.voters)/2 {
+		return true
 	}
-	return true
+	isMissing := func(id uint64) bool { return !n.lost[id] && !contains(id) }
+	return rule.halfSuffices && !slices.ContainsFunc(rule.voters, isMissing)
 }
 
-// isQuorumOf reports whether the voters that are contained are a majority of the set or, after the loss of half of it, all
-// others.
-func (n *Node) isQuorumOf(set voterSet, contains func(id uint64) bool) bool {
-	contained := 0
-	for _, id := range set.ids {
+func countContained(ids []uint64, contains func(id uint64) bool) int {
+	count := 0
+	for _, id := range ids {
 		if contains(id) {
-			contained++
+			count++
 		}
 	}
-	if contained > len(set.ids)/2 {
-		return true
-	}
-	isMissing := func(id uint64) bool { return !n.lost[id] && !contains(id) }
-	return n.isHalfLost(set) && !slices.ContainsFunc(set.ids, isMissing)
+	return count
 }
 
 // quorumValue returns the highest value that a quorum of the voters has reached; 0 if there are no voters.
 func (n *Node) quorumValue(value func(*progress) uint64) uint64 {
-	lowest := uint64(math.MaxUint64)
-	for _, set := range n.quorumSets() {
-		lowest = min(lowest, n.quorumValueOf(set, value))
+	rule := n.quorumRule()
+	reached := n.highestReachedBy(rule.voters, len(rule.voters)/2+1, value)
+	if rule.halfSuffices {
+		kept := slices.DeleteFunc(slices.Clone(rule.voters), func(id uint64) bool { return n.lost[id] })
+		reached = max(reached, n.highestReachedBy(kept, len(kept), value))
+	}
+	if rule.needed > 0 {
+		reached = min(reached, n.highestReachedBy(rule.previous, rule.needed, value))
 	}
-	return lowest
+	return reached
 }
 
-func (n *Node) quorumValueOf(set voterSet, value func(*progress) uint64) uint64 {
-	if len(set.ids) == 0 {
+// highestReachedBy returns the highest value that count of the voters have reached; 0 if there are fewer.
+func (n *Node) highestReachedBy(ids []uint64, count int, value func(*progress) uint64) uint64 {
+	if len(ids) < count {
 		return 0
 	}
-	values := make([]uint64, len(set.ids))
-	lowestKept := uint64(math.MaxUint64)
-	for i, id := range set.ids {
+	values := make([]uint64, len(ids))
+	for i, id := range ids {
 		values[i] = value(n.progress[id])
-		if !n.lost[id] {
-			lowestKept = min(lowestKept, values[i])
-		}
 	}
 	slices.Sort(values)
-	majority := values[(len(values)-1)/2]
-	if n.isHalfLost(set) {
-		return max(majority, lowestKept)
-	}
-	return majority
+	return values[len(values)-count]
 }
 
-// isHalfLost reports whether exactly half of the voters are known to have lost their storage. No majority can ever form
-// again then, and all voters of the other half form a quorum. It has a voter in common with each majority, since a majority
-// has more voters than the lost half; and it is the same on every node that knows of the loss.
+// isHalfLost reports whether exactly half of the voters, which must be committed, are known to have lost their storage. No
+// majority can ever form again then, and all voters of the other half form a quorum. It has a voter in common with each
+// majority, since a majority has more voters than the lost half; and it is the same on every node that knows of the loss.
 //
-// The voters must be committed. Before that, a majority of the previous voters, all of them lost now, may have committed an
+// Voters that are not committed cannot go on: a majority of the previous voters, all of them lost now, may have committed an
 // entry that no other voter has.
-func (n *Node) isHalfLost(set voterSet) bool {
-	if len(n.lost) == 0 || !set.committed {
-		return false
-	}
-	lost := 0
-	for _, id := range set.ids {
-		if n.lost[id] {
-			lost++
-		}
+func (n *Node) isHalfLost(ids []uint64) bool {
+	lost := n.countLost(ids)
+	return lost > 0 && 2*lost == len(ids)
+}
+
+func (n *Node) countLost(ids []uint64) int {
+	if len(n.lost) == 0 {
+		return 0
 	}
-	return lost > 0 && 2*lost == len(set.ids)
+	return countContained(ids, func(id uint64) bool { return n.lost[id] })
 }
--- a/raft/quorum_test.go
+++ b/raft/quorum_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"heatherwall.example/api/raftpb"
@@ -154,3 +155,28 @@
 		}
 	}
 }
+
+// Guards against the loss of an acknowledged entry: a removal that only half of the four previous voters have must not be
+// committed. The other half would not know of it, and could go on without it after the loss of the first half.
+func TestRemovalFromEvenNumberNeedsBothHalves(t *testing.T) {
+	c := newCluster(t, 4)
+	l := c.leader()
+	c.propose(l, "a")
+	others := slices.DeleteFunc(c.ids(), func(id uint64) bool { return id == l.id })
+	removed, kept := others[0], others[1]
+	c.isolate(removed, kept)
+	change := &raftpb.MembershipChange{Type: raftpb.MembershipChangeType_MEMBERSHIP_REMOVE, Member: memberOf(removed)}
+	if err := l.node.ProposeMembership(change); err != nil {
+		t.Fatal(err)
+	}
+	index := l.node.log.lastIndex()
+	c.deliverAll()
+	if l.node.log.committed >= index {
+		t.Fatal("two of four voters committed a removal")
+	}
+	c.isolate(removed)
+	c.tick(4 * testElectionTicks)
+	if l := c.leader(); l.node.log.committed < index {
+		t.Fatal("three of four voters did not commit the removal")
+	}
+}
--- a/raft/simulation_membership_test.go
+++ b/raft/simulation_membership_test.go
@@ -8,7 +8,12 @@
 )
 
 // minVoters returns the number of voters that a demotion leaves: after the loss of maxLost disks, the rest is a majority.
-func (s *simulation) minVoters() int { return 2*s.maxLost + 1 }
+func (s *simulation) minVoters() int {
+	if s.losesAny {
+		return 2
+	}
+	return 2*s.maxLost + 1
+}
 
 // proposeDemotion removes a random voter other than h, which returns as a learner with its old log and becomes a voter
 // again.
@@ -64,6 +69,9 @@
 // canLose reports whether a replica may lose its disk. Where two may be lost, half of an even number of voters may be gone;
 // the others must then have saved that these voters are committed, otherwise they may rightly wait for those that are lost.
 func (s *simulation) canLose(id uint64) bool {
+	if s.losesAny {
+		return !s.isReplacement(id)
+	}
 	if len(s.replacements) >= s.maxLost || s.isReplacement(id) {
 		return false
 	}
--- a/raft/simulation_test.go
+++ b/raft/simulation_test.go
@@ -58,8 +58,9 @@
 	replacements map[uint64]uint64
 	// demotions holds the replicas that were voters, have been removed and are to become voters again.
 	demotions map[uint64]bool
-	// maxLost is the number of disks that may be lost before the first of them is replaced.
-	maxLost int
+	// maxLost is the number of disks that may be lost before the first of them is replaced; with losesAny, any number.
+	maxLost  int
+	losesAny bool
 	// crashPerMille is the probability, in 1/1,000, of a crash at each call of shouldCrash.
 	crashPerMille int
 }
@@ -389,6 +390,23 @@
 	}
 }
 
+// Guards against a quorum of half of the voters that elects a leader without committed entries. Any number of disks is lost at
+// any time, and voters are demoted until two are left, so that the group often ends without a quorum, which is allowed.
+func TestNoLossIsSilent(t *testing.T) {
+	for _, size := range []int{2, 3, 4, 5, 6} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				s := newSimulation(t, size, 1)
+				s.losesAny = true
+				for range rapid.IntRange(100, 1500).Draw(t, "steps") {
+					s.randomStep()
+				}
+				s.checkLinearizable()
+			})
+		})
+	}
+}
+
 // Guards against safety violations caused by lost, duplicated and reordered messages, partitions, paused replicas, lost
 // disks, compaction and crashes between any two of a replica's saves, syncs and sent messages, and against a cluster that
 // does not recover after all faults have ended. In the groups of 4 to 7, two disks are lost at once, also half of all.
