--- a/control/membership.go
+++ b/control/membership.go
@@ -35,8 +35,8 @@
 // other voters are still a majority. Each entry is then on the disk of one of them.
 func minVotersFor(lostDisks int) int { return max(2*lostDisks+1, defaultMinVoters) }
 
-// minVotersToAcknowledge returns the number of voters without which nothing is acknowledged: any majority of fewer voters
-// may be among the given number of lost disks.
+// minVotersToAcknowledge returns the number of voters without which only reports of servers are acknowledged: a majority of
+// fewer voters may be among the given number of lost disks.
 func minVotersToAcknowledge(lostDisks int) int { return 2 * lostDisks }
 
 // checkVoters returns a *TooFewVotersError if an entry that the configuration group commits now could be lost with as many
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -96,8 +96,8 @@
 	// DataFolder holds all files of the replica.
 	DataFolder string `yaml:"data_folder"`
 	// ToleratedDiskLosses is the number of replicas that may lose their data folders at the same time without a loss of what
-	// was acknowledged. Silent voters are demoted only while enough remain for this, and nothing is acknowledged before there
-	// are enough. With the default 0, three voters remain, and a group of one replica acknowledges as well.
+	// was acknowledged. Silent voters are demoted only while enough remain for this, and nothing but reports of servers is
+	// acknowledged before there are enough. With the default 0, three voters remain, and one replica is enough.
 	ToleratedDiskLosses int `yaml:"tolerated_disk_losses"`
 	// Peers lists every configured replica, including this one. It must be empty if Discovery is set.
 	Peers []Replica `yaml:"peers"`
