--- a/control/catalogue.go
+++ b/control/catalogue.go
@@ -125,9 +125,9 @@
 	return index, wrapUnavailable(err)
 }
 
-// ReportServer processes a report of a backend server. It returns once the changes in the report are committed. A report
-// without changes only updates the time of the last report on this replica, and a report older than the known one is
-// ignored. Unlike other calls, it does not wait until the group has enough voters to bear lost disks: servers repeat reports. Errors: *routes.InvalidServerError, *OwnAddressError, *UnavailableError.
+// ReportServer returns once the changes in a report of a backend server are committed. A report without changes only updates
+// the time of the last one here; an outdated one is ignored. Servers repeat reports, so none waits until the group has enough
+// voters to bear lost disks. Errors: *routes.InvalidServerError, *OwnAddressError, *UnavailableError.
 func (c *Catalogue) ReportServer(ctx context.Context, s *controlpb.BackendServer) error {
 	if err := routes.ValidateServer(s); err != nil {
 		return err
