--- a/review/tool-3/poison.go
+++ b/review/tool-3/poison.go
@@ -13,7 +13,7 @@
 const (
 	poisonWorkers = 12
 	// ordinaryCallers is the number of callers that send unsafe requests beside it.
-	ordinaryCallers = 32
+	ordinaryCallers = 8
 	// workerDown is how long a crashed worker is away.
 	workerDown = 3 * time.Second
 	// poisonPause is the time between two arrivals of the request.
