Replace review case 14 by one on a crowd that takes every connection

Cause: a connection whose body stops counts as active until the deadline of its request, so at the limit of connections no other one can take its place, and readiness doesn't look at the limit.

Change: a script in the place of the case on /readyz, which is graver: ordinary callers get nothing. Nothing of the product.

--- a/review/tool-3/cluster.go
+++ b/review/tool-3/cluster.go
@@ -40,7 +40,9 @@
 	binary   string
 	subnet   int
 	memoryMB int
-	quota    bool
+	// descriptors is the number of descriptors of a gateway; 0 for that of the machine of the test.
+	descriptors int
+	quota       bool
 	// zones holds the zones of the replicas, and of the gateways that startAll starts, in turn.
 	zones    []string
 	replicas []*machine
@@ -169,7 +171,11 @@
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	m := &machine{name: name, ip: ip, args: []string{c.binary, role, "-platform", "-settings", file}, log: filepath.Join(c.folder, name+".log")}
+	args := []string{c.binary, role, "-platform", "-settings", file}
+	if role == "gateway" && c.descriptors > 0 {
+		args = append([]string{"/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$@"`, c.descriptors), "sh"}, args...)
+	}
+	m := &machine{name: name, ip: ip, args: args, log: filepath.Join(c.folder, name+".log")}
 	return m, m.run()
 }
 
