--- a/review/tool-3/popular.go
+++ b/review/tool-3/popular.go
@@ -135,6 +135,8 @@
 	phase.Store(&after)
 	out.add("recover_s is over: %d of %d were served meanwhile", down.served.Load(), down.sent.Load())
 	time.Sleep(20 * time.Second)
+	status, text := c.ordinaryRequest(1, "GET", "a.example", "/x/other", "other-1", 1200*time.Millisecond)
+	out.add("other-1, a request for another path of the route, to front-1: %d %s", status, reason(status, text))
 	phase.Store(&tally{})
 	close(done)
 	callers.Wait()
