--- a/review/tool-3/wire.go
+++ b/review/tool-3/wire.go
@@ -220,3 +220,11 @@
 	}
 	return fmt.Errorf("front-%d serves no request: %s", gateway, last)
 }
+
+// machineMemoryMB is memory_mb of a front machine of kerdrean-gw.
+const machineMemoryMB = 284
+
+// configOne has one route and one service, with the limits of the pages.
+const configOne = `{"version":1,"routes":[{"name":"r","hostname":"a.example","path_prefix":"/x/","type":"safe","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"one","max_attempts":2,"allowed_regions":[]}],` +
+	`"services":[{"name":"one","health_path":"/healthz","max_conns":220,"protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":2.8}],` +
+	`"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
