--- a/review/tool-3/doors.go
+++ b/review/tool-3/doors.go
@@ -24,7 +24,7 @@
 )
 
 // configDoors has the route of the slowest requests of the site.
-const configDoors = `{"version":1,"routes":[{"name":"r","hostname":"a.example","path_prefix":"/x/","type":"safe","timeout_ms":8000,"target_latency_ms":2000,"priority":2,"service":"one","max_attempts":2,"allowed_regions":[]}],` +
+var configDoors = `{"version":1,"routes":[{"name":"r","hostname":"a.example","path_prefix":"/x/","type":"safe","timeout_ms":8000,"target_latency_ms":2000,"priority":2,"service":"one","max_attempts":2,"` + fieldRegions + `":[]}],` +
 	`"services":[{"name":"one","health_path":"/healthz","max_conns":1659,"protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":2.8}],` +
 	`"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
@@ -57,7 +57,7 @@
 			}
 			defer conn.Close()
 			conns++
-			fmt.Fprint(conn, "POST /x/crowd HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: crowd\r\nX-Deadline-Ms: 8000\r\nContent-Length: 100\r\n\r\n0123456789")
+			fmt.Fprint(conn, "POST /x/crowd HTTP/1.1\r\nHost: a.example\r\n"+headerAttempt+": crowd\r\n"+headerDeadline+": 8000\r\nContent-Length: 100\r\n\r\n0123456789")
 		}
 		out.add("crowd: %d clients have connected and sent 10 of 100 bytes", conns)
 	}
--- a/review/tool-3/odd.go
+++ b/review/tool-3/odd.go
@@ -23,8 +23,8 @@
 )
 
 // configTwo has a route and a service for each of two kinds of request.
-const configTwo = `{"version":1,"routes":[{"name":"r1","hostname":"a.example","path_prefix":"/one/","type":"safe","timeout_ms":2000,"target_latency_ms":400,"priority":1,"service":"one","max_attempts":2,"allowed_regions":[]},` +
-	`{"name":"r2","hostname":"a.example","path_prefix":"/two/","type":"safe","timeout_ms":2000,"target_latency_ms":400,"priority":1,"service":"two","max_attempts":2,"allowed_regions":[]}],` +
+var configTwo = `{"version":1,"routes":[{"name":"r1","hostname":"a.example","path_prefix":"/one/","type":"safe","timeout_ms":2000,"target_latency_ms":400,"priority":1,"service":"one","max_attempts":2,"` + fieldRegions + `":[]},` +
+	`{"name":"r2","hostname":"a.example","path_prefix":"/two/","type":"safe","timeout_ms":2000,"target_latency_ms":400,"priority":1,"service":"two","max_attempts":2,"` + fieldRegions + `":[]}],` +
 	`"services":[{"name":"one","health_path":"/healthz","max_conns":220,"protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":2.8},{"name":"two","health_path":"/healthz","max_conns":220,"protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":2.8}],` +
 	`"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
@@ -89,10 +89,10 @@
 		for i, w := range ones {
 			beat := map[string]any{
 				"service": "agent-of-another-system", "address": w.address, "zone": w.zone, "version": "v1", "concurrency": 1, "state": "ready",
-				"warmup_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+				fieldColdLeft: 0, "sequence": 1, "born": time.Now().UnixMilli(),
 			}
 			body, _ := json.Marshal(beat)
-			status, text, err := c.call(1+i%replicaCount, "instances.heartbeat", fmt.Sprintf("agent-%d", i+1), body)
+			status, text, err := c.call(1+i%replicaCount, heartbeatCall, fmt.Sprintf("agent-%d", i+1), body)
 			out.add("another writer: heartbeat %s: %d %s %v", body, status, text, err)
 		}
 	}
--- a/review/tool-3/popular.go
+++ b/review/tool-3/popular.go
@@ -60,8 +60,8 @@
 		w := &worker{id: fmt.Sprintf("i-%d", i+1), service: "one", zone: zones[i%len(zones)], slots: 6}
 		w.answer = func(o http.ResponseWriter, r *http.Request) {
 			time.Sleep(popularWork)
-			o.Header().Set("X-Server-Signature", "sig."+w.id)
-			fmt.Fprint(o, "answer to ", r.Header.Get("X-Attempt-Id"))
+			o.Header().Set(headerSignature, "sig."+w.id)
+			fmt.Fprint(o, "answer to ", r.Header.Get(headerAttempt))
 		}
 		if err := c.startWorker(w, 101+i); err != nil {
 			return false, err
--- a/review/tool-3/quota.go
+++ b/review/tool-3/quota.go
@@ -27,9 +27,9 @@
 
 // tenantConfig returns a configuration with or without the tenant that sends.
 func tenantConfig(version int, with bool) string {
-	tenants := `{"name":"t-other","api_keys":["key-other"],"priority":1,"rate_per_s":0,"burst":0,"allowed_regions":[]}`
+	tenants := `{"name":"t-other","api_keys":["key-other"],"priority":1,"rate_per_s":0,"burst":0,"` + fieldRegions + `":[]}`
 	if with {
-		tenants += fmt.Sprintf(`,{"name":"t-one","api_keys":["key-one"],"priority":1,"rate_per_s":%g,"burst":%g,"allowed_regions":[]}`, quotaRate, quotaBurst)
+		tenants += fmt.Sprintf(`,{"name":"t-one","api_keys":["key-one"],"priority":1,"rate_per_s":%g,"burst":%g,"`+fieldRegions+`":[]}`, quotaRate, quotaBurst)
 	}
 	return fmt.Sprintf(`{"version":%d,"tenants":[%s],`, version, tenants) + configOne[len(`{"version":1,`):]
 }
@@ -42,7 +42,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	fmt.Fprintf(conn, "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-one\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 2000\r\nConnection: close\r\n\r\n", id)
+	fmt.Fprintf(conn, "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-one\r\n"+headerAttempt+": %s\r\n"+headerDeadline+": 2000\r\nConnection: close\r\n\r\n", id)
 	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0
@@ -73,10 +73,10 @@
 				mu.Lock()
 				ran = append(ran, time.Now())
 				mu.Unlock()
-				out.add("%s runs %s", w.id, r.Header.Get("X-Attempt-Id"))
+				out.add("%s runs %s", w.id, r.Header.Get(headerAttempt))
 			}
 			time.Sleep(20 * time.Millisecond)
-			o.Header().Set("X-Server-Signature", "sig."+w.id)
+			o.Header().Set(headerSignature, "sig."+w.id)
 		}
 		if err := c.startWorker(w, 101+i); err != nil {
 			return false, err
--- a/review/tool-3/tick.go
+++ b/review/tool-3/tick.go
@@ -40,8 +40,8 @@
 		}
 		w.answer = func(o http.ResponseWriter, r *http.Request) {
 			time.Sleep(tickWork)
-			o.Header().Set("X-Server-Signature", "sig."+w.id)
-			fmt.Fprint(o, "answer to ", r.Header.Get("X-Attempt-Id"))
+			o.Header().Set(headerSignature, "sig."+w.id)
+			fmt.Fprint(o, "answer to ", r.Header.Get(headerAttempt))
 		}
 		if err := c.startWorker(w, 101+i); err != nil {
 			return false, err
--- a/review/tool-3/wire.go
+++ b/review/tool-3/wire.go
@@ -39,7 +39,7 @@
 
 // call sends one call to control replica i.
 func (c *cluster) call(i int, name, of string, body []byte) (int, []byte, error) {
-	url := fmt.Sprintf("http://%s:%d/heatherwall/rpc?call=%s", c.ip(i), portControl, name)
+	url := fmt.Sprintf("http://%s:%d%s?call=%s", c.ip(i), portControl, callPath, name)
 	if of != "" {
 		url += "&of=" + of
 	}
@@ -115,22 +115,22 @@
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	h := out.Header()
 	h.Set("X-Instance-Id", w.id)
-	h.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d,100", min(w.running.Load(), int64(w.slots)), w.slots))
+	h.Set(headerLoad, fmt.Sprintf("%d,0,%d,100", min(w.running.Load(), int64(w.slots)), w.slots))
 	if r.URL.Path == "/healthz" {
 		if left := w.coldLeft(); left > 0 {
-			h.Set("X-Warmup-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+			h.Set(headerCold, strconv.FormatInt(left.Milliseconds(), 10))
 		}
 		return
 	}
-	id := r.Header.Get("X-Attempt-Id")
-	h.Set("X-Attempt-Id", id)
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
+	id := r.Header.Get(headerAttempt)
+	h.Set(headerAttempt, id)
+	if expected := r.Header.Get(headerExpect); expected != "" && expected != w.id {
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if w.running.Add(1) > int64(2*w.slots) {
 		w.running.Add(-1)
-		h.Set("X-Not-Executed", "1")
+		h.Set(headerNotRun, "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -143,7 +143,7 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	time.Sleep(w.work)
-	h.Set("X-Server-Signature", "sig."+w.id)
+	h.Set(headerSignature, "sig."+w.id)
 	_, _ = io.WriteString(out, "answer to "+id)
 }
 
@@ -159,7 +159,7 @@
 func (w *worker) heartbeat() map[string]any {
 	return map[string]any{
 		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "concurrency": w.slots, "state": w.state.Load(),
-		"warmup_left_ms": w.coldLeft().Milliseconds(), "sequence": w.sequence.Add(1), "born": w.born,
+		fieldColdLeft: w.coldLeft().Milliseconds(), "sequence": w.sequence.Add(1), "born": w.born,
 	}
 }
 
@@ -168,7 +168,7 @@
 
 func (w *worker) sendBeat(i int) bool {
 	body, _ := json.Marshal(w.heartbeat())
-	status, _, err := w.cluster.call(i, "instances.heartbeat", w.id, body)
+	status, _, err := w.cluster.call(i, heartbeatCall, w.id, body)
 	return err == nil && status/100 == 2
 }
 
@@ -194,7 +194,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(deadline))
-	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %s\r\nConnection: close\r\n\r\n", method, path, host, id, strconv.FormatInt(deadline.Milliseconds(), 10))
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\n"+headerAttempt+": %s\r\n"+headerDeadline+": %s\r\nConnection: close\r\n\r\n", method, path, host, id, strconv.FormatInt(deadline.Milliseconds(), 10))
 	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0, err.Error()
@@ -225,6 +225,6 @@
 const machineMemoryMB = 284
 
 // configOne has one route and one service, with the limits of the pages.
-const configOne = `{"version":1,"routes":[{"name":"r","hostname":"a.example","path_prefix":"/x/","type":"safe","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"one","max_attempts":2,"allowed_regions":[]}],` +
+var configOne = `{"version":1,"routes":[{"name":"r","hostname":"a.example","path_prefix":"/x/","type":"safe","timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"one","max_attempts":2,"` + fieldRegions + `":[]}],` +
 	`"services":[{"name":"one","health_path":"/healthz","max_conns":220,"protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":2.8}],` +
 	`"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
