gateway: an upload that a server breaks off is no poison

cause: every connection that broke under a request earned it a crash mark, also if the server had not been sent the whole request. An upload that crashes a server before it was read is not marked any more; its retries stay within the limits of the route and the retry budget."

--- a/gateway/backendconn.go
+++ b/gateway/backendconn.go
@@ -69,6 +69,8 @@
 	prefixSeen int
 	refused    error
 	wrote      atomic.Bool
+	// wroteAll is set once the system has taken the whole request.
+	wroteAll atomic.Bool
 }
 
 // permitWrite is called before every write of the attempt. Only the first connection that was permitted to write may
@@ -179,12 +181,13 @@
 	}
 }
 
-// connectionBroke reports whether the connection of the attempt ended before the gateway closed it.
-func (g *sendGate) connectionBroke() bool {
+// showsCrash reports whether the connection of the attempt ended before the gateway closed it, and after the whole request was
+// written. A server that breaks it sooner has not run the request; it may have rejected an upload.
+func (g *sendGate) showsCrash() bool {
 	g.mu.Lock()
 	conn := g.conn
 	g.mu.Unlock()
-	return conn != nil && conn.isBroken()
+	return conn != nil && g.wroteAll.Load() && conn.isBroken()
 }
 
 // backendConn is a connection to a backend server whose writes are controlled by the sendGate of the current attempt.
@@ -305,6 +308,9 @@
 	}
 	n, err := c.Conn.Write(p)
 	c.recordError(err)
+	if err != nil {
+		g.wroteAll.Store(false) // net/http reports the request as written before it flushes its buffer
+	}
 	if first && n == 0 && err != nil {
 		g.undoFirstWrite()
 	}
@@ -357,5 +363,6 @@
 			}
 		},
 		GotFirstResponseByte: g.responseStarted,
+		WroteRequest:         func(info httptrace.WroteRequestInfo) { g.wroteAll.Store(info.Err == nil) },
 	})
 }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -14,11 +14,11 @@
 	maxBrokenTogether = 2
 )
 
-// recordCrash adds a crash mark to a request that was in flight on a connection that the server broke. A connection that
-// the gateway closed because of what the server sent did not break, and one to a relay shows nothing about a server. Where
-// the path to all servers is watched, the mark waits until it is known that the path did not break.
+// recordCrash adds a crash mark to a request that was in flight on a connection that the server broke after it was sent the
+// whole request. A connection that the gateway closed because of what the server sent did not break, and one to a relay shows
+// nothing about a server. Where the path to all servers is watched, the mark waits until it is known that the path did not break.
 func (p *requestPath) recordCrash(c *call, a *attempt) {
-	if a.isRelay() || !a.gate.connectionBroke() {
+	if a.isRelay() || !a.gate.showsCrash() {
 		return
 	}
 	fingerprint, regions, service := c.fingerprint, c.placement.Home.Names, c.rule.Service.Name
--- a/gateway/resetanswer_test.go
+++ b/gateway/resetanswer_test.go
@@ -180,3 +180,25 @@
 		})
 	}
 }
+
+// Guards against an upload that is refused as poison because a server breaks its connections: the server has not run what it
+// was not sent.
+func TestBrokenUploadIsNoPoison(t *testing.T) {
+	sound := startBackend(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	for when, awaitsPart := range map[string]bool{"at once": false, "after a part": true} {
+		for _, r := range [][2]string{{http.MethodPut, "/read"}, {http.MethodPost, "/free"}} {
+			t.Run(r[0]+" "+when, func(t *testing.T) {
+				f := newPathFixture(t)
+				for range 2 * poisonThreshold {
+					s := newEarlyServer(t, func(c *net.TCPConn) { reset(c) })
+					f.servers.addresses = []string{s.address}
+					if _, err := f.upload(t, s, r[0], r[1], awaitsPart); err == nil {
+						t.Error("the caller got the cut answer as a complete one")
+					}
+				}
+				f.servers.addresses = []string{sound}
+				f.expect(t, f.request(t, r[0], r[1], strings.Repeat("x", blockingBodyBytes)), http.StatusOK)
+			})
+		}
+	}
+}
