gateway: no reader believes a response with an invalid status

Responses to callers were handled already (TestInvalidStatusIsNoAnswer was and stays green), but the check stood in the request path only. All readers use such connections; the state probe does now. As before, an invalid response counts as one for the watch over the path to servers (TestInvalidAnswersProveThePath).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -123,7 +122,7 @@
 	response, err := p.transport.RoundTrip(p.newBackendRequest(c, a, retriesLeft))
 	stop()
 	var report ServerReport
-	if err == nil && hasFinalStatus(response) && p.belongsToAttempt(response, c.requestID, a.gate.wrote.Load()) {
+	if err == nil && p.belongsToAttempt(response, c.requestID, a.gate.wrote.Load()) {
 		if report = p.statementReader().read(targetOf(a.selection), a.server, response); !report.isOf(a.server) {
 			report = ServerReport{}
 		}
@@ -216,34 +215,10 @@
 	return "backend server " + e.Address + " sent a successful response without a signature"
 }
 
-// InvalidStatusError reports a response whose status is no final status of HTTP. net/http reads any three digits as one.
-type InvalidStatusError struct {
-	Address string
-	Status  int
-}
-
-func (e *InvalidStatusError) Error() string {
-	return fmt.Sprintf("backend server %s sent a response with the invalid status %03d", e.Address, e.Status)
-}
-
-// Final statuses of HTTP (RFC 9110, section 15).
-const (
-	minFinalStatus = http.StatusOK
-	maxFinalStatus = 599
-)
-
-func hasFinalStatus(r *http.Response) bool {
-	return r.StatusCode >= minFinalStatus && r.StatusCode <= maxFinalStatus
-}
-
-// checkResponse closes a response and returns an error if it has no valid status, does not belong to the attempt or lacks its
-// signature.
+// checkResponse closes a response and returns an error if it does not belong to the attempt or lacks its signature.
 func (p *requestPath) checkResponse(c *call, a *attempt, r *http.Response) error {
 	var err error
 	switch {
-	case r.StatusCode != http.StatusSwitchingProtocols && !hasFinalStatus(r):
-		a.gate.closeConnection()
-		err = &InvalidStatusError{Address: a.server.address, Status: r.StatusCode}
 	case !p.belongsToAttempt(r, c.requestID, a.gate.wrote.Load()) || p.mayBeCopy(r, c.requestID, a.gate.connectionHistory()):
 		a.gate.closeConnection()
 		err = &MismatchedResponseError{Address: a.server.address}
--- a/gateway/backendconn.go
+++ b/gateway/backendconn.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"heatherwall.example/gateway/headscan"
 	"heatherwall.example/gateway/resetconn"
 )
 
@@ -65,10 +66,10 @@
 	conn            *backendConn
 	stopped         bool
 	denied          error // why the check forbade the first byte
-	// prefixSeen is the number of bytes of httpPrefix that have arrived; refused is the error if others arrived.
-	prefixSeen int
-	refused    error
-	wrote      atomic.Bool
+	// scanner checks the response; refused is the error if it is invalid.
+	scanner headscan.Scanner
+	refused error
+	wrote   atomic.Bool
 	// wroteAll is set once the system has taken the whole request.
 	wroteAll atomic.Bool
 }
@@ -91,7 +92,7 @@
 		g.stopped = true
 		return g.denied
 	}
-	g.conn, g.prefixSeen = c, 0
+	g.conn, g.scanner = c, headscan.Scanner{}
 	g.history = c.recordRequest(g.requestID)
 	g.wrote.Store(true)
 	return nil
@@ -107,29 +108,16 @@
 	}
 }
 
-// httpPrefix begins every response.
-const httpPrefix = "HTTP/1."
-
-// NotHTTPError reports bytes in place of a response that do not begin like one.
-type NotHTTPError struct{}
-
-func (e *NotHTTPError) Error() string { return "the backend server sent bytes that are not HTTP" }
-
-// checkPrefix checks the first bytes that arrive after the request was written. Bytes that begin no response end the
-// attempt at once, because more of them may dribble in until the deadline.
-func (g *sendGate) checkPrefix(c *backendConn, p []byte) error {
+// scan checks bytes that arrive after the request was written. Bytes that are no valid response end the attempt at once, because
+// more of them may dribble in until the deadline.
+func (g *sendGate) scan(c *backendConn, p []byte) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.conn != c || g.prefixSeen == len(httpPrefix) || g.refused != nil {
+	if g.conn != c || g.refused != nil {
 		return g.refused
 	}
-	n := min(len(p), len(httpPrefix)-g.prefixSeen)
-	if string(p[:n]) != httpPrefix[g.prefixSeen:g.prefixSeen+n] {
-		g.refused = &NotHTTPError{}
-		return g.refused
-	}
-	g.prefixSeen += n
-	return nil
+	g.refused = g.scanner.Scan(p)
+	return g.refused
 }
 
 // undoFirstWrite resets the gate after a first write that failed before the kernel accepted a byte. The request then
@@ -243,7 +231,7 @@
 	n, err := c.Conn.Read(p)
 	c.recordError(err)
 	if g := c.gate.Load(); g != nil && n > 0 {
-		if err := g.checkPrefix(c, p[:n]); err != nil {
+		if err := g.scan(c, p[:n]); err != nil {
 			return 0, err
 		}
 	}
--- a/gateway/invalidstatus_test.go
+++ b/gateway/invalidstatus_test.go
@@ -34,3 +34,31 @@
 		}
 	}
 }
+
+// invalidStatuses are statuses that net/http reads, but that are no final status of HTTP.
+var invalidStatuses = []string{"000", "099 Early", "600 More", "999 Most"}
+
+// Guards against a probe that believes a response whose status is no HTTP status: that the server leaves, that it reports no
+// load, or that it is ready.
+func TestInvalidStatusIsNoAnswerToAProbe(t *testing.T) {
+	for _, status := range invalidStatuses {
+		t.Run(status, func(t *testing.T) {
+			expectProbesFail(t, func(header string) (address string) {
+				address, _ = rawServer(t, func(c net.Conn, _ *http.Request) {
+					write(c, "HTTP/1.1 "+status+"\r\n"+header+"Content-Length: 0\r\n\r\n")
+				})
+				return address
+			})
+		})
+	}
+}
+
+// Guards against believing a gateway that a request was passed on to that it did not run, if the status of its response is no
+// HTTP status.
+func TestInvalidStatusIsNoAnswerOfARelay(t *testing.T) {
+	for _, status := range invalidStatuses {
+		t.Run(status, func(t *testing.T) {
+			expectRelayFails(t, "HTTP/1.1 "+status+"\r\n"+headerRelayOutcome+": "+relayNotRun+"\r\n"+headerRelayReason+": "+string(ReasonNoServer)+"\r\nContent-Length: 0\r\n\r\n")
+		})
+	}
+}
--- a/gateway/loadprobe_test.go
+++ b/gateway/loadprobe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -33,9 +34,14 @@
 func newTestLoadProber(t *testing.T) *loadProber {
 	transport := newTransport(catalogueConnectionLimits)
 	t.Cleanup(transport.CloseIdleConnections)
+	clock, counters := newClock(), telemetry.NewMetrics()
+	statements := &statementReader{
+		dialect: nativeDialect, clock: clock, counters: counters,
+		log: telemetry.NewLogger(io.Discard, telemetry.Info), limiter: telemetry.NewLineLimiter(maxRequestLogLines, counters),
+	}
 	return &loadProber{
-		client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, statements: &statementReader{dialect: nativeDialect}, clock: newClock(),
-		healthPath: func(string) string { return "/healthz" }, counters: telemetry.NewMetrics(), probeSlots: make(chan struct{}, maxProbingSelections), mutedUntil: map[string]time.Duration{},
+		client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, statements: statements, clock: clock,
+		healthPath: func(string) string { return "/healthz" }, counters: counters, probeSlots: make(chan struct{}, maxProbingSelections), mutedUntil: map[string]time.Duration{},
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -280,6 +280,7 @@
 // logRelay counts and logs an attempt at a relay.
 func (p *requestPath) logRelay(c *call, a *attempt) {
 	p.counters.Counter("relayed_requests", "outcome", a.result.kind.String()).Inc(1)
+	p.countInvalidResponse(a.err)
 	s, reason := a.selection.(*relaySelection), ""
 	if a.relayRefusal != nil {
 		reason = string(a.relayRefusal.Reason)
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
+	"heatherwall.example/gateway/headscan"
 	"heatherwall.example/telemetry"
 )
 
@@ -18,6 +20,7 @@
 // logAttempt logs the result of an attempt and the data on which the selection of its server was based, and records its
 // latency.
 func (p *requestPath) logAttempt(c *call, a *attempt) {
+	p.countInvalidResponse(a.err)
 	p.recordLatency("attempt", a.result.kind.String(), c.rule.Service.Name, a.result.latency)
 	if !p.logLimiter.Allow(time.Now()) {
 		return
@@ -33,6 +36,14 @@
 		telemetry.F("latency", a.result.latency), telemetry.F("patience", c.callerTimeout), telemetry.F("left", time.Until(c.deadline)), telemetry.ErrorField(a.err))
 }
 
+// countInvalidResponse counts an attempt that ended with an invalid response.
+func (p *requestPath) countInvalidResponse(err error) {
+	var invalid *headscan.Error
+	if errors.As(err, &invalid) {
+		p.counters.Counter("invalid_responses", "problem", string(invalid.Problem)).Inc(1)
+	}
+}
+
 // logRefusal logs a refusal with its reason and the state of the configuration.
 func (p *requestPath) logRefusal(c *call, r *Refusal) {
 	if !p.logLimiter.Allow(time.Now()) {
--- a/gateway/resetanswer_test.go
+++ b/gateway/resetanswer_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -89,7 +90,7 @@
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(answer.Body)
-		return string(text), &InvalidStatusError{Address: s.address, Status: answer.StatusCode}
+		return string(text), fmt.Errorf("status %d", answer.StatusCode)
 	}
 	if awaitsPart {
 		part := make([]byte, len("part"))
--- a/gateway/serverpath.go
+++ b/gateway/serverpath.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"heatherwall.example/balance"
+	"heatherwall.example/gateway/headscan"
 	"heatherwall.example/telemetry"
 )
 
@@ -190,11 +191,13 @@
 	s.reach.Asked(address, now)
 }
 
-// ended records how a probe or an attempt ended. A timeout of ours proves nothing by itself; what was asked stays unanswered.
+// ended records how a probe or an attempt ended. An invalid response proves that the path works as well as a valid one. A
+// timeout of ours proves nothing by itself; what was asked stays unanswered.
 func (s *serverPath) ended(address string, err error) {
+	var invalid *headscan.Error
 	switch {
 	case s == nil:
-	case err == nil:
+	case err == nil, errors.As(err, &invalid):
 		s.reach.Answered(s.clock.now())
 	case !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled):
 		s.asked(address)
--- a/gateway/stateprobe.go
+++ b/gateway/stateprobe.go
@@ -45,11 +45,14 @@
 }
 
 func newHTTPStateProber() *httpStateProber {
-	return &httpStateProber{client: newProbeClient(1, idleConnectionTimeout)}
+	transport := newTransport(defaultConnectionLimits)
+	transport.MaxIdleConnsPerHost = 1
+	return &httpStateProber{client: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 }
 
 // Probe implements stateProber.
 func (p *httpStateProber) Probe(ctx context.Context, address string) (stateProbeResult, error) {
+	ctx, _ = withProbeGate(ctx, func() error { return nil })
 	response, err := getProbe(ctx, p.client, address, stateProbePath)
 	if err != nil {
 		return stateProbeResult{}, err
