gateway: a response with an invalid field name is no answer

Such a field is not recognized: "Content-Length : 3" frames no body, "Heatherwall-Not-Run" and others are passed over, and the folded line is passed on within a value. The caller got the response as an answer, and a 503 with a "not run" elsewhere in the head was believed. It rejects folded lines, as RFC 9112, section 5.2, permits a gateway.

--- a/gateway/headscan/scanner.go
+++ b/gateway/headscan/scanner.go
@@ -1,5 +1,6 @@
-// Package headscan checks the status lines of the responses on a connection before net/http reads them, which accepts any three
-// digits as a status. It may import the standard library only.
+// Package headscan checks the heads and trailers of the responses on a connection before net/http reads them, which accepts
+// any three digits as a status, blanks in the names of fields, and folded lines. A field whose name has a blank is not
+// recognized, so its line would be passed on, or the body be framed without it. It may import the standard library only.
 package headscan
 
 import (
@@ -19,8 +20,16 @@
 const (
 	statusLine state = iota
 	lineStart
-	field
-	// unchecked is a body, or what follows a response.
+	fieldName
+	fieldValue
+	// emptyLineEnd is the LF after the CR of an empty line.
+	emptyLineEnd
+	chunkSize
+	chunkExtension
+	chunkData
+	// chunkDataEnd is the line end after the data of a chunk.
+	chunkDataEnd
+	// unchecked is a body without chunks, or what follows a response.
 	unchecked
 )
 
@@ -28,11 +37,17 @@
 // does not, and passes over what net/http rejects by itself.
 type Scanner struct {
 	state state
-	// text holds the first bytes of the current status line.
+	// text holds the first bytes of the current status line or field name.
 	text    [maxTextBytes]byte
 	textLen int
-	// interim is set in the head of an interim response.
+	// interim is set in the head of an interim response, and trailer in the trailers.
 	interim bool
+	trailer bool
+	// http10 is set if the response is one of HTTP/1.0, which has no chunks.
+	http10 bool
+	// chunked is set if the head has the field Transfer-Encoding, of which net/http accepts only the value chunked.
+	chunked bool
+	chunk   chunkLength
 }
 
 // Scan checks the next bytes of the response. It returns an *Error at the first byte that shows a problem; what arrived before
@@ -54,9 +69,20 @@
 	case statusLine:
 		return s.scanStatusLine(p)
 	case lineStart:
-		return s.scanLineStart(p[0]), nil
+		return s.scanLineStart(p[0])
+	case fieldName:
+		return s.scanFieldName(p)
+	case fieldValue:
+		return s.skipLine(p, lineStart), nil
+	case emptyLineEnd:
+		if p[0] != '\n' {
+			return 0, s.problem(InvalidFieldName)
+		}
+		s.endHead()
+		return 1, nil
+	default:
+		return s.scanChunkPart(p), nil
 	}
-	return s.skipLine(p, lineStart), nil
 }
 
 // skipLine skips the rest of a line, after which next follows.
@@ -107,27 +133,70 @@
 		return s.problem(InvalidStatus)
 	}
 	s.interim = status[0] == '1' && status != "101" // switching protocols ends the exchange of messages
+	s.http10 = line[len(prefix)] == '0'
 	s.state = lineStart
 	return nil
 }
 
-// scanLineStart checks the first byte of a line, which is a field or, if it is empty, ends the head.
-func (s *Scanner) scanLineStart(b byte) (n int) {
-	switch b {
-	case '\r':
-		return 1 // an LF follows, because a name has no CR
-	case '\n':
+// scanLineStart checks the first byte of a line, which is a field or, if it is empty, ends the head or the trailers.
+func (s *Scanner) scanLineStart(b byte) (n int, err error) {
+	s.textLen = 0
+	switch {
+	case b == '\n':
 		s.endHead()
-		return 1
+		return 1, nil
+	case b == '\r':
+		s.appendText(b)
+		s.state = emptyLineEnd
+		return 1, nil
+	case !isTokenByte(b):
+		s.appendText(b)
+		return 0, s.problem(InvalidFieldName)
+	}
+	s.state = fieldName
+	return 0, nil
+}
+
+func (s *Scanner) scanFieldName(p []byte) (n int, err error) {
+	for i, b := range p {
+		if b == ':' {
+			s.endFieldName()
+			return i + 1, nil
+		}
+		s.appendText(b)
+		if !isTokenByte(b) {
+			return 0, s.problem(InvalidFieldName)
+		}
 	}
-	s.state = field
-	return 0
+	return len(p), nil
 }
 
+func (s *Scanner) endFieldName() {
+	s.state = fieldValue
+	if strings.EqualFold(string(s.text[:s.textLen]), "Transfer-Encoding") {
+		s.chunked = true
+	}
+}
+
+// endHead is called at the end of a head or of the trailers.
 func (s *Scanner) endHead() {
-	if s.interim {
+	switch {
+	case s.trailer:
+		s.state = unchecked
+	case s.interim:
 		*s = Scanner{}
-		return
+	case s.chunked && !s.http10:
+		s.state = chunkSize
+	default:
+		s.state = unchecked
+	}
+}
+
+// isTokenByte reports whether a byte may be part of a token (RFC 9110, section 5.6.2).
+func isTokenByte(b byte) bool {
+	switch {
+	case 'a' <= b && b <= 'z', 'A' <= b && b <= 'Z', '0' <= b && b <= '9':
+		return true
 	}
-	s.state = unchecked
+	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
