gateway: input before the first write stops the attempt at once

The first write waits until net/http is blocked in a read, so that earlier input shows. Input that arrived between that wait and the write reached net/http before the attempt was bound to the connection: it was not checked, and could be taken for the response to the request. evidence: TestInputBeforeTheFirstWriteForbidsIt failed before: the write went through.

--- a/gateway/backendconn.go
+++ b/gateway/backendconn.go
@@ -108,11 +108,14 @@
 	}
 }
 
-// scan checks bytes that arrive after the request was written. Bytes that are no valid response end the attempt at once, because
-// more of them may dribble in until the deadline.
+// scan checks bytes that arrive. If the request was not written yet, they belong to another one, and the gate stops. Bytes that
+// are no valid response end the attempt at once, because more of them may dribble in until the deadline.
 func (g *sendGate) scan(c *backendConn, p []byte) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.conn == nil {
+		g.stopped = true
+	}
 	if g.conn != c || g.refused != nil {
 		return g.refused
 	}
--- a/gateway/backendconn_test.go
+++ b/gateway/backendconn_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -39,3 +40,24 @@
 		}
 	}
 }
+
+// Guards against a response that arrives before its request is written, between the wait for the reader and the first write, and
+// that is taken unchecked for the response to the request.
+func TestInputBeforeTheFirstWriteForbidsIt(t *testing.T) {
+	local, remote := net.Pipe()
+	defer local.Close()
+	defer remote.Close()
+	conn := newBackendConn(local)
+	gate := &sendGate{check: func() error { return nil }}
+	conn.gate.Store(gate)
+	go func() { _, _ = io.WriteString(remote, "HTTP/1.1 200 OK\r\n") }()
+	if _, err := conn.Read(make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _, _ = conn.Read(make([]byte, 64)) }()
+	go func() { _, _ = io.Copy(io.Discard, remote) }()
+	var forbidden *SendForbiddenError
+	if _, err := conn.Write([]byte("GET")); !errors.As(err, &forbidden) {
+		t.Errorf("the write returned %v, want a SendForbiddenError", err)
+	}
+}
