gateway: a cut answer resets the connection of an HTTP/1.0 caller

Such a response without a length ends with the connection, and the gateway aborted it by a close. Not tried: a response that is still written when a stop ends all connections."

--- a/gateway/connlimit/listener.go
+++ b/gateway/connlimit/listener.go
@@ -149,6 +149,9 @@
 	outer net.Conn
 }
 
+// NetConn returns the connection below, as tls.Conn does.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the writing side.
 func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/gateway/resetconn/conn.go
+++ b/gateway/resetconn/conn.go
@@ -1,5 +1,5 @@
-// Package resetconn makes a connection report a reset to its reader, also if the system has reported it to a writer. It may
-// import the standard library only.
+// Package resetconn keeps the reset of a connection apart from its proper end: for the reader of a connection that a peer resets,
+// and for the peer of one that this process resets. It may import the standard library only.
 package resetconn
 
 import (
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"heatherwall.example/api/controlpb"
+	"heatherwall.example/gateway/resetconn"
 	"heatherwall.example/telemetry"
 )
 
@@ -120,5 +121,18 @@
 	p.counters.UnlabeledCounter("answers_aborted").Inc(1)
 	p.log.Log(eventAnswerAborted, telemetry.F("request", c.requestID), telemetry.F("server", a.server.id), telemetry.F("address", a.server.address),
 		telemetry.F("cause", a.result.kind.String()))
+	if !c.r.ProtoAtLeast(1, 1) {
+		resetCaller(c.w)
+	}
 	panic(http.ErrAbortHandler)
 }
+
+// resetCaller resets the connection of a caller of HTTP/1.0. A response without a length ends with the connection there, so a
+// close would make an incomplete one look complete.
+func resetCaller(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection is closed already
+	}
+	resetconn.Reset(conn)
+}
