gateway/tokens: the stub of the tests has no data race

cause: go test -race reported one in TestOwnerIsLost (2 of 6 cases, 1 of 1 runs of the package, and again by itself): a goroutine changed the owner of the stub while the client read it.

--- a/gateway/tokens/client_test.go
+++ b/gateway/tokens/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,31 +13,37 @@
 	"heatherwall.example/quota"
 )
 
+// takeFunc answers a call.
+type takeFunc func(r *controlpb.TakeTokensRequest) (*controlpb.TakeTokensAnswer, error)
+
 // stub is a control group of one replica.
 type stub struct {
 	client *Client
 	start  time.Time
-	owner  uint64
 	calls  int
 	counts map[Outcome]int
+
+	mu    sync.Mutex // guards owner and answer
+	owner uint64
 	// answer answers a call; a nil answer stands for a replica that does not answer.
-	answer func(r *controlpb.TakeTokensRequest) (*controlpb.TakeTokensAnswer, error)
+	answer takeFunc
 }
 
-func newStub(answer func(r *controlpb.TakeTokensRequest) (*controlpb.TakeTokensAnswer, error)) *stub {
+func newStub(answer takeFunc) *stub {
 	s := &stub{start: time.Now(), owner: 7, counts: map[Outcome]int{}, answer: answer}
 	s.client = &Client{
 		Wallet: quota.NewWallet(quota.Bounds{Window: 5 * time.Second, Overage: 0.1}),
-		Owner:  func(int) uint64 { return s.owner },
+		Owner:  func(int) uint64 { owner, _ := s.current(); return owner },
 		Now:    func() time.Duration { return time.Since(s.start) + time.Hour },
 		Count:  func(o Outcome) { s.counts[o]++ },
 		Call: func(ctx context.Context, replica uint64, r *controlpb.TakeTokensRequest) (*controlpb.TakeTokensAnswer, error) {
 			s.calls++
-			if replica != s.owner {
+			if owner, _ := s.current(); replica != owner {
 				return nil, fmt.Errorf("replica %d was called", replica)
 			}
 			time.Sleep(10 * time.Millisecond)
-			a, err := s.answer(r)
+			_, answer := s.current()
+			a, err := answer(r)
 			if a == nil && err == nil {
 				<-ctx.Done()
 				return nil, ctx.Err()
@@ -47,6 +54,20 @@
 	return s
 }
 
+// current returns the owner and its answer at this moment.
+func (s *stub) current() (owner uint64, answer takeFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owner, s.answer
+}
+
+// change calls f, which may change the owner and its answer.
+func (s *stub) change(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
 func answer(result controlpb.TakeTokensResult, tokens, wait, retryAfter uint32) *controlpb.TakeTokensAnswer {
 	return &controlpb.TakeTokensAnswer{Result: result, Tokens: tokens, WaitMs: wait, RetryAfterMs: retryAfter}
 }
@@ -106,9 +127,12 @@
 // was found in time.
 func TestOwnerIsLost(t *testing.T) {
 	for name, fail := range map[string]func(s *stub) (*controlpb.TakeTokensAnswer, error){
-		"refuses":   func(*stub) (*controlpb.TakeTokensAnswer, error) { return nil, errors.New("connection refused") },
-		"silent":    func(*stub) (*controlpb.TakeTokensAnswer, error) { return nil, nil },
-		"not known": func(s *stub) (*controlpb.TakeTokensAnswer, error) { s.owner = 0; return nil, errors.New("gone") },
+		"refuses": func(*stub) (*controlpb.TakeTokensAnswer, error) { return nil, errors.New("connection refused") },
+		"silent":  func(*stub) (*controlpb.TakeTokensAnswer, error) { return nil, nil },
+		"not known": func(s *stub) (*controlpb.TakeTokensAnswer, error) {
+			s.change(func() { s.owner = 0 })
+			return nil, errors.New("gone")
+		},
 		"no tenure": func(*stub) (*controlpb.TakeTokensAnswer, error) {
 			return answer(controlpb.TakeTokensResult_TAKE_TOKENS_NOT_OWNER, 0, 0, 0), nil
 		},
@@ -129,9 +153,11 @@
 				}
 				go func() {
 					time.Sleep(300 * time.Millisecond)
-					s.owner, s.answer = 8, func(*controlpb.TakeTokensRequest) (*controlpb.TakeTokensAnswer, error) {
-						return answer(controlpb.TakeTokensResult_TAKE_TOKENS_GIVEN, 1, 0, 0), nil
-					}
+					s.change(func() {
+						s.owner, s.answer = 8, func(*controlpb.TakeTokensRequest) (*controlpb.TakeTokensAnswer, error) {
+							return answer(controlpb.TakeTokensResult_TAKE_TOKENS_GIVEN, 1, 0, 0), nil
+						}
+					})
 				}()
 				if _, err := s.client.Take(t.Context(), "w", 10*time.Second); err != nil {
 					t.Errorf("%v although another owner was there after 300 ms", err)
